Make the fan-out generic over a merge policy

Change: FanOut takes a MergePolicy (SnapshotMerge, TopRecordsMerge, SingleAnswer), a limit on the attempts per leaf, an early answer time and a flag for requests that may not be repeated.

--- a/packages/azurefield-entry/src/azurefield_entry/query/booking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/booking.py
@@ -36,7 +36,7 @@
 
     def start(self, now: float) -> SendLeafCall | BookingResult:
         """Choose the first call, or end the booking if there is no server for it."""
-        self.state.retries.on_first_attempt()
+        self.state.retries.on_first_attempt(now, "")
         return self.next_call(now)
 
     def on_end(
@@ -55,12 +55,16 @@
     def after_failure(self, now: float, failure: LeafFailure) -> SendLeafCall | BookingResult:
         """Send the booking to another server if that is safe and allowed."""
         expired = now >= self.request.deadline
-        if failure.outcome is Outcome.NOT_RUN and not expired and self.state.retries.try_spend():
+        if failure.outcome is Outcome.NOT_RUN and not expired and self.may_spend(now):
             call = self.next_call(now)
             if isinstance(call, SendLeafCall):
                 return call
         return Err(booking_failure(failure, expired=expired))
 
+    def may_spend(self, now: float) -> bool:
+        """Take one retry from the service's budget."""
+        return self.state.retries.try_spend(now, "")
+
     def next_call(self, now: float) -> SendLeafCall | BookingResult:
         """Choose a server that was not asked yet for the leaf that owns the key."""
         choice = self.state.holdings.choose(now)
--- a/packages/azurefield-entry/src/azurefield_entry/query/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/running.py
@@ -11,7 +11,7 @@
 from azurefield.failures import RequestFailure
 from azurefield.model import RequestKind, Snapshot
 from azurefield.query import FanOut
-from azurefield.snapshot import MergedAnswer
+from azurefield.snapshot import LeafAnswer, MergedAnswer
 from azurefield_entry.messages import BookingAnswer, BookingRequest, QueryEffort, QueryRequest
 from azurefield_entry.query.booking import BookingDispatch
 from azurefield_entry.query.state import ServiceState
@@ -39,7 +39,7 @@
 
     request: QueryRequest
     state: ServiceState
-    fan_out: FanOut
+    fan_out: FanOut[LeafAnswer, MergedAnswer]
     reply: Future[Result[MergedAnswer, RequestFailure]]
     effort: QueryEffort
     fingerprint: str
--- a/packages/azurefield-entry/src/azurefield_entry/query/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/service.py
@@ -13,9 +13,10 @@
 
 from azurefield.failures import LeafFailureReason
 from azurefield.hedging import NoHedging
+from azurefield.merge import SnapshotMerge
 from azurefield.model import RequestKind
 from azurefield.query import Action, CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
-from azurefield.snapshot import Holding
+from azurefield.snapshot import Holding, MergedAnswer
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_entry.messages import (
     CallLeaf,
@@ -149,10 +150,9 @@
         suspect = self.quarantine.suspects.is_suspect(now, mark)
         fan_out = FanOut(
             request_id=request.request_id,
-            kind=request.kind,
+            merge=SnapshotMerge(kind=request.kind, limit=request.limit),
             snapshot=choice.snapshot,
             leafs=leafs,
-            limit=request.limit,
             deadline=request.deadline,
             holders=self.quarantine.allowed_holders(state.holdings, mark),
             router=state.router,
@@ -198,7 +198,7 @@
             self.forget_query(query)
             self.quarantine.advance(now)
 
-    def carry_out(self, query: RunningQuery, actions: list[Action]) -> None:
+    def carry_out(self, query: RunningQuery, actions: list[Action[MergedAnswer]]) -> None:
         """Carry out the actions of a fan-out."""
         for action in actions:
             match action:
--- a/packages/azurefield-testkit/src/azurefield_testkit/bench/entry.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/bench/entry.py
@@ -12,11 +12,12 @@
 from azurefield.admission import AdmissionRequest, Admitted, Decision, Queued
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.hedging import NoHedging
+from azurefield.merge import SnapshotMerge
 from azurefield.model import Outcome, Snapshot
 from azurefield.quarantine import CrashSuspects
 from azurefield.query import Action, CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
 from azurefield.retry import RetryBudget
-from azurefield.snapshot import Holding, LeafAnswer
+from azurefield.snapshot import Holding, LeafAnswer, MergedAnswer
 from azurefield_testkit.bench.loop import VirtualLoop
 from azurefield_testkit.bench.scenario import CRASHER, Arrival
 from azurefield_testkit.bench.servers import Call, ConnectionPool
@@ -73,7 +74,7 @@
 
     arrival: Arrival
     fingerprint: str
-    fan_out: FanOut
+    fan_out: FanOut[LeafAnswer, MergedAnswer]
     wake_at: float = float("inf")
 
 
@@ -157,10 +158,9 @@
         once = not arrival.kind.idempotent
         fan_out = FanOut(
             request_id=request_id,
-            kind=arrival.kind,
+            merge=SnapshotMerge(kind=arrival.kind, limit=10),
             snapshot=SNAPSHOT,
             leafs=leafs if arrival.kind.partial else (leafs[arrival.leaf],),
-            limit=10,
             deadline=arrival.at + DEADLINE_S[arrival.kind],
             holders=LeafHolders(suspects=policies.suspects, request=fingerprint),
             router=policies.router,
@@ -172,7 +172,7 @@
         )
         self.perform(request_id, fan_out.start(self.loop.now))
 
-    def perform(self, request_id: str, actions: list[Action]) -> None:
+    def perform(self, request_id: str, actions: list[Action[MergedAnswer]]) -> None:
         """Carry out the actions of a fan-out."""
         for action in actions:
             match action:
@@ -248,7 +248,7 @@
         if self.policies.suspects:
             self.policies.suspects.on_call_ended(call_id)
 
-    def finish(self, request_id: str, action: Finished) -> None:
+    def finish(self, request_id: str, action: Finished[MergedAnswer]) -> None:
         """Record the end of a request and free its place."""
         running = self.running.pop(request_id)
         fan_out = running.fan_out
--- a/packages/azurefield-testkit/src/azurefield_testkit/cost/pure.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/cost/pure.py
@@ -11,6 +11,7 @@
 from azurefield.hedging import BudgetedHedging
 from azurefield.limits import ConnectionShares
 from azurefield.membership import Heartbeat, InstanceState, KnownInstance
+from azurefield.merge import SnapshotMerge
 from azurefield.model import RequestKind, ShardMap, Snapshot, even_shard_map
 from azurefield.query import FanOut, SendLeafCall
 from azurefield.retry import RetryBudget
@@ -130,10 +131,9 @@
     """Run one query of which every leaf answers its first call."""
     fan_out = FanOut(
         request_id="q",
-        kind=RequestKind.LISTING,
+        merge=SnapshotMerge(kind=RequestKind.LISTING, limit=LIMIT),
         snapshot=SNAPSHOT,
         leafs=leafs,
-        limit=LIMIT,
         deadline=20.0,
         holders=table,
         router=router,
--- a/packages/azurefield/src/azurefield/hedging.py
+++ b/packages/azurefield/src/azurefield/hedging.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from azurefield.retry import CallBudget
+
 HEDGE_QUANTILE = 0.95
 # While less than half of the tokens is left, only later calls are hedged, so that there are tokens
 # when a server turns slow.
@@ -36,7 +38,7 @@
     def delay_s(self, leaf: str) -> float | None:
         """Return how long a call may be pending before it is hedged; None means never."""
 
-    def try_spend(self) -> bool:
+    def try_spend(self, now: float, leaf: str) -> bool:
         """Take one hedge from the budget, if it has one."""
 
 
@@ -53,7 +55,7 @@
         """Return None."""
         return None
 
-    def try_spend(self) -> bool:
+    def try_spend(self, now: float, leaf: str) -> bool:  # noqa: ARG002
         """Return False."""
         return False
 
@@ -62,6 +64,7 @@
 class LeafLatencies:
     """Recent latencies of one leaf and the hedge delay that follows from them."""
 
+    quantile: float = HEDGE_QUANTILE
     window: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_CALLS))
     outlasted: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_CALLS))
     delay_s: float | None = None
@@ -79,7 +82,7 @@
         ):
             self.since_refresh = 0
             ordered = sorted(self.window)
-            self.delay_s = ordered[int(HEDGE_QUANTILE * len(ordered))]
+            self.delay_s = ordered[int(self.quantile * len(ordered))]
             self.saving_delay_s = ordered[int(SAVING_QUANTILE * len(ordered))]
 
     @property
@@ -117,9 +120,36 @@
             return None
         return known.saving_delay_s if self.tokens < 0.5 * self.tokens_max else known.delay_s
 
-    def try_spend(self) -> bool:
+    def try_spend(self, now: float, leaf: str) -> bool:  # noqa: ARG002
         """Take one hedge from the budget, if it has one."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
         return True
+
+
+@dataclass(slots=True, kw_only=True)
+class SharedDelayHedging:
+    """Hedges after one observed quantile for all leafs, under a budget that retries use too.
+
+    For leafs that answer equally well, so that few observations are enough. The budget counts the
+    first calls itself.
+    """
+
+    latencies: LeafLatencies
+    budget: CallBudget
+
+    def on_first_call(self, leaf: str) -> None:
+        """Do nothing."""
+
+    def observe(self, leaf: str, latency_s: float) -> None:  # noqa: ARG002
+        """Learn how long a leaf took."""
+        self.latencies.observe(latency_s)
+
+    def delay_s(self, leaf: str) -> float | None:  # noqa: ARG002
+        """Return the observed quantile; None with few calls or if all servers are slow."""
+        return None if self.latencies.slow_alike else self.latencies.delay_s
+
+    def try_spend(self, now: float, leaf: str) -> bool:
+        """Take one hedge from the budget, if it has one."""
+        return self.budget.try_spend(now, leaf)
--- /dev/null
+++ b/packages/azurefield/src/azurefield/merge.py
@@ -0,0 +1,231 @@
+"""Merge policies: which leaf answers count, how many are enough, and the result of a query."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+
+from result import Err, Ok, Result
+
+from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
+from azurefield.model import Outcome, RequestKind, Snapshot
+from azurefield.snapshot import LeafAnswer, MergedAnswer, check_answer, merge
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+REASONS_SHOWN_MAX = 5
+RETRY_AFTER_S = 1.0
+# A share such as 0.89 of 100 shards must not ask for one more because of its binary form.
+SHARE_SLACK = 1e-9
+
+A = TypeVar("A")
+A_contra = TypeVar("A_contra", contravariant=True)
+R = TypeVar("R")
+R_co = TypeVar("R_co", covariant=True)
+
+
+class MergePolicy(Protocol[A_contra, R_co]):
+    """Decides on the answers of one query."""
+
+    def check(
+        self, answer: A_contra, *, call_id: str, leaf: str, snapshot: Snapshot
+    ) -> LeafFailure | None:
+        """Return why an answer can't be used, or None if it can."""
+
+    def enough(self, *, answered: int, asked: int) -> bool:
+        """Whether a result can be built from so many leafs."""
+
+    def result(
+        self,
+        *,
+        snapshot: Snapshot,
+        leafs: tuple[str, ...],
+        answers: Mapping[str, A_contra],
+        failures: Mapping[str, LeafFailureReason],
+        outcome: Outcome,
+    ) -> Result[R_co, RequestFailure]:
+        """Build the result.
+
+        :param failures: why other leafs have no answer; one in neither mapping timed out
+        :param outcome: what a failure may claim about the calls of the query
+        """
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SnapshotMerge:
+    """Merges ranked records of one snapshot; partial kinds need one leaf, the others all.
+
+    ``limit`` is how many records the answer holds at most.
+    """
+
+    kind: RequestKind
+    limit: int
+
+    def check(
+        self, answer: LeafAnswer, *, call_id: str, leaf: str, snapshot: Snapshot
+    ) -> LeafFailure | None:
+        """Check that an answer is whole and belongs to the call, the leaf and the snapshot."""
+        match check_answer(answer, call_id=call_id, leaf=leaf, snapshot=snapshot):
+            case Err(failure):
+                return failure
+        return None
+
+    def enough(self, *, answered: int, asked: int) -> bool:
+        """Whether a result can be built from so many leafs."""
+        return answered >= (1 if self.kind.partial else asked)
+
+    def result(
+        self,
+        *,
+        snapshot: Snapshot,
+        leafs: tuple[str, ...],
+        answers: Mapping[str, LeafAnswer],
+        failures: Mapping[str, LeafFailureReason],
+        outcome: Outcome,
+    ) -> Result[MergedAnswer, RequestFailure]:
+        """Merge the answers, or describe why too few leafs answered."""
+        if not self.enough(answered=len(answers), asked=len(leafs)):
+            return Err(too_few_leafs(leafs, answers, failures, outcome))
+        return Ok(
+            merge(
+                snapshot=snapshot,
+                leafs=leafs,
+                answers=answers,
+                failures=failures,
+                limit=self.limit,
+            )
+        )
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Part:
+    """The opaque answer of one leaf; ``proof`` shows the caller where it comes from."""
+
+    proof: str
+    body: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class MergedParts:
+    """The greatest records of the parts that answered, in falling order."""
+
+    proofs: tuple[str, ...]
+    missing: int
+    body: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TopRecordsMerge:
+    """Keeps the greatest records of parts that are made of records of one size.
+
+    :param top: how many records the answer holds at most
+    :param coverage_min: the share of the leafs that must have answered, 0 to 1
+    :param record_bytes: the size of a record; a shorter remainder of a part is no record
+    """
+
+    top: int
+    coverage_min: float
+    record_bytes: int
+
+    def check(
+        self, answer: Part, *, call_id: str, leaf: str, snapshot: Snapshot  # noqa: ARG002
+    ) -> LeafFailure | None:
+        """Accept every part; what belongs to another call never gets here."""
+        return None
+
+    def enough(self, *, answered: int, asked: int) -> bool:
+        """Whether the share of the leafs that answered is large enough; one leaf at least.
+
+        >>> policy = TopRecordsMerge(top=5, coverage_min=0.75, record_bytes=16)
+        >>> policy.enough(answered=8, asked=10), policy.enough(answered=7, asked=10)
+        (True, False)
+        """
+        return answered > 0 and answered >= self.coverage_min * asked - SHARE_SLACK
+
+    def result(
+        self,
+        *,
+        snapshot: Snapshot,  # noqa: ARG002
+        leafs: tuple[str, ...],
+        answers: Mapping[str, Part],
+        failures: Mapping[str, LeafFailureReason],
+        outcome: Outcome,
+    ) -> Result[MergedParts, RequestFailure]:
+        """Merge the parts, or describe why too few leafs answered."""
+        if not self.enough(answered=len(answers), asked=len(leafs)):
+            return Err(too_few_leafs(leafs, answers, failures, outcome))
+        parts = [answers[leaf] for leaf in leafs if leaf in answers]
+        return Ok(
+            MergedParts(
+                proofs=tuple(part.proof for part in parts),
+                missing=len(leafs) - len(parts),
+                body=greatest(parts, self.top, self.record_bytes),
+            )
+        )
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SingleAnswer(Generic[A]):
+    """Passes the answer of the only leaf on unchanged."""
+
+    def check(
+        self, answer: A, *, call_id: str, leaf: str, snapshot: Snapshot  # noqa: ARG002
+    ) -> LeafFailure | None:
+        """Accept every answer; what belongs to another call never gets here."""
+        return None
+
+    def enough(self, *, answered: int, asked: int) -> bool:
+        """Whether the leaf has answered."""
+        return answered >= asked
+
+    def result(
+        self,
+        *,
+        snapshot: Snapshot,  # noqa: ARG002
+        leafs: tuple[str, ...],
+        answers: Mapping[str, A],
+        failures: Mapping[str, LeafFailureReason],
+        outcome: Outcome,
+    ) -> Result[A, RequestFailure]:
+        """Return the answer, or the reason why there is none."""
+        for answer in answers.values():
+            return Ok(answer)
+        return Err(too_few_leafs(leafs, answers, failures, outcome))
+
+
+def greatest(parts: Iterable[Part], top: int, record_bytes: int) -> bytes:
+    """Join the greatest records of all parts, compared byte by byte, in falling order.
+
+    >>> parts = [Part(proof="", body=b"aacc"), Part(proof="", body=b"bbccx")]
+    >>> greatest(parts, 3, 2)
+    b'ccccbb'
+    """
+    records = [
+        part.body[start : start + record_bytes]
+        for part in parts
+        for start in range(0, len(part.body) - record_bytes + 1, record_bytes)
+    ]
+    records.sort(reverse=True)
+    return b"".join(records[:top])
+
+
+def too_few_leafs(
+    leafs: tuple[str, ...],
+    answers: Mapping[str, A],
+    failures: Mapping[str, LeafFailureReason],
+    outcome: Outcome,
+) -> RequestFailure:
+    """Describe a query for which too few leafs answered."""
+    missing = {
+        leaf: failures.get(leaf, LeafFailureReason.TIMEOUT) for leaf in leafs if leaf not in answers
+    }
+    timed_out = LeafFailureReason.TIMEOUT in missing.values()
+    shown = list(missing.items())[:REASONS_SHOWN_MAX]
+    reasons = ", ".join(f"{leaf}: {reason}" for leaf, reason in shown)
+    return RequestFailure(
+        kind=FailureKind.DEADLINE_EXCEEDED if timed_out else FailureKind.LEAF_UNAVAILABLE,
+        outcome=outcome,
+        detail=f"{len(answers)} of {len(leafs)} leafs answered ({reasons})",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -5,19 +5,20 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from statistics import median
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
-from result import Err, Ok, Result
+from result import Result
 
-from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
+from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.hedging import HedgePolicy
-from azurefield.model import Outcome, RequestKind, Snapshot
-from azurefield.retry import RetryBudget
+from azurefield.merge import MergePolicy
+from azurefield.model import Outcome, Snapshot
+from azurefield.retry import CallBudget
 from azurefield.routing import CallResult, Router
-from azurefield.snapshot import Holding, LeafAnswer, MergedAnswer, check_answer, merge
+from azurefield.snapshot import Holding
 
-REASONS_SHOWN_MAX = 5
-RETRY_AFTER_S = 1.0
+A = TypeVar("A")
+R = TypeVar("R")
 REFUSALS = frozenset(
     {
         LeafFailureReason.DRAINING,
@@ -27,6 +28,7 @@
         LeafFailureReason.NO_CAPACITY,
     }
 )
+NEVER_SENT = frozenset({LeafFailureReason.CONNECT_FAILED, LeafFailureReason.NO_CAPACITY})
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -56,13 +58,13 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class Finished:
+class Finished(Generic[R]):
     """The query ended; no event may follow."""
 
-    result: Result[MergedAnswer, RequestFailure]
+    result: Result[R, RequestFailure]
 
 
-Action = SendLeafCall | CancelLeafCall | WakeAt | Finished
+Action = SendLeafCall | CancelLeafCall | WakeAt | Finished[R]
 
 
 class Holders(Protocol):
@@ -81,8 +83,12 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class LeafProgress:
-    """What has happened for one leaf of the query; ``position`` is its place in the shard map."""
+class LeafProgress(Generic[A]):
+    """What has happened for one leaf of the query.
+
+    ``position`` is its place in the shard map, ``runs`` the number of ended calls that may have
+    run.
+    """
 
     position: int
     pending: dict[str, PendingCall] = field(default_factory=dict)
@@ -90,8 +96,9 @@
     first_sent_at: float | None = None
     latency_s: float | None = None
     hedge_at: float | None = None
-    answer: LeafAnswer | None = None
+    answer: A | None = None
     failure: LeafFailureReason | None = None
+    runs: int = 0
 
     @property
     def settled(self) -> bool:
@@ -100,67 +107,74 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class FanOut:
+class FanOut(Generic[A, R]):
     """One query over the leafs of one snapshot.
 
-    Only for idempotent kinds: a leaf may be asked on several backend servers. The owner feeds
-    events in order of time and carries out the returned actions.
+    The owner feeds events in order of time and carries out the returned actions. A query that is
+    not ``idempotent`` is sent again only after a failure that says that it was not run, and is
+    never hedged.
 
-    :param limit: how many records the answer holds at most
+    :param merge: decides which answers count, how many are enough and what the result is
     :param deadline: time at which the query ends with what it has
+    :param attempts_max: on how many servers a leaf's call may run at most; None for no limit
+    :param answer_by: time from which the query ends as soon as enough leafs have answered
     """
 
     request_id: str
-    kind: RequestKind
+    merge: MergePolicy[A, R]
     snapshot: Snapshot
     leafs: tuple[str, ...]
-    limit: int
     deadline: float
     holders: Holders
     router: Router
     hedging: HedgePolicy
-    retries: RetryBudget
-    progress: dict[str, LeafProgress] = field(default_factory=dict)
+    retries: CallBudget
+    idempotent: bool = True
+    attempts_max: int | None = None
+    answer_by: float | None = None
+    progress: dict[str, LeafProgress[A]] = field(default_factory=dict)
     leaf_of_call: dict[str, str] = field(default_factory=dict)
     open_leafs: set[str] = field(default_factory=set)
+    answered: int = 0
     # Heap of due times with the leaf's position, so that no event has to look at every leaf.
     hedges: list[tuple[float, int]] = field(default_factory=list)
     calls_sent: int = 0
     finished: bool = False
 
-    def start(self, now: float) -> list[Action]:
+    def start(self, now: float) -> list[Action[R]]:
         """Send the first call of each leaf."""
-        actions: list[Action] = []
+        actions: list[Action[R]] = []
         for position, leaf in enumerate(self.leafs):
             self.progress[leaf] = LeafProgress(position=position)
             self.open_leafs.add(leaf)
             self.hedging.on_first_call(leaf)
-            self.retries.on_first_attempt()
+            self.retries.on_first_attempt(now, leaf)
             if not self.send(now, leaf, actions):
                 self.progress[leaf].failure = LeafFailureReason.NO_SERVER
                 self.open_leafs.discard(leaf)
         return self.conclude(now, actions)
 
-    def on_answer(self, now: float, call_id: str, answer: LeafAnswer) -> list[Action]:
+    def on_answer(self, now: float, call_id: str, answer: A) -> list[Action[R]]:
         """Take a leaf's answer, if the call is still pending and the answer belongs to it."""
         leaf = self.awaited_leaf(call_id)
         if leaf is None:
             return []
-        match check_answer(answer, call_id=call_id, leaf=leaf, snapshot=self.snapshot):
-            case Err(failure):
-                return self.on_failure(now, call_id, failure)
+        broken = self.merge.check(answer, call_id=call_id, leaf=leaf, snapshot=self.snapshot)
+        if broken is not None:
+            return self.on_failure(now, call_id, broken)
         progress = self.progress[leaf]
         call = progress.pending.pop(call_id)
         latency_s = now - call.sent_at
         self.router.on_result(now, call.server, CallResult.ANSWERED, latency_s)
         self.observe_leaf(now, leaf, progress)
         progress.answer = answer
+        self.answered += 1
         self.open_leafs.discard(leaf)
-        actions: list[Action] = []
+        actions: list[Action[R]] = []
         self.cancel_pending(now, progress, CallResult.CANCELLED, actions)
         return self.conclude(now, actions)
 
-    def on_failure(self, now: float, call_id: str, failure: LeafFailure) -> list[Action]:
+    def on_failure(self, now: float, call_id: str, failure: LeafFailure) -> list[Action[R]]:
         """Take a failed call and ask the leaf elsewhere, within the retry budget."""
         leaf = self.awaited_leaf(call_id)
         if leaf is None:
@@ -169,26 +183,44 @@
         call = progress.pending.pop(call_id)
         self.router.on_result(now, call.server, _call_result(failure), now - call.sent_at)
         progress.failure = failure.reason
-        actions: list[Action] = []
-        if not progress.pending and now < self.deadline and self.retries.try_spend():
+        progress.runs += failure.outcome is not Outcome.NOT_RUN
+        actions: list[Action[R]] = []
+        if not progress.pending and now < self.deadline and self.may_retry(now, leaf, failure):
             self.send(now, leaf, actions)
         if progress.settled:
             self.open_leafs.discard(leaf)
         return self.conclude(now, actions)
 
-    def on_tick(self, now: float) -> list[Action]:
+    def may_retry(self, now: float, leaf: str, failure: LeafFailure) -> bool:
+        """Whether a leaf's failed call may be sent to another server.
+
+        A call that never reached a server adds no load there, so its retry is free.
+        """
+        progress = self.progress[leaf]
+        if not self.idempotent and progress.runs:
+            return False
+        if not self.attempts_left(progress) or not self.untried(now, leaf):
+            return False
+        return failure.reason in NEVER_SENT or self.retries.try_spend(now, leaf)
+
+    def attempts_left(self, progress: LeafProgress[A]) -> bool:
+        """Whether one more call of a leaf may run."""
+        running = progress.runs + len(progress.pending)
+        return self.attempts_max is None or running < self.attempts_max
+
+    def on_tick(self, now: float) -> list[Action[R]]:
         """Send the hedges that are due; end the query at its deadline."""
         if self.finished:
             return []
-        actions: list[Action] = []
+        actions: list[Action[R]] = []
         if now < self.deadline:
             for leaf in self.take_due_hedges(now):
                 self.hedge(now, leaf, self.progress[leaf], actions)
         return self.conclude(now, actions)
 
-    def cancel(self, now: float) -> list[Action]:
+    def cancel(self, now: float) -> list[Action[R]]:
         """End the query without an answer because the caller went away."""
-        actions: list[Action] = []
+        actions: list[Action[R]] = []
         for progress in self.progress.values():
             self.cancel_pending(now, progress, CallResult.CANCELLED, actions)
         self.finished = True
@@ -216,16 +248,29 @@
         return leaf in self.open_leafs and self.progress[leaf].hedge_at == at
 
     def next_wake(self) -> float:
-        """Return the time of the next hedge, or the deadline."""
+        """Return the time of the next hedge, of an early answer, or the deadline."""
         while self.hedges and not self.hedge_planned(*self.hedges[0]):
             heappop(self.hedges)
-        return min(self.deadline, self.hedges[0][0]) if self.hedges else self.deadline
+        at = self.deadline
+        if self.answer_by is not None and self.enough():
+            at = min(at, self.answer_by)
+        return min(at, self.hedges[0][0]) if self.hedges else at
+
+    def enough(self) -> bool:
+        """Whether the leafs that have answered are enough for a result."""
+        return self.merge.enough(answered=self.answered, asked=len(self.leafs))
 
-    def hedge(self, now: float, leaf: str, progress: LeafProgress, actions: list[Action]) -> None:
+    def hedge(
+        self, now: float, leaf: str, progress: LeafProgress[A], actions: list[Action[R]]
+    ) -> None:
         """Send a second call for a leaf whose only call has been pending for too long."""
-        if len(progress.pending) != 1:
+        if len(progress.pending) != 1 or not self.idempotent:
             return
-        if self.untried(now, leaf) and self.hedging.try_spend():
+        if (
+            self.attempts_left(progress)
+            and self.untried(now, leaf)
+            and self.hedging.try_spend(now, leaf)
+        ):
             self.send(now, leaf, actions)
         progress.hedge_at = None
 
@@ -235,7 +280,7 @@
         tried = self.progress[leaf].tried
         return tuple(server for server in self.holders.holders(now, holding) if server not in tried)
 
-    def send(self, now: float, leaf: str, actions: list[Action]) -> bool:
+    def send(self, now: float, leaf: str, actions: list[Action[R]]) -> bool:
         """Send one call for a leaf to a backend server not asked yet.
 
         :return: whether a server could be chosen
@@ -269,7 +314,7 @@
         )
         return True
 
-    def observe_leaf(self, now: float, leaf: str, progress: LeafProgress) -> None:
+    def observe_leaf(self, now: float, leaf: str, progress: LeafProgress[A]) -> None:
         """Note how long a leaf took, counted from its first call.
 
         The latency of the call that won would hide the slow calls that were hedged, so the
@@ -288,7 +333,7 @@
         return median(known) if known else None
 
     def cancel_pending(
-        self, now: float, progress: LeafProgress, result: CallResult, actions: list[Action]
+        self, now: float, progress: LeafProgress[A], result: CallResult, actions: list[Action[R]]
     ) -> None:
         """Cancel all pending calls of a leaf."""
         for call_id, call in progress.pending.items():
@@ -296,25 +341,27 @@
             actions.append(CancelLeafCall(call_id=call_id, server=call.server))
         progress.pending.clear()
 
-    def conclude(self, now: float, actions: list[Action]) -> list[Action]:
+    def conclude(self, now: float, actions: list[Action[R]]) -> list[Action[R]]:
         """Finish if all leafs are settled or the deadline has passed, else set the wake-up."""
-        if now < self.deadline and self.open_leafs:
+        early = self.answer_by is not None and now >= self.answer_by and self.enough()
+        if now < self.deadline and self.open_leafs and not early:
             actions.append(WakeAt(at=self.next_wake()))
             return actions
         for leaf, progress in self.progress.items():
             if progress.pending:
                 progress.failure = LeafFailureReason.TIMEOUT
+                progress.runs += len(progress.pending)
                 self.observe_leaf(now, leaf, progress)
             self.cancel_pending(now, progress, CallResult.TIMED_OUT, actions)
         self.finished = True
         actions.append(Finished(result=self.result()))
         return actions
 
-    def result(self) -> Result[MergedAnswer, RequestFailure]:
-        """Build the answer, or the failure if the kind can't do with what is there."""
-        merged = merge(
-            snapshot=self.snapshot,
+    def result(self) -> Result[R, RequestFailure]:
+        """Build the answer, or the failure if too few leafs answered."""
+        return self.merge.result(
             leafs=self.leafs,
+            snapshot=self.snapshot,
             answers={
                 leaf: entry.answer
                 for leaf, entry in self.progress.items()
@@ -323,28 +370,16 @@
             failures={
                 leaf: entry.failure
                 for leaf, entry in self.progress.items()
-                if entry.failure is not None
+                if entry.answer is None and entry.failure is not None
             },
-            limit=self.limit,
-        )
-        needed = 1 if self.kind.partial else merged.coverage.leafs_total
-        if merged.coverage.leafs_covered >= needed:
-            return Ok(merged)
-        return Err(self.failure_of(merged))
-
-    def failure_of(self, merged: MergedAnswer) -> RequestFailure:
-        """Describe a query that covers too few leafs for its kind."""
-        missing = merged.coverage.missing
-        timed_out = any(leaf.reason is LeafFailureReason.TIMEOUT for leaf in missing)
-        reasons = ", ".join(f"{leaf.leaf}: {leaf.reason}" for leaf in missing[:REASONS_SHOWN_MAX])
-        covered = merged.coverage.leafs_covered
-        return RequestFailure(
-            kind=FailureKind.DEADLINE_EXCEEDED if timed_out else FailureKind.LEAF_UNAVAILABLE,
-            outcome=Outcome.MAY_HAVE_RUN if self.calls_sent else Outcome.NOT_RUN,
-            detail=f"{covered} of {len(self.leafs)} leafs answered ({reasons})",
-            retry_after_s=RETRY_AFTER_S,
+            outcome=self.outcome(),
         )
 
+    def outcome(self) -> Outcome:
+        """Tell whether any call of the query may have run."""
+        runs = any(entry.runs or entry.answer is not None for entry in self.progress.values())
+        return Outcome.MAY_HAVE_RUN if runs else Outcome.NOT_RUN
+
 
 def _call_result(failure: LeafFailure) -> CallResult:
     if failure.reason in REFUSALS:
--- a/packages/azurefield/tests/test_hedging.py
+++ b/packages/azurefield/tests/test_hedging.py
@@ -23,7 +23,7 @@
     def delay_s(self, leaf: str) -> float | None:  # noqa: ARG002
         return 0.02
 
-    def try_spend(self) -> bool:
+    def try_spend(self, now: float, leaf: str) -> bool:  # noqa: ARG002
         return True
 
 
@@ -35,7 +35,9 @@
         policy.on_first_call("leaf")
         latency_s = random.expovariate(100.0) * (10.0 if index >= slow_from else 1.0)
         delay_s = policy.delay_s("leaf")
-        hedges += delay_s is not None and latency_s > delay_s and policy.try_spend()
+        hedges += (
+            delay_s is not None and latency_s > delay_s and policy.try_spend(float(index), "leaf")
+        )
         policy.observe("leaf", latency_s)
     return hedges / calls
 
--- a/packages/azurefield/tests/test_query_differential.py
+++ b/packages/azurefield/tests/test_query_differential.py
@@ -11,11 +11,12 @@
 from hypothesis import strategies as st
 from result import Err, Ok, Result
 
-import azurefield.query as query_module
+import azurefield.merge as merge_module
 from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.hedging import NoHedging
+from azurefield.merge import SnapshotMerge
 from azurefield.model import Outcome, RequestKind, Snapshot, even_shard_map
-from azurefield.query import CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
+from azurefield.query import Action, CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
 from azurefield.retry import RetryBudget
 from azurefield.routing import RoundRobinRouter
 from azurefield.snapshot import Holding, LeafAnswer, MergedAnswer, Record
@@ -80,7 +81,7 @@
     def delay_s(self, leaf: str) -> float | None:  # noqa: ARG002
         return 20.0
 
-    def try_spend(self) -> bool:
+    def try_spend(self, now: float, leaf: str) -> bool:  # noqa: ARG002
         return True
 
 
@@ -136,10 +137,9 @@
     history = History()
     fan_out = FanOut(
         request_id="r",
-        kind=kind,
+        merge=SnapshotMerge(kind=kind, limit=1000),
         snapshot=ASKED,
         leafs=leafs,
-        limit=1000,
         deadline=DEADLINE,
         holders=AllHolders(names=("s1", "s2", "s3")),
         router=RoundRobinRouter(),
@@ -149,7 +149,7 @@
     queue: list[tuple[float, int, str, LeafAnswer | LeafFailure | None]] = []
     order = iter(range(1_000_000))
 
-    def carry_out(now: float, actions: list[query_module.Action]) -> None:
+    def carry_out(now: float, actions: list[Action[MergedAnswer]]) -> None:
         for action in actions:
             match action:
                 case SendLeafCall():
@@ -279,7 +279,7 @@
     proof: ProofRecorder,
 ) -> None:
     """Shows that the comparison finds the faults that the check prevents."""
-    monkeypatch.setattr(query_module, "check_answer", weakened)
+    monkeypatch.setattr(merge_module, "check_answer", weakened)
     _, found = explore_histories(300)
     for guarantee in (Guarantee.ONE_SNAPSHOT, Guarantee.TRUE_COVERAGE, Guarantee.WHOLE_ANSWER):
         proof(ProofRow(guarantee=guarantee, topic="fan-out", weakened=len(found)))
