--- a/packages/azurefield-entry/src/azurefield_entry/admin/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/admin/service.py
@@ -12,10 +12,9 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 from azurefield_entry.admin.status import InstanceStatus
-from azurefield_entry.kernel import Stop
+from azurefield_entry.kernel import BeginDrain, Stop
 from azurefield_entry.listener import listen
 from azurefield_entry.messages import (
-    BeginDrain,
     ConfigurationChanged,
     PeersChanged,
     ReadinessChanged,
--- a/packages/azurefield-entry/src/azurefield_entry/configuration/head_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/configuration/head_watch.py
@@ -20,7 +20,7 @@
     from random import Random
 
     from azurefield_entry.kernel import Mailbox
-    from azurefield_platform import ConfigurationStore, HeadEvent
+    from azurefield_platform.configuration_store import ConfigurationStore, HeadEvent
 
 # Each reply counts as contact with the store, so a watch must end well before the isolation rule.
 WATCH_WAIT_MS = int(ISOLATION_S * 400)
--- a/packages/azurefield-entry/src/azurefield_entry/configuration/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/configuration/service.py
@@ -44,7 +44,7 @@
     fields_dict,
     read_fields,
 )
-from azurefield_platform import ConfigurationStore
+from azurefield_platform.configuration_store import ConfigurationStore
 
 if TYPE_CHECKING:
     from azurefield_entry.kernel import Kernel, Mailbox
--- a/packages/azurefield-entry/src/azurefield_entry/front/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/service.py
@@ -20,11 +20,10 @@
 from azurefield_entry.front.problems import plain_http_problem, problem_response
 from azurefield_entry.front.run import REPLY_GRACE_S, Means
 from azurefield_entry.front.state import FrontState
-from azurefield_entry.kernel import Stop, send_every
+from azurefield_entry.kernel import BeginDrain, Stop, send_every
 from azurefield_entry.listener import listen
 from azurefield_entry.logs import describe_error
 from azurefield_entry.messages import (
-    BeginDrain,
     ConfigurationChanged,
     MemberUse,
     PeerFrame,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
@@ -19,10 +19,9 @@
 from azurefield_entry.gateway.messages import RoutesInForce
 from azurefield_entry.gateway.ports import CallerDialect
 from azurefield_entry.gateway.service import GatewayService
-from azurefield_entry.kernel import Stop
+from azurefield_entry.kernel import BeginDrain, Stop
 from azurefield_entry.listener import listen
 from azurefield_entry.logs import describe_error
-from azurefield_entry.messages import BeginDrain
 
 if TYPE_CHECKING:
     from azurefield.merge import MergedParts
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
@@ -23,3 +23,7 @@
 # While no instance is known, connections are divided among this many.
 INSTANCES_ASSUMED = 8
 TICK_S = 0.25
+# A request that arrives while the process starts waits so long for the configuration, at most for
+# this part of the time that its caller waits.
+START_WAIT_S = 0.5
+START_WAIT_FRACTION = 0.4
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -77,6 +78,7 @@
     table: RouteTable | None = None
     directory: Directory = field(default_factory=Directory)
     listed: bool = False
+    first_listing: asyncio.Event = field(default_factory=asyncio.Event)
     instances: set[str] = field(default_factory=set)
     convicted: set[str] = field(default_factory=set)
     turns: WeightedTurns = field(default_factory=WeightedTurns)
@@ -137,6 +139,8 @@
             if isinstance(item, RouteTable):
                 self.take_table(item)
         self.listed = True
+        if self.ready:
+            self.first_listing.set()
         self.resize_pools()
 
     def take_item(self, now: float, item: Item | Removed) -> None:
@@ -165,6 +169,8 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        if self.ready:
+            self.first_listing.set()
         routes = frozenset(route.name for route in table.routes)
         self.turns.forget_except(routes)
         self.hedging = {name: entry for name, entry in self.hedging.items() if name in routes}
@@ -223,6 +229,8 @@
         self, request: GatewayRequest
     ) -> Result[OpaqueAnswer | MergedParts, RequestFailure]:
         """Answer one request; cancelling it ends its calls."""
+        if not self.ready:
+            await self.wait_until_ready(request)
         table = self.table
         if table is None or not self.listed:
             return Err(refusal(FailureKind.NOT_READY, "no configuration is known yet"))
@@ -255,6 +263,15 @@
         self.report(running, describe(result))
         return result
 
+    async def wait_until_ready(self, request: GatewayRequest) -> None:
+        """Give a process that has just started the time to read the store."""
+        wait_s = policies.START_WAIT_S
+        if request.deadline is not None:
+            wait_s = min(wait_s, policies.START_WAIT_FRACTION * (request.deadline - self.now()))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self.first_listing.wait()
+
     def fan_out(self, request: GatewayRequest, route: Route, version: int) -> FanOut[Any, Any]:
         """Build the state machine of a request."""
         self.requests += 1
--- a/packages/azurefield-entry/src/azurefield_entry/kernel.py
+++ b/packages/azurefield-entry/src/azurefield_entry/kernel.py
@@ -35,6 +35,11 @@
         """Handle messages until ``Stop`` arrives or an unexpected error ends the process."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BeginDrain:
+    """To all services: a planned stop has begun; keep serving until ``Stop``."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Stop:
     """Asks a service to release what it owns and return."""
--- a/packages/azurefield-entry/src/azurefield_entry/lifetime.py
+++ b/packages/azurefield-entry/src/azurefield_entry/lifetime.py
@@ -9,8 +9,8 @@
 from logbook import Logger
 from result import Err
 
+from azurefield_entry.kernel import BeginDrain
 from azurefield_entry.logs import describe_error
-from azurefield_entry.messages import BeginDrain
 from azurefield_entry.notify import notify_all
 
 if TYPE_CHECKING:
--- a/packages/azurefield-entry/src/azurefield_entry/membership/instance_list.py
+++ b/packages/azurefield-entry/src/azurefield_entry/membership/instance_list.py
@@ -10,14 +10,15 @@
 from result import Err, Ok, Result
 
 from azurefield.membership import InstanceState, ListedInstance
-from azurefield_platform import InstanceRole, ListFailure
-from azurefield_platform import InstanceState as PlatformState
-from azurefield_platform import ListedInstance as PlatformInstance
+from azurefield_platform.instances import InstanceRole
+from azurefield_platform.instances import InstanceState as PlatformState
+from azurefield_platform.instances import ListedInstance as PlatformInstance
 
 if TYPE_CHECKING:
     from random import Random
 
     from azurefield_entry.kernel import Mailbox
+    from azurefield_platform.failures import ListFailure
 
 log = logbook.Logger("membership")
 
--- a/packages/azurefield-entry/src/azurefield_entry/membership/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/membership/service.py
@@ -18,11 +18,10 @@
     IsolationMonitor,
     NewsSource,
 )
-from azurefield_entry.kernel import Stop, send_every
+from azurefield_entry.kernel import BeginDrain, Stop, send_every
 from azurefield_entry.membership.heartbeats import OwnReport, heartbeat_of
 from azurefield_entry.membership.instance_list import InstanceList, ListSeen, poll_list
 from azurefield_entry.messages import (
-    BeginDrain,
     CeilingsChanged,
     ConfigurationChanged,
     ConnectionsOpen,
--- a/packages/azurefield-entry/src/azurefield_entry/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/messages.py
@@ -255,11 +255,6 @@
     reason: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BeginDrain:
-    """To all services: a planned stop has begun; keep serving until ``Stop``."""
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CeilingsChanged:
     """To ``backends``: how many connections may be open to each backend server.
--- a/packages/azurefield-entry/src/azurefield_entry/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/wiring.py
@@ -19,7 +19,9 @@
 from azurefield_entry.peers.identity import new_identity
 from azurefield_entry.peers.service import PeersService
 from azurefield_entry.query.service import QueryService
-from azurefield_platform import ConfigurationStore, InstanceListClient, KeyValueClient
+from azurefield_platform.configuration_store import ConfigurationStore
+from azurefield_platform.instances import InstanceListClient
+from azurefield_platform.keyvalue import KeyValueClient
 
 if TYPE_CHECKING:
     from aiohttp import ClientSession
--- a/packages/azurefield-entry/tests/membership/test_service.py
+++ b/packages/azurefield-entry/tests/membership/test_service.py
@@ -11,11 +11,10 @@
 from azurefield.membership import ISOLATION_S, InstanceState, KnownInstance
 from azurefield.model import BackendServer, Configuration, ServiceConfig
 from azurefield.snapshot import ServerState, StatusReport
-from azurefield_entry.kernel import Kernel
+from azurefield_entry.kernel import BeginDrain, Kernel
 from azurefield_entry.membership.instance_list import ListSeen, split_by_role
 from azurefield_entry.membership.service import MembershipService, Tick
 from azurefield_entry.messages import (
-    BeginDrain,
     CeilingsChanged,
     ConfigurationChanged,
     ConnectionsOpen,
@@ -32,8 +31,9 @@
 )
 from azurefield_entry.peers.frames import HeartbeatFields, News, fields_dict
 from azurefield_entry.peers.identity import Identity
-from azurefield_platform import InstanceRole, ListedInstance, ListFailure, PlatformUnavailable
-from azurefield_platform import InstanceState as PlatformState
+from azurefield_platform.failures import ListFailure, PlatformUnavailable
+from azurefield_platform.instances import InstanceRole, ListedInstance
+from azurefield_platform.instances import InstanceState as PlatformState
 
 Message = TypeVar("Message")
 SERVER = BackendServer(
--- a/packages/azurefield-entry/tests/test_coordination.py
+++ b/packages/azurefield-entry/tests/test_coordination.py
@@ -34,19 +34,17 @@
 from azurefield_entry.peers.dialing import DialPlan
 from azurefield_entry.peers.identity import Identity
 from azurefield_entry.peers.service import PeersService
-from azurefield_platform import (
-    ConfigurationStore,
-    InstanceRole,
-    InstanceState,
+from azurefield_platform.configuration_store import ConfigurationStore
+from azurefield_platform.failures import (
     KeyNotFound,
-    ListedInstance,
     ListFailure,
     PlatformUnavailable,
     ReadFailure,
     RevisionConflict,
-    StoredValue,
     WriteFailure,
 )
+from azurefield_platform.instances import InstanceRole, InstanceState, ListedInstance
+from azurefield_platform.keyvalue import StoredValue
 from azurefield_testkit.entry_support.instance import free_address
 
 if TYPE_CHECKING:
--- a/packages/azurefield-entry/tests/test_whole_path.py
+++ b/packages/azurefield-entry/tests/test_whole_path.py
@@ -5,9 +5,8 @@
 
 import pytest
 
-from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_entry.kernel import BeginDrain, Kernel, Mailbox, Stop
 from azurefield_entry.messages import (
-    BeginDrain,
     CeilingsChanged,
     ConnectionsOpen,
     LeavingServersChanged,
--- a/packages/azurefield-operator/src/azurefield_operator/accepting.py
+++ b/packages/azurefield-operator/src/azurefield_operator/accepting.py
@@ -18,7 +18,7 @@
 
     from azurefield.configuration import AcceptanceAction, AcceptChange, Accepted
     from azurefield.failures import ChangeFailure
-    from azurefield_platform import ConfigurationStore
+    from azurefield_platform.configuration_store import ConfigurationStore
 
 # The store is shared and takes a few hundred writes a second.
 CONCURRENT_ACTIONS_MAX = 8
--- a/packages/azurefield-operator/src/azurefield_operator/commands.py
+++ b/packages/azurefield-operator/src/azurefield_operator/commands.py
@@ -19,7 +19,8 @@
 from azurefield_operator.generation import generate
 from azurefield_operator.outcome import ExitCode, change_failure
 from azurefield_operator.stored import AuditTrail, read_audit_trail, read_configuration
-from azurefield_platform import ConfigurationStore, KeyValueClient
+from azurefield_platform.configuration_store import ConfigurationStore
+from azurefield_platform.keyvalue import KeyValueClient
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/azurefield-operator/src/azurefield_operator/fleet.py
+++ b/packages/azurefield-operator/src/azurefield_operator/fleet.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from azurefield_operator.outcome import CommandFailure, unavailable
-from azurefield_platform import InstanceListClient, InstanceRole, ListedInstance
+from azurefield_platform.instances import InstanceListClient, InstanceRole, ListedInstance
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/azurefield-operator/src/azurefield_operator/stored.py
+++ b/packages/azurefield-operator/src/azurefield_operator/stored.py
@@ -26,7 +26,7 @@
 from azurefield_operator.outcome import CommandFailure, unavailable, unreadable
 
 if TYPE_CHECKING:
-    from azurefield_platform import ConfigurationStore
+    from azurefield_platform.configuration_store import ConfigurationStore
 
 CONCURRENT_READS_MAX = 8
 
--- a/packages/azurefield-platform/tests/test_clients.py
+++ b/packages/azurefield-platform/tests/test_clients.py
@@ -10,19 +10,17 @@
 from aiohttp import web
 from result import Err, Ok
 
-from azurefield_platform import (
-    InstanceListClient,
-    InstanceRole,
+from azurefield_platform.failures import (
     InvalidCall,
     KeyNotFound,
-    KeyValueClient,
     MalformedReply,
     PlatformUnavailable,
     ReplyLost,
     RevisionConflict,
-    StoredValue,
 )
 from azurefield_platform.http import PlatformHttp
+from azurefield_platform.instances import InstanceListClient, InstanceRole
+from azurefield_platform.keyvalue import KeyValueClient, StoredValue
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/azurefield-testkit/src/azurefield_testkit/tier.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/tier.py
@@ -13,7 +13,7 @@
 from result import Ok
 
 from azurefield.configuration import HEAD_KEY, decode_head
-from azurefield_platform import KeyValueClient
+from azurefield_platform.keyvalue import KeyValueClient
 from azurefield_testkit.caller import Caller
 from azurefield_testkit.fleet import ZONES, Fleet, ServicePlan
 from azurefield_testkit.history import History, Violation, check
