Send no work to servers that stall or whose last call failed

Change: the router passes over a server after a failed call, for a time that doubles, and one that has been silent for three times the typical latency, while another server can take the call. Tests for routes, directory, budgets and the limits of a fan-out are new.

--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -29,6 +29,14 @@
 # A server without an ejection for this long starts again with the shortest ejection.
 EJECTION_MEMORY_S = 60.0
 TIE_FRACTION = 0.05
+# After a failed call a server gets no work for this time, doubled with each further failure, as
+# long as another server can take it.
+BLOCK_S = 0.1
+BLOCK_MAX_S = 2.0
+# A server whose oldest call has waited for this multiple of the typical latency without any answer
+# since then has stalled.
+STALL_FACTOR = 3.0
+STALL_MIN_S = 0.03
 
 
 class CallResult(StrEnum):
@@ -102,6 +110,9 @@
     slow_start_from: float = float("-inf")
     ejected_until: float = float("-inf")
     ejection_s: float = 0.0
+    blocked_until: float = float("-inf")
+    block_s: float = 0.0
+    answered_at: float = float("-inf")
 
     def observe(self, now: float, latency_s: float) -> None:
         """Move the latency estimate towards one observation."""
@@ -129,6 +140,25 @@
         """Return how long the oldest call that has not ended has taken so far."""
         return now - self.sent_at[0] if self.sent_at else 0.0
 
+    def stalled(self, now: float, typical_s: float) -> bool:
+        """Whether the server has been silent for too long to send it more."""
+        if not self.sent_at or self.answered_at >= self.sent_at[0]:
+            return False
+        return now - self.sent_at[0] > max(STALL_MIN_S, STALL_FACTOR * typical_s)
+
+    def silent_for(self, now: float, waited_s: float) -> bool:
+        """Whether a call that is given up got no answer for too long, and no other call did."""
+        usual_s = UNKNOWN_LATENCY_S if self.latency_s is None else self.latency_s
+        long = waited_s > max(STALL_MIN_S, STALL_FACTOR * usual_s)
+        return long and self.answered_at < now - waited_s
+
+    def block(self, now: float) -> None:
+        """Send no work for a while after a failed call."""
+        if self.blocked_until > now:
+            return
+        self.block_s = min(BLOCK_MAX_S, 2 * self.block_s) if self.block_s else BLOCK_S
+        self.blocked_until = now + self.block_s
+
     def end_call(self, sent_at: float) -> None:
         """Forget the call that was sent about then."""
         if self.sent_at:
@@ -150,11 +180,12 @@
 class OwnObservationRouter:
     """Power of a few choices by outstanding calls times the latency seen by this instance.
 
-    A server is ejected after consecutive failures and, with ``outlier_factor``, when its latency is
-    that multiple of the median of its leaf; at most a third of a leaf's servers are ejected at
-    once. An ejection ends after a time that doubles with each repetition, and the server then
-    starts slowly. ``on_return`` starts a server slowly that was started anew, and ``forget`` drops
-    a server that left the configuration. Load reports are not used: late ones did not pay.
+    A server that has stalled, or whose last call failed, gets no work while another one can take
+    it. A server is ejected after consecutive failures and, with ``outlier_factor``, when its
+    latency is that multiple of the median of its leaf; at most a third of a leaf's servers are
+    ejected at once. An ejection ends after a time that doubles with each repetition, and the server
+    then starts slowly. ``on_return`` starts a server slowly that was started anew, and ``forget``
+    drops a server that left the configuration. Load reports are not used: late ones did not pay.
     """
 
     random: Random
@@ -169,10 +200,11 @@
         """Draw a few servers at random and choose the one with the shortest expected wait."""
         ejected = self.ejected(now, candidates)
         untried = [server for server in candidates if server not in tried]
-        kept = [server for server in untried if server not in ejected] or untried
+        typical_s = self.typical_s(candidates)
+        answering = [server for server in untried if self.answering(now, server, typical_s)]
+        kept = [server for server in answering if server not in ejected] or answering or untried
         if not kept:
             return None
-        typical_s = self.typical_s(candidates)
         scores = {
             server: self.score(now, server, typical_s)
             for server in self.random.sample(kept, min(self.choices, len(kept)))
@@ -180,6 +212,11 @@
         limit = min(scores.values()) * (1.0 + TIE_FRACTION)
         return next(server for server, score in scores.items() if score <= limit)
 
+    def answering(self, now: float, server: str, typical_s: float) -> bool:
+        """Whether a server is expected to answer: it neither failed just now nor has stalled."""
+        view = self.view(server)
+        return view.blocked_until <= now and not view.stalled(now, typical_s)
+
     def on_dispatch(self, now: float, server: str) -> None:
         """Count the call as outstanding."""
         self.view(server).sent_at.append(now)
@@ -194,8 +231,15 @@
         match result:
             case CallResult.ANSWERED:
                 view.failures = 0
+                view.block_s = 0.0
+                view.blocked_until = float("-inf")
+                view.answered_at = now
                 view.observe(now, latency_s)
+            case CallResult.FAILED | CallResult.REFUSED:
+                view.block(now)
             case CallResult.CANCELLED | CallResult.TIMED_OUT:
+                if view.silent_for(now, latency_s):
+                    view.block(now)
                 if view.latency_s is None or latency_s > view.latency_s:
                     view.observe(now, latency_s)
         if result in FAILURES:
--- /dev/null
+++ b/packages/azurefield/tests/test_directory.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from azurefield.directory import (
+    RETURN_GRACE_S,
+    Change,
+    Directory,
+    RegisteredServer,
+    RegisteredState,
+)
+from azurefield.model import Snapshot
+from azurefield.snapshot import Holding
+
+SERVER = RegisteredServer(
+    server="s1",
+    service="desk",
+    address="192.0.2.1:80",
+    availability_zone="one",
+    state=RegisteredState.LIVE,
+    incarnation="1",
+)
+
+
+def usable(directory: Directory, service: str = "desk") -> tuple[str, ...]:
+    snapshot = Snapshot(index_version=1, map_version=1)
+    return directory.holders(0.0, Holding(leaf=service, snapshot=snapshot))
+
+
+def changes(directory: Directory, entry: RegisteredServer) -> list[Change]:
+    return [change.change for change in directory.on_entry(entry)]
+
+
+def test_a_leaving_server_gets_no_new_work_at_once() -> None:
+    """Guards against new work for a server that has said that it leaves."""
+    directory = Directory()
+    assert changes(directory, SERVER) == [Change.STARTED]
+    assert usable(directory) == ("s1",)
+    assert changes(directory, replace(SERVER, state=RegisteredState.LEAVING)) == [Change.LEAVING]
+    assert usable(directory) == ()
+
+
+@pytest.mark.parametrize(
+    ("entry", "expected"),
+    [
+        (SERVER, []),
+        (replace(SERVER, warmup_s=1.0), [Change.UPDATED]),
+        (replace(SERVER, incarnation="2"), [Change.STARTED]),
+        (replace(SERVER, address="192.0.2.2:80"), [Change.STARTED]),
+    ],
+    ids=["same", "updated", "started-anew", "moved"],
+)
+def test_a_start_under_the_same_name_is_a_start(
+    entry: RegisteredServer, expected: list[Change]
+) -> None:
+    """Guards against what was known of an earlier start being applied to a new one."""
+    directory = Directory()
+    directory.on_entry(SERVER)
+    assert changes(directory, entry) == expected
+
+
+def test_an_entry_that_moves_to_another_service_leaves_the_first() -> None:
+    """Guards against requests for one service that run on another."""
+    directory = Directory()
+    directory.on_entry(SERVER)
+    directory.on_entry(replace(SERVER, service="other"))
+    assert (usable(directory), usable(directory, "other")) == ((), ("s1",))
+
+
+def test_a_removed_entry_ends_the_use_of_a_server_in_normal_times() -> None:
+    """Guards against work for a server that is gone."""
+    directory = Directory()
+    directory.on_entry(SERVER)
+    assert [c.change for c in directory.on_removed(1.0, "s1")] == [Change.GONE]
+    assert usable(directory) == ()
+    assert directory.on_removed(1.0, "unknown") == []
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back() -> None:
+    """Guards against an outage of the store that takes all servers out of use."""
+    directory = Directory()
+    directory.on_entry(SERVER)
+    directory.on_entry(replace(SERVER, server="s2"))
+    directory.on_outage_end(10.0)
+    listed = directory.on_listing(10.0, {})
+    assert [c.change for c in listed] == [Change.UNCONFIRMED, Change.UNCONFIRMED]
+    assert usable(directory) == ("s1", "s2")
+    directory.on_entry(SERVER)
+    assert directory.expire(10.0 + RETURN_GRACE_S - 0.1) == []
+    assert [c.server for c in directory.expire(10.0 + RETURN_GRACE_S)] == ["s2"]
+    assert usable(directory) == ("s1",)
+
+
+def test_a_leaving_server_is_dropped_at_once_even_after_an_outage() -> None:
+    """Guards against the grace for lapsed entries reviving a server that leaves."""
+    directory = Directory()
+    directory.on_entry(replace(SERVER, state=RegisteredState.LEAVING))
+    directory.on_outage_end(10.0)
+    assert [c.change for c in directory.on_removed(10.0, "s1")] == [Change.GONE]
+
+
+def test_a_server_whose_address_was_taken_over_is_unusable_until_its_entry_changes() -> None:
+    """Guards against calls that reach the next user of an address again and again."""
+    directory = Directory()
+    directory.on_entry(SERVER)
+    assert directory.on_misdirected("s1")
+    assert not directory.on_misdirected("s1")
+    assert usable(directory) == ()
+    directory.on_entry(replace(SERVER, address="192.0.2.9:80"))
+    assert usable(directory) == ("s1",)
--- /dev/null
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -0,0 +1,149 @@
+"""Attempts, requests that may not be repeated, and early answers of a fan-out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from result import Err, Ok
+
+from azurefield.failures import LeafFailure, LeafFailureReason
+from azurefield.hedging import NoHedging
+from azurefield.merge import MergedParts, Part, SingleAnswer, TopRecordsMerge
+from azurefield.model import Outcome, Snapshot
+from azurefield.query import CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
+from azurefield.retry import RetryBudget
+from azurefield.routing import RoundRobinRouter
+
+if TYPE_CHECKING:
+    from azurefield.merge import MergePolicy
+    from azurefield.query import Action
+    from azurefield.snapshot import Holding
+
+LOST = LeafFailure(reason=LeafFailureReason.CONNECTION_LOST, outcome=Outcome.MAY_HAVE_RUN)
+SHED = LeafFailure(reason=LeafFailureReason.SHEDDING, outcome=Outcome.NOT_RUN)
+UNREACHABLE = LeafFailure(reason=LeafFailureReason.CONNECT_FAILED, outcome=Outcome.NOT_RUN)
+TOP = TopRecordsMerge(top=3, coverage_min=0.5, record_bytes=2)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SameHolders:
+    names: tuple[str, ...] = ("s1", "s2", "s3", "s4")
+
+    def holders(self, now: float, holding: Holding) -> tuple[str, ...]:  # noqa: ARG002
+        return self.names
+
+
+class EarlyHedge(NoHedging):
+    """Hedges every call after 10 ms, without a budget."""
+
+    def delay_s(self, leaf: str) -> float | None:  # noqa: ARG002
+        return 0.01
+
+    def try_spend(self, now: float, leaf: str) -> bool:  # noqa: ARG002
+        return True
+
+
+def fan_out(
+    merge: MergePolicy[Any, Any], leafs: tuple[str, ...], **options: Any
+) -> FanOut[Any, Any]:
+    fields: dict[str, Any] = {"hedging": NoHedging(), "retries": RetryBudget(ratio=0.1)}
+    fields |= options
+    return FanOut(
+        request_id="r",
+        merge=merge,
+        snapshot=Snapshot(index_version=1, map_version=1),
+        leafs=leafs,
+        deadline=1.0,
+        holders=SameHolders(),
+        router=RoundRobinRouter(),
+        **fields,
+    )
+
+
+def sent(actions: list[Action[Any]]) -> list[str]:
+    return [action.call_id for action in actions if isinstance(action, SendLeafCall)]
+
+
+def result_of(actions: list[Action[Any]]) -> Any:
+    results = [action.result for action in actions if isinstance(action, Finished)]
+    return results[0] if results else None
+
+
+@pytest.mark.parametrize(
+    ("failure", "calls"),
+    [(LOST, 2), (SHED, 4), (UNREACHABLE, 4)],
+    ids=["may-have-run", "refused", "unreachable"],
+)
+def test_only_calls_that_may_have_run_count_as_attempts(failure: LeafFailure, calls: int) -> None:
+    """Guards against a request that runs on more servers than its route allows."""
+    query = fan_out(SingleAnswer(), ("leaf",), attempts_max=2)
+    pending = sent(query.start(0.0))
+    count = 0
+    result = None
+    while pending:
+        count += 1
+        actions = query.on_failure(0.01 * count, pending.pop(), failure)
+        pending += sent(actions)
+        result = result_of(actions) or result
+    assert count == calls
+    expected = Outcome.NOT_RUN if failure.outcome is Outcome.NOT_RUN else Outcome.MAY_HAVE_RUN
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is expected
+
+
+def test_hedges_count_as_attempts() -> None:
+    """Guards against a hedge beside a retry that exceeds the route's attempts."""
+    query = fan_out(SingleAnswer(), ("leaf",), attempts_max=2, hedging=EarlyHedge())
+    first = sent(query.start(0.0))
+    second = sent(query.on_tick(0.01))
+    assert len(first + second) == 2
+    assert sent(query.on_failure(0.02, first[0], LOST)) == []
+    assert sent(query.on_failure(0.03, second[0], LOST)) == []
+
+
+@pytest.mark.parametrize(
+    ("failure", "again"), [(LOST, 0), (SHED, 1)], ids=["may-have-run", "refused"]
+)
+def test_a_request_that_may_not_be_repeated_is_sent_again_only_if_it_was_not_run(
+    failure: LeafFailure, again: int
+) -> None:
+    """Guards against a second run of a request that may run once."""
+    query = fan_out(
+        SingleAnswer(), ("leaf",), idempotent=False, attempts_max=3, hedging=EarlyHedge()
+    )
+    (call,) = sent(query.start(0.0))
+    assert sent(query.on_tick(0.5)) == []
+    assert len(sent(query.on_failure(0.6, call, failure))) == again
+
+
+def test_an_early_answer_waits_for_enough_leafs_and_for_its_time() -> None:
+    """Guards against a listing that waits for one slow shard until it is worth nothing."""
+    query = fan_out(TOP, ("a", "b", "c"), answer_by=0.1)
+    calls = sent(query.start(0.0))
+    query.on_answer(0.02, calls[0], Part(proof="p0", body=b"aa"))
+    actions = query.on_answer(0.03, calls[1], Part(proof="p1", body=b"bb"))
+    assert [action.at for action in actions if isinstance(action, WakeAt)] == [0.1]
+    actions = query.on_tick(0.1)
+    assert [type(action) for action in actions] == [CancelLeafCall, Finished]
+    assert result_of(actions) == Ok(MergedParts(proofs=("p0", "p1"), missing=1, body=b"bbaa"))
+
+
+def test_a_late_answer_is_given_as_soon_as_enough_leafs_have_answered() -> None:
+    """Guards against an answer that is ready and still held back."""
+    query = fan_out(TOP, ("a", "b", "c"), answer_by=0.1)
+    calls = sent(query.start(0.0))
+    query.on_answer(0.02, calls[0], Part(proof="p0", body=b"aa"))
+    assert result_of(query.on_tick(0.1)) is None
+    actions = query.on_answer(0.3, calls[2], Part(proof="p2", body=b"cc"))
+    assert result_of(actions) == Ok(MergedParts(proofs=("p0", "p2"), missing=1, body=b"ccaa"))
+
+
+def test_a_call_that_is_pending_at_the_deadline_may_have_run() -> None:
+    """Guards against 'not run' for a call whose answer has not come."""
+    query = fan_out(TOP, ("a", "b", "c"))
+    query.start(0.0)
+    result = result_of(query.on_tick(1.0))
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
--- /dev/null
+++ b/packages/azurefield/tests/test_retry.py
@@ -0,0 +1,75 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from azurefield.retry import CallBudget, RetryBudget, WindowedBudget
+
+WINDOW_S = 10.0
+RATIO = 0.2
+
+
+def worst_excess(budget: CallBudget, *, rate: float, seconds: float) -> float:
+    """Spend whenever the budget allows it; return the most further calls above the ratio."""
+    random = Random(3)
+    first: list[float] = []
+    further: list[float] = []
+    now = 0.0
+    while now < seconds:
+        # The load swings, so that a credit saved at the crest could be spent in the trough.
+        now += random.expovariate(rate if now % 20.0 < 10.0 else rate / 10.0)
+        budget.on_first_attempt(now, "leaf")
+        first.append(now)
+        while budget.try_spend(now, "leaf"):
+            further.append(now)
+    return max(
+        sum(end - WINDOW_S < at <= end for at in further)
+        - RATIO
+        * max(sum(end - lag - WINDOW_S < at <= end - lag for at in first) for lag in (0, 5, 10))
+        for end in (index * 0.25 for index in range(int(seconds * 4)))
+    )
+
+
+def test_a_window_never_holds_more_further_calls_than_the_ratio_allows() -> None:
+    """Guards against a burst of retries, summed over many instances, that exceeds the limit."""
+    budget = WindowedBudget(ratio=RATIO, window_s=WINDOW_S)
+    assert worst_excess(budget, rate=20.0, seconds=60.0) <= 1.0
+
+
+def test_a_token_bucket_exceeds_the_ratio_of_a_window() -> None:
+    """Shows that the check above finds the fault of a bucket that starts full."""
+    assert worst_excess(RetryBudget(ratio=RATIO), rate=20.0, seconds=60.0) > 5.0
+
+
+@pytest.mark.parametrize(
+    ("first_calls", "allowance", "expected"),
+    [(0, 0.0, 0), (4, 0.0, 0), (5, 0.0, 1), (50, 0.0, 10), (0, 2.0, 2)],
+    ids=["none", "too-few", "one", "ten", "allowance"],
+)
+def test_further_calls_follow_the_first_calls_of_the_window(
+    first_calls: int, allowance: float, expected: int
+) -> None:
+    """Guards against a budget that a service without traffic could spend."""
+    budget = WindowedBudget(ratio=RATIO, window_s=WINDOW_S, allowance=allowance)
+    for _ in range(first_calls):
+        budget.on_first_attempt(1.0, "leaf")
+    assert sum(budget.try_spend(1.0, "leaf") for _ in range(100)) == expected
+
+
+def test_first_calls_outside_the_window_earn_nothing() -> None:
+    """Guards against credit of a busy time that is spent in a quiet one."""
+    budget = WindowedBudget(ratio=RATIO, window_s=WINDOW_S)
+    for _ in range(50):
+        budget.on_first_attempt(0.0, "leaf")
+    assert not budget.try_spend(WINDOW_S + 1.0, "leaf")
+
+
+def test_leafs_have_budgets_of_their_own() -> None:
+    """Guards against one leaf's retries being paid by the first calls of the others."""
+    budget = WindowedBudget(ratio=RATIO, window_s=WINDOW_S)
+    for _ in range(50):
+        budget.on_first_attempt(0.0, "busy")
+    assert not budget.try_spend(0.0, "quiet")
+    budget.forget_except(frozenset({"quiet"}))
+    assert not budget.try_spend(0.0, "busy")
--- /dev/null
+++ b/packages/azurefield/tests/test_routes.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import pytest
+
+from azurefield.routes import CallerLimits, Route, RouteTable, SingleService, WeightedTurns
+
+
+def route(name: str, host: str, prefix: str) -> Route:
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        target=SingleService(service=name),
+        idempotent=True,
+        timeout_s=1.0,
+    )
+
+
+TABLE = RouteTable.build(
+    version=3,
+    routes=[
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("root", "b.example", "/"),
+    ],
+    services={},
+    limits=CallerLimits(),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "expected"),
+    [
+        ("a.example", "/x/1", "short"),
+        ("a.example", "/x/y/1", "long"),
+        ("a.example", "/x/y", "short"),
+        ("a.example", "/x", None),
+        ("a.example", "/z/x/y/", None),
+        ("a.example", "/?/x/y/", None),
+        ("A.EXAMPLE:8080", "/x/y/1", "long"),
+        ("b.example", "/anything/at/all", "root"),
+        ("c.example", "/x/1", None),
+        ("", "", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_is_chosen(
+    host: str, target: str, expected: str | None
+) -> None:
+    """Guards against a request that is run by the service of another route."""
+    found = TABLE.match(host, target)
+    assert (found.name if found else None) == expected
+
+
+@pytest.mark.parametrize(
+    "weights",
+    [(("a", 1.0), ("b", 1.0)), (("a", 9.0), ("b", 1.0)), (("a", 0.0), ("b", 3.0), ("c", 1.0))],
+)
+def test_weighted_turns_keep_the_proportions_at_all_times(
+    weights: tuple[tuple[str, float], ...],
+) -> None:
+    """Guards against proportions that hold only over a long time."""
+    turns = WeightedTurns()
+    total = sum(weight for _, weight in weights)
+    counts = dict.fromkeys(dict(weights), 0)
+    for number in range(1, 201):
+        chosen = turns.choose("r", weights)
+        assert chosen is not None
+        counts[chosen] += 1
+        for service, weight in weights:
+            assert abs(counts[service] - number * weight / total) <= 1.0
+
+
+def test_new_weights_start_without_old_credit() -> None:
+    """Guards against credit of removed services that distorts the new proportions."""
+    turns = WeightedTurns()
+    for _ in range(7):
+        turns.choose("r", (("a", 5.0), ("b", 1.0)))
+    chosen = [turns.choose("r", (("c", 1.0), ("d", 1.0))) for _ in range(10)]
+    assert chosen.count("c") == 5
+    assert turns.choose("r", (("c", 0.0),)) is None
--- a/packages/azurefield/tests/test_routing.py
+++ b/packages/azurefield/tests/test_routing.py
@@ -5,6 +5,8 @@
 import pytest
 
 from azurefield.routing import (
+    BLOCK_MAX_S,
+    BLOCK_S,
     EJECTION_S,
     SLOW_START_S,
     CallResult,
@@ -109,3 +111,49 @@
         result = CallResult.CANCELLED if server == "a" else CallResult.ANSWERED
         router.on_result(now, server, result, 0.05 if server == "a" else 0.01)
     assert chosen.count("a") <= 0.05 * len(chosen)
+
+
+def test_a_server_whose_call_failed_gets_no_work_for_a_while() -> None:
+    """Guards against one call after another into a server that is down."""
+    router = OwnObservationRouter(random=Random(6))
+    fail(router, 0.0, "a", count=1)
+    fail(router, 0.0, "b", count=1)
+    assert {router.choose(BLOCK_S / 2, LEAF) for _ in range(30)} == {"c"}
+    assert router.choose(BLOCK_S / 2, ("a", "b")) is not None
+    assert {router.choose(BLOCK_S * 1.5, LEAF) for _ in range(60)} == set(LEAF)
+
+
+def test_each_further_failure_doubles_the_pause_and_an_answer_ends_it() -> None:
+    """Guards against a dead server that gets a call every tenth of a second."""
+    router = OwnObservationRouter(random=Random(7))
+    now = 0.0
+    pauses = []
+    for _ in range(8):
+        fail(router, now, "a", count=1)
+        pauses.append(router.view("a").blocked_until - now)
+        now = router.view("a").blocked_until
+    assert pauses[:3] == pytest.approx([BLOCK_S, 2 * BLOCK_S, 4 * BLOCK_S])
+    assert max(pauses) == pytest.approx(BLOCK_MAX_S)
+    router.on_dispatch(now, "a")
+    router.on_result(now, "a", CallResult.ANSWERED, 0.01)
+    fail(router, now, "a", count=1)
+    assert router.view("a").blocked_until == pytest.approx(now + BLOCK_S)
+
+
+def test_a_server_that_stalls_gets_no_work_until_it_answers() -> None:
+    """Guards against calls queued behind a pause while other servers are free."""
+    router = OwnObservationRouter(random=Random(8))
+    share(router, "a", dict.fromkeys(LEAF, 0.01))
+    router.on_dispatch(20.0, "a")
+    assert {router.choose(20.1, LEAF) for _ in range(60)} == {"b", "c"}
+    router.on_result(20.1, "a", CallResult.ANSWERED, 0.1)
+    assert router.answering(20.1, "a", 0.01)
+
+
+def test_a_call_given_up_after_a_long_silence_blocks_its_server() -> None:
+    """Guards against a silent server that looks idle once its calls were given up."""
+    router = OwnObservationRouter(random=Random(9))
+    share(router, "a", dict.fromkeys(LEAF, 0.01))
+    router.on_dispatch(20.0, "a")
+    router.on_result(20.1, "a", CallResult.CANCELLED, 0.1)
+    assert not router.answering(20.1, "a", 0.01)
