Keep an extra answer from taking the place of the right one

Reading an answer's body made aiohttp feed its parser again from within the read; an extra answer in the same segment, with the same request id, then ended the call before the answer that was being read.

Change: the connection has no flow control, so nothing is fed from within a read; what the parser holds beyond the answer ends the connection; the parser is kept between calls, so an extra answer in pieces is read as one.

Measured: the new test fails without the change for an extra answer behind a whole or chunked one and passes with it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -38,7 +38,6 @@
     """The call that a connection waits for."""
 
     call: LeafCall
-    parser: HttpResponseParser
     ended: asyncio.Future[Result[OpaqueAnswer, LeafFailure]]
     answers: list[tuple[RawResponseMessage, StreamReader]]
 
@@ -50,7 +49,16 @@
     when bytes arrive that no call waits for.
     """
 
-    __slots__ = ("address", "closed", "current", "dialect", "idle_since", "idle_until", "reset")
+    __slots__ = (
+        "address",
+        "closed",
+        "current",
+        "dialect",
+        "idle_since",
+        "idle_until",
+        "parser",
+        "parses_bodies",
+    )
 
     def __init__(self, *, address: str, dialect: LeafDialect) -> None:
         super().__init__(loop=asyncio.get_running_loop())
@@ -58,7 +66,8 @@
         self.dialect = dialect
         self.current: Exchange | None = None
         self.closed = False
-        self.reset = False
+        self.parses_bodies = True
+        self.parser = self.new_parser()
         self.idle_since = 0.0
         self.idle_until = float("inf")
 
@@ -73,20 +82,11 @@
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
         if self.closed or self.transport is None:
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
-        self.current = Exchange(
-            call=call,
-            parser=HttpResponseParser(
-                self,
-                self._loop,
-                ANSWER_BYTES_MAX,
-                payload_exception=ClientPayloadError,
-                response_with_body=call.request.method != "HEAD",
-                read_until_eof=True,
-                auto_decompress=False,
-            ),
-            ended=self._loop.create_future(),
-            answers=[],
-        )
+        parses_bodies = call.request.method != "HEAD"
+        if parses_bodies is not self.parses_bodies:
+            self.parses_bodies = parses_bodies
+            self.parser = self.new_parser()
+        self.current = Exchange(call=call, ended=self._loop.create_future(), answers=[])
         self.transport.write(self.dialect.encode(call, self._loop.time()))
         try:
             return await self.current.ended
@@ -96,6 +96,18 @@
         finally:
             self.current = None
 
+    def new_parser(self) -> HttpResponseParser:
+        """Make the parser, kept between calls since it may hold a part of an extra answer."""
+        return HttpResponseParser(
+            self,
+            self._loop,
+            ANSWER_BYTES_MAX,
+            payload_exception=ClientPayloadError,
+            response_with_body=self.parses_bodies,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+
     async def open(self) -> bool:
         """Connect; a connection that failed is never used again."""
         host, _, port = self.address.rpartition(":")
@@ -121,6 +133,16 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
+    def pause_reading(self) -> None:
+        """Do nothing: the size of an answer is bounded, so there is no flow control."""
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Do nothing.
+
+        aiohttp would feed the parser again from within a read, so that an extra answer behind the
+        one that is being read would take its place.
+        """
+
     def data_received(self, data: bytes) -> None:
         """Take bytes of the answer; bytes without a call end the connection."""
         exchange = self.current
@@ -128,7 +150,7 @@
             self.abort()
             return
         try:
-            answers, _, tail = exchange.parser.feed_data(data)
+            answers, _, tail = self.parser.feed_data(data)
         except HttpProcessingError as error:
             self.end(Err(failure(LeafFailureReason.MALFORMED, detail=str(error))), keep=False)
             return
@@ -158,12 +180,21 @@
                 continue
             self.note_keep_alive(message)
             unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
-            keep = not (message.should_close or stray or exchange.answers or unsent)
+            stray = stray or self.extra_bytes(exchange)
+            keep = not (message.should_close or stray or unsent)
             self.end(result, keep=keep)
             return
         if stray:
             self.idle_until = float("-inf")
 
+    def extra_bytes(self, exchange: Exchange) -> bool:
+        """Whether the parser holds more than the answer that was taken."""
+        try:
+            more, _, tail = self.parser.feed_data(b"")
+        except HttpProcessingError:
+            return True
+        return bool(exchange.answers or more or tail)
+
     def note_keep_alive(self, message: RawResponseMessage) -> None:
         """Note how long the server keeps the connection while it is idle."""
         granted = KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", ""))
@@ -178,7 +209,7 @@
         exchange = self.current
         if exchange is not None and not exchange.ended.done():
             try:
-                exchange.parser.feed_eof()
+                self.parser.feed_eof()
             except (HttpProcessingError, ClientPayloadError) as error:
                 self.end(Err(failure(LeafFailureReason.TRUNCATED, detail=str(error))), keep=False)
             else:
@@ -188,7 +219,6 @@
         """Fail the call that waits; its request may have run."""
         super().connection_lost(exc)
         self.closed = True
-        self.reset = exc is not None
         self.end(
             Err(failure(LeafFailureReason.CONNECTION_LOST, detail=str(exc or "closed"))), keep=False
         )
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -0,0 +1,236 @@
+"""Answers on a connection to a backend server: each call gets exactly its own."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import pytest
+from result import Err, Ok, Result
+
+from azurefield.failures import LeafFailure, LeafFailureReason
+from azurefield.model import Outcome
+from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.ports import GatewayRequest, Headers, LeafCall, OpaqueAnswer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+R = LeafFailureReason
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class PlainDialect:
+    """The least dialect: the request's identity is its target and the header ``Id``."""
+
+    def encode(self, call: LeafCall, now: float) -> bytes:  # noqa: ARG002
+        return f"{call.request.method} {call.request.target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+    def decode(
+        self, call: LeafCall, status: int, headers: Headers, body: bytes
+    ) -> Result[OpaqueAnswer, LeafFailure] | None:
+        if dict(headers).get("Id", call.request.target) != call.request.target:
+            return None
+        return Ok(OpaqueAnswer(status=status, headers=headers, body=body, proof="p"))
+
+
+@dataclass(slots=True, kw_only=True)
+class ScriptedServer:
+    """Answers the n-th request on a connection with the n-th list of segments.
+
+    An empty segment resets the connection; ``close`` ends it after the last segment.
+    """
+
+    script: list[list[bytes]]
+    close: bool = False
+    accepted: int = 0
+    requests: list[str] = field(default_factory=list)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            for segments in self.script:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head.split()[1].decode())
+                for segment in segments:
+                    if not segment:
+                        sock = writer.get_extra_info("socket")
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                        writer.transport.abort()
+                        return
+                    writer.write(segment)
+                    await writer.drain()
+                    await asyncio.sleep(0.005)
+            if not self.close:
+                await reader.read()
+        writer.close()
+
+
+@asynccontextmanager
+async def connected(server: ScriptedServer) -> AsyncIterator[HttpLeafConnection]:
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    connection = HttpLeafConnection(address=f"127.0.0.1:{port}", dialect=PlainDialect())
+    try:
+        yield connection
+    finally:
+        await connection.close()
+        listener.close()
+
+
+def call(target: str, method: str = "GET") -> LeafCall:
+    request = GatewayRequest(
+        request_id=target,
+        method=method,
+        host="x",
+        target=target,
+        headers=(),
+        body=b"",
+        arrived_at=0.0,
+        deadline=None,
+    )
+    return LeafCall(request=request, server="s", deadline=0.0)
+
+
+def answer(identity: str, body: bytes, extra: str = "") -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nId: {identity}\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+    return head.encode() + body
+
+
+def chunked(identity: str, body: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nId: {identity}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head.encode() + f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nId: /1\r\n\r\nbody"
+
+
+@pytest.mark.parametrize(
+    ("segments", "usable"),
+    [
+        ([answer("/1", b"body")], True),
+        ([answer("/1", b"body")[:10], answer("/1", b"body")[10:]], True),
+        ([chunked("/1", b"body")], True),
+        ([answer("/1", b"body", "Connection: close\r\n")], False),
+        ([answer("/1", b"body") + answer("/1", b"no")], False),
+        ([chunked("/1", b"body") + answer("/1", b"no")], False),
+        ([answer("/1", b"body"), answer("/1", b"no")], False),
+        ([answer("/0", b"no"), answer("/1", b"body")], False),
+        ([answer("/0", b"no") + answer("/1", b"body")], False),
+        ([b"HTTP/1.1 100 Continue\r\n\r\n" + answer("/1", b"body")], True),
+    ],
+    ids=[
+        "whole",
+        "two-segments",
+        "chunked",
+        "closing",
+        "extra-behind",
+        "extra-behind-chunked",
+        "extra-later",
+        "extra-of-another-before",
+        "both-in-one-segment",
+        "interim",
+    ],
+)
+async def test_a_call_gets_its_own_answer_and_spoiled_connections_are_not_reused(
+    segments: list[bytes], usable: bool
+) -> None:
+    """Guards against an extra answer that takes the place of the right one."""
+    async with connected(ScriptedServer(script=[segments])) as connection:
+        result = await connection.exchange(call("/1"))
+        assert isinstance(result, Ok)
+        assert result.ok_value.body == b"body"
+        await asyncio.sleep(0.03)
+        assert connection.usable is usable
+
+
+@pytest.mark.parametrize(
+    ("segments", "close", "reason"),
+    [
+        ([answer("/1", b"body")[:-1]], True, R.TRUNCATED),
+        ([answer("/1", b"body")[:-1], b""], False, R.CONNECTION_LOST),
+        ([b""], False, R.CONNECTION_LOST),
+        ([], True, R.CONNECTION_LOST),
+        ([b"rubbish\r\n\r\n"], False, R.MALFORMED),
+        ([UNFRAMED, b""], False, R.CONNECTION_LOST),
+        ([chunked("/1", b"body")[:-7]], True, R.TRUNCATED),
+    ],
+    ids=["short", "reset", "no-answer", "closed", "rubbish", "unframed-reset", "chunks-cut"],
+)
+async def test_an_answer_that_is_not_whole_is_a_failure_that_may_have_run(
+    segments: list[bytes], close: bool, reason: LeafFailureReason
+) -> None:
+    """Guards against an answer that ended early and looks complete."""
+    async with connected(ScriptedServer(script=[segments], close=close)) as connection:
+        result = await connection.exchange(call("/1"))
+        assert isinstance(result, Err)
+        assert (result.err_value.reason, result.err_value.outcome) == (
+            reason,
+            Outcome.MAY_HAVE_RUN,
+        )
+        assert not connection.usable
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection() -> None:
+    """Guards against whole answers that are thrown away."""
+    async with connected(ScriptedServer(script=[[UNFRAMED]], close=True)) as connection:
+        result = await connection.exchange(call("/1"))
+        assert isinstance(result, Ok)
+        assert result.ok_value.body == b"body"
+        assert not connection.usable
+
+
+async def test_a_connection_is_used_again_and_an_answer_to_head_has_no_body() -> None:
+    """Guards against a new connection for each call, and a wait for a body that never comes."""
+    server = ScriptedServer(script=[[answer("/1", b"one")], [answer("/2", b"abc")[:-3]]])
+    async with connected(server) as connection:
+        assert isinstance(await connection.exchange(call("/1")), Ok)
+        assert isinstance(await connection.exchange(call("/2", "HEAD")), Ok)
+        assert (server.accepted, server.requests) == (1, ["/1", "/2"])
+
+
+async def test_an_extra_answer_in_pieces_is_not_taken_for_the_next_one() -> None:
+    """Guards against the rest of an extra answer that is read as part of the next one."""
+    extra = answer("/1", b"no")
+    first = [answer("/1", b"body") + extra[:20]]
+    second = [extra[20:] + answer("/2", b"next")]
+    async with connected(ScriptedServer(script=[first, second])) as connection:
+        for target, body in (("/1", b"body"), ("/2", b"next")):
+            result = await connection.exchange(call(target))
+            assert isinstance(result, Ok)
+            assert result.ok_value.body == body
+        assert not connection.usable
+
+
+async def test_a_cancelled_call_closes_its_connection() -> None:
+    """Guards against the late answer of a cancelled call that the next call takes for its own."""
+    async with connected(ScriptedServer(script=[[]])) as connection:
+        task = asyncio.create_task(connection.exchange(call("/1")))
+        await asyncio.sleep(0.02)
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        assert not connection.usable
+
+
+async def test_the_idle_time_that_a_server_grants_is_kept() -> None:
+    """Guards against a call on a connection that the server is about to close."""
+    server = ScriptedServer(script=[[answer("/1", b"one", "Keep-Alive: timeout=0\r\n")]])
+    async with connected(server) as connection:
+        assert isinstance(await connection.exchange(call("/1")), Ok)
+        assert not connection.usable
+
+
+async def test_a_server_that_can_t_be_reached_did_not_run_the_call() -> None:
+    """Guards against a retry that is refused although nothing was sent."""
+    connection = HttpLeafConnection(address="127.0.0.1:1", dialect=PlainDialect())
+    result = await connection.exchange(call("/1"))
+    assert isinstance(result, Err)
+    assert (result.err_value.reason, result.err_value.outcome) == (
+        R.CONNECT_FAILED,
+        Outcome.NOT_RUN,
+    )
