Let overloaded leafs drop late calls, ask refused ones again, and read changes together

Change: a call that leaves another attempt ends a tenth after the goal; a leaf whose servers all refused is asked again after 50 ms; after a change the watch waits 0.25 s.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-export PYTHONPATH := $(CURDIR)/packages/azurefield/src:$(CURDIR)/packages/azurefield-platform/src:$(CURDIR)/packages/azurefield-entry/src:$(CURDIR)/packages/azurefield-operator/src:$(CURDIR)/packages/azurefield-testkit/src
+export PYTHONPATH := $(CURDIR)/packages/azurefield/src:$(CURDIR)/packages/azurefield-platform/src:$(CURDIR)/packages/azurefield-entry/src:$(CURDIR)/packages/azurefield-operator/src:$(CURDIR)/packages/azurefield-testkit/src:$(CURDIR)/platform/src
 
 .PHONY: setup format check lint types unit test demo bench cost prove clean
 
@@ -20,17 +20,17 @@
 	touch $@
 
 format: setup
-	$(BIN)/black --quiet packages
-	$(BIN)/ruff check --fix --quiet packages
+	$(BIN)/black --quiet packages platform tests
+	$(BIN)/ruff check --fix --quiet packages platform tests
 
 lint: setup
-	$(BIN)/black --check --quiet packages
-	$(BIN)/ruff check packages
+	$(BIN)/black --check --quiet packages platform tests
+	$(BIN)/ruff check packages platform tests
 
 # The tests need one call per directory, because names of modules repeat between them.
 types: setup
-	$(BIN)/mypy packages/*/src
-	set -e; for tests in packages/*/tests; do $(BIN)/mypy $$tests; done
+	$(BIN)/mypy packages/*/src platform/src platform/run.py
+	set -e; for tests in packages/*/tests tests/fleet; do $(BIN)/mypy $$tests; done
 
 unit: setup
 	$(BIN)/pytest
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
@@ -31,6 +31,8 @@
 
 # A watch returns at least this often, which shows a connection that has gone silent.
 WATCH_WAIT_S = 2.0
+# Changes of this time are read with one call, since each call has a price.
+GATHER_S = 0.25
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 # An instance that is gone counts for this long in the division of connections.
@@ -93,6 +95,8 @@
                     after_outage = self.note_answer()
                     gateway.send(MetadataChanged(changes=changes, after_outage=after_outage))
                     revision = changes.revision
+                    if changes.items:
+                        await asyncio.sleep(GATHER_S)
                 case Err(HistoryLost()):
                     log.info("The history after revision {} is lost.", revision)
                     revision = None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
@@ -4,6 +4,8 @@
 
 # Time for the request's way in and the answer's way back, which the caller counts and we don't.
 CALLER_WAY_S = 0.012
+# Calls to shards may take this part of the goal longer than the goal, then the leaf drops them.
+FIRST_DEADLINE_EXTRA = 0.1
 # Records of a shard's answer have this size.
 RECORD_BYTES = 16
 # A call that lost against another one may end in this time, so that its connection can be kept.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -293,6 +293,9 @@
             "attempts_max": route.attempts_max,
             "answer_by": answer_by,
         }
+        if answer_by is not None and isinstance(route.target, ShardSet):
+            extra_s = policies.FIRST_DEADLINE_EXTRA * (answer_by - request.arrived_at)
+            common["first_deadline"] = answer_by + extra_s
         match route.target:
             case ShardSet(shards=shards, top=top, coverage_min=coverage_min):
                 top_records = TopRecordsMerge(
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -17,6 +17,9 @@
 from azurefield.routing import CallResult, Router
 from azurefield.snapshot import Holding
 
+# A leaf whose servers all refused is asked again after this time, since a refusal passes quickly.
+RESEND_PAUSE_S = 0.05
+
 A = TypeVar("A")
 R = TypeVar("R")
 REFUSALS = frozenset(
@@ -88,7 +91,8 @@
     """What has happened for one leaf of the query.
 
     ``position`` is its place in the shard map, ``runs`` the number of ended calls that may have
-    run.
+    run, ``refused`` the servers that did not run its call. At ``resend_at`` these may be asked
+    again.
     """
 
     position: int
@@ -100,11 +104,15 @@
     answer: A | None = None
     failure: LeafFailureReason | None = None
     runs: int = 0
+    refused: set[str] = field(default_factory=set)
+    resend_at: float | None = None
 
     @property
     def settled(self) -> bool:
         """Whether the leaf is answered or has failed for good."""
-        return self.answer is not None or (self.failure is not None and not self.pending)
+        if self.answer is not None:
+            return True
+        return self.failure is not None and not self.pending and self.resend_at is None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -119,6 +127,9 @@
     :param deadline: time at which the query ends with what it has
     :param attempts_max: on how many servers a leaf's call may run at most; None for no limit
     :param answer_by: time from which the query ends as soon as enough leafs have answered
+    :param first_deadline: deadline of calls that are sent before ``answer_by`` and leave another
+        attempt, so that a server with too much work drops them instead of answering too late; None
+        for ``deadline``
     """
 
     request_id: str
@@ -133,12 +144,14 @@
     idempotent: bool = True
     attempts_max: int | None = None
     answer_by: float | None = None
+    first_deadline: float | None = None
     progress: dict[str, LeafProgress[A]] = field(default_factory=dict)
     leaf_of_call: dict[str, str] = field(default_factory=dict)
     open_leafs: set[str] = field(default_factory=set)
     answered: int = 0
-    # Heap of due times with the leaf's position, so that no event has to look at every leaf.
+    # Heaps of due times with the leaf's position, so that no event has to look at every leaf.
     hedges: list[tuple[float, int]] = field(default_factory=list)
+    resends: list[tuple[float, int]] = field(default_factory=list)
     calls_sent: int = 0
     finished: bool = False
 
@@ -188,10 +201,33 @@
         actions: list[Action[R]] = []
         if not progress.pending and now < self.deadline and self.may_retry(now, leaf, failure):
             self.send(now, leaf, actions)
+        if failure.outcome is Outcome.NOT_RUN:
+            progress.refused.add(call.server)
+        if not progress.pending:
+            self.plan_resend(now, progress)
         if progress.settled:
             self.open_leafs.discard(leaf)
         return self.conclude(now, actions)
 
+    def plan_resend(self, now: float, progress: LeafProgress[A]) -> None:
+        """Plan to ask servers again that did not run a leaf's call, if none is left to ask."""
+        at = now + RESEND_PAUSE_S
+        barred = progress.runs and not self.idempotent
+        if progress.refused and not barred and self.attempts_left(progress) and at < self.deadline:
+            progress.resend_at = at
+            heappush(self.resends, (at, progress.position))
+
+    def resend(self, now: float, leaf: str, actions: list[Action[R]]) -> None:
+        """Ask the servers again that did not run a leaf's call."""
+        progress = self.progress[leaf]
+        progress.resend_at = None
+        progress.tried -= progress.refused
+        progress.refused.clear()
+        paid = progress.failure in NEVER_SENT or self.retries.try_spend(now, leaf)
+        sent = paid and self.send(now, leaf, actions)
+        if not sent and not progress.pending:
+            self.open_leafs.discard(leaf)
+
     def may_retry(self, now: float, leaf: str, failure: LeafFailure) -> bool:
         """Whether a leaf's failed call may be sent to another server.
 
@@ -217,6 +253,8 @@
         if now < self.deadline:
             for leaf in self.take_due_hedges(now):
                 self.hedge(now, leaf, self.progress[leaf], actions)
+            while self.resends and self.resends[0][0] <= now:
+                self.resend(now, self.leafs[heappop(self.resends)[1]], actions)
         return self.conclude(now, actions)
 
     def cancel(self, now: float) -> list[Action[R]]:
@@ -255,7 +293,8 @@
         at = self.deadline
         if self.answer_by is not None and self.enough():
             at = min(at, self.answer_by)
-        return min(at, self.hedges[0][0]) if self.hedges else at
+        due = [heap[0][0] for heap in (self.hedges, self.resends) if heap]
+        return min([at, *due])
 
     def enough(self) -> bool:
         """Whether the leafs that have answered are enough for a result."""
@@ -310,11 +349,19 @@
                 leaf=leaf,
                 server=server,
                 snapshot=self.snapshot,
-                deadline=self.deadline,
+                deadline=self.call_deadline(now, progress),
             )
         )
         return True
 
+    def call_deadline(self, now: float, progress: LeafProgress[A]) -> float:
+        """Return until when a call that is sent now may take."""
+        if self.first_deadline is None or self.answer_by is None or now >= self.answer_by:
+            return self.deadline
+        if not self.attempts_left(progress):
+            return self.deadline
+        return min(self.deadline, self.first_deadline)
+
     def observe_leaf(self, now: float, leaf: str, progress: LeafProgress[A]) -> None:
         """Note how long a leaf took, counted from its first call.
 
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -12,7 +12,14 @@
 from azurefield.hedging import NoHedging
 from azurefield.merge import MergedParts, Part, SingleAnswer, TopRecordsMerge
 from azurefield.model import Outcome, Snapshot
-from azurefield.query import CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
+from azurefield.query import (
+    RESEND_PAUSE_S,
+    CancelLeafCall,
+    FanOut,
+    Finished,
+    SendLeafCall,
+    WakeAt,
+)
 from azurefield.retry import RetryBudget
 from azurefield.routing import RoundRobinRouter
 
@@ -48,7 +55,11 @@
 def fan_out(
     merge: MergePolicy[Any, Any], leafs: tuple[str, ...], **options: Any
 ) -> FanOut[Any, Any]:
-    fields: dict[str, Any] = {"hedging": NoHedging(), "retries": RetryBudget(ratio=0.1)}
+    fields: dict[str, Any] = {
+        "hedging": NoHedging(),
+        "retries": RetryBudget(ratio=0.1),
+        "holders": SameHolders(),
+    }
     fields |= options
     return FanOut(
         request_id="r",
@@ -56,7 +67,6 @@
         snapshot=Snapshot(index_version=1, map_version=1),
         leafs=leafs,
         deadline=1.0,
-        holders=SameHolders(),
         router=RoundRobinRouter(),
         **fields,
     )
@@ -89,10 +99,46 @@
         result = result_of(actions) or result
     assert count == calls
     expected = Outcome.NOT_RUN if failure.outcome is Outcome.NOT_RUN else Outcome.MAY_HAVE_RUN
+    result = result or result_of(query.on_tick(1.0))
     assert isinstance(result, Err)
     assert result.err_value.outcome is expected
 
 
+@pytest.mark.parametrize(
+    ("failure", "tokens", "again"),
+    [(SHED, 9.0, True), (SHED, 1.0, False), (UNREACHABLE, 0.0, True)],
+    ids=["refused", "refused-without-budget", "unreachable"],
+)
+def test_a_leaf_whose_servers_all_refused_is_asked_again_after_a_pause(
+    failure: LeafFailure, tokens: float, again: bool
+) -> None:
+    """Guards against a request that fails long before its deadline because of a short overload."""
+    retries = RetryBudget(ratio=0.0, tokens=tokens)
+    holders = SameHolders(names=("s1", "s2"))
+    query = fan_out(SingleAnswer(), ("leaf",), retries=retries, holders=holders)
+    pending = sent(query.start(0.0))
+    while pending:
+        pending = sent(query.on_failure(0.1, pending.pop(), failure))
+    actions = query.on_tick(0.1 + RESEND_PAUSE_S)
+    assert bool(sent(actions)) is again
+    assert (result_of(actions) is None) is again
+
+
+def test_the_first_calls_end_soon_after_the_goal_and_the_last_attempt_has_all_the_time() -> None:
+    """Guards against servers that answer calls for which it is too late before fresh ones."""
+    query = fan_out(
+        TOP,
+        ("a",),
+        attempts_max=2,
+        answer_by=0.1,
+        first_deadline=0.12,
+        hedging=EarlyHedge(),
+    )
+    deadlines = [a.deadline for a in query.start(0.0) if isinstance(a, SendLeafCall)]
+    deadlines += [a.deadline for a in query.on_tick(0.02) if isinstance(a, SendLeafCall)]
+    assert deadlines == [0.12, 1.0]
+
+
 def test_hedges_count_as_attempts() -> None:
     """Guards against a hedge beside a retry that exceeds the route's attempts."""
     query = fan_out(SingleAnswer(), ("leaf",), attempts_max=2, hedging=EarlyHedge())
--- /dev/null
+++ b/tests/fleet/standins.py
@@ -0,0 +1,235 @@
+"""Stand-ins at the level of the platform's wire: the store and leafs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from base64 import b64encode
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+JSON = "application/json"
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreStandIn:
+    """Keys with revisions, watches, leases and transactions; ``down`` refuses every call."""
+
+    revision: int = 1
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    oldest: int = 0
+    leases: int = 0
+    down: bool = False
+    page: int = 500
+    address: str = ""
+    calls: list[str] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, key: str, value: object, lease: int = 0) -> None:
+        """Write a key; a value that is not bytes is encoded as JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": b64encode(data).decode(),
+            "revision": self.revision,
+            "created": self.items.get(key, {}).get("created", self.revision),
+            "lease": lease,
+        }
+        self.items[key] = item
+        self.note(item)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self.note({"key": key, "revision": self.revision, "removed": True})
+
+    def note(self, event: dict[str, Any]) -> None:
+        """Keep an event for the watches."""
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self) -> None:
+        """Drop all events, as after a compaction."""
+        self.oldest = self.revision
+        self.events.clear()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        self.calls.append(request.path)
+        if self.down:
+            return web.Response(status=503)
+        body = json.loads(await request.read() or b"{}")
+        match request.path.strip("/").split("/"):
+            case ["kv-range"]:
+                return self.range(request.query)
+            case ["kv-watch"]:
+                return await self.watch(request.query)
+            case ["kv-lease"]:
+                self.leases += 1
+                return web.json_response({"lease": self.leases, "ttl_ms": body["ttl_ms"]})
+            case ["kv-keep", lease]:
+                return web.json_response({}, status=200 if int(lease) <= self.leases else 404)
+            case ["kv-txn"]:
+                for entry in body["set_keys"]:
+                    self.put(entry["key"], b"{}", entry["lease"])
+                return web.json_response({"revision": self.revision})
+        return web.Response(status=404)
+
+    def range(self, query: Any) -> web.Response:
+        """Answer one page."""
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        page = [self.items[key] for key in keys[: self.page]]
+        more = len(keys) > self.page
+        return web.json_response({"items": page, "has_more": more, "store_revision": self.revision})
+
+    async def watch(self, query: Any) -> web.Response:
+        """Answer as soon as there is an event, or when the time is over."""
+        after = int(query["after"])
+        if after < self.oldest:
+            return web.Response(status=410)
+        deadline = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        while True:
+            events = [
+                event
+                for event in self.events
+                if event["revision"] > after and event["key"].startswith(query["prefix"])
+            ]
+            left_s = deadline - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return web.json_response({"events": events, "store_revision": self.revision})
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+
+@dataclass(slots=True, kw_only=True)
+class LeafStandIn:
+    """One leaf; ``behaviour`` may be answer, shed, error, hang, reset or slow."""
+
+    name: str
+    service: str
+    body: bytes = b"r" * 16
+    behaviour: str = "answer"
+    address: str = ""
+    requests: list[dict[str, str]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    cancelled: int = 0
+
+    def entry(self, **changes: object) -> dict[str, object]:
+        """What the leaf writes about itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "one",
+            "version": "v1",
+            "capacity": 3,
+            "state": "ready",
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        } | changes
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        headers = {"Request-Id": request.headers.get("Request-Id", "")}
+        if request.headers.get("Expected-Instance", self.name) != self.name:
+            return web.Response(status=421, headers={"Instance-Id": self.name})
+        self.requests.append(dict(request.headers) | {"target": request.raw_path})
+        self.bodies.append(await request.read())
+        match self.behaviour:
+            case "shed":
+                return web.Response(status=503, headers=headers | {"Not-Executed": "1"})
+            case "hang":
+                await self.hang()
+            case "slow":
+                await asyncio.sleep(0.05)
+            case "reset":
+                assert request.transport is not None
+                request.transport.abort()
+        headers["Response-Signature"] = f"proof-{self.name}-{request.headers['Request-Id']}"
+        status = 500 if self.behaviour == "error" else 200
+        return web.Response(status=status, body=self.body, headers=headers)
+
+    async def hang(self) -> None:
+        """Work until the caller gives up."""
+        try:
+            await asyncio.sleep(30.0)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+@asynccontextmanager
+async def running(*stand_ins: StoreStandIn | LeafStandIn) -> AsyncIterator[None]:
+    """Serve stand-ins on loopback addresses."""
+    runners = []
+    for stand_in in stand_ins:
+        server = web.Server(stand_in.handle, handler_cancellation=True, access_log=None)
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        stand_in.address = f"{host}:{port}"
+        runners.append(runner)
+    try:
+        yield
+    finally:
+        for runner in runners:
+            await runner.cleanup()
+
+
+def route(name: str, prefix: str, **options: object) -> dict[str, object]:
+    """Build a route of the operator's configuration."""
+    return {
+        "name": name,
+        "hostname": "a.example",
+        "prefix": prefix,
+        "route_type": "safe",
+        "timeout_ms": 1000,
+        "target_latency_ms": 200,
+        "max_attempts": 2,
+        "priority": 1,
+    } | options
+
+
+def config(
+    version: int, *routes: dict[str, object], services: tuple[str, ...]
+) -> dict[str, object]:
+    """Build the operator's configuration."""
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_conns": 30,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in services
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
--- /dev/null
+++ b/tests/fleet/test_records.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import json
+from base64 import b64encode
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from azurefield.directory import RegisteredServer, RegisteredState
+from azurefield.routes import RouteTable, ShardSet, SingleService, WeightedServices
+from azurefield_entry.gateway.ports import (
+    ConvictionEntry,
+    ConvictionKey,
+    InstanceEntry,
+    InstanceKey,
+    Removed,
+    ServerKey,
+)
+from azurefield_fleet.records import decode_item, key_of, path_of
+from azurefield_fleet.store import StoredItem, change_of, readable
+from standins import LeafStandIn, config, route
+
+ENTRY = LeafStandIn(name="i-1", service="desk", address="192.0.2.1:80").entry()
+
+
+def encoded(value: object) -> str:
+    return b64encode(json.dumps(value).encode()).decode()
+
+
+def test_a_leaf_s_entry_names_a_server() -> None:
+    assert decode_item("servers/i-1", encoded(ENTRY | {"warmup_left_ms": 1500})) == Ok(
+        RegisteredServer(
+            server="i-1",
+            service="desk",
+            address="192.0.2.1:80",
+            availability_zone="one",
+            state=RegisteredState.LIVE,
+            slots=3,
+            incarnation="1700000000000",
+            warmup_s=1.5,
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "%%%",
+        b64encode(b"\xff\xfe").decode(),
+        encoded([]),
+        encoded({}),
+        encoded(ENTRY | {"state": "resting"}),
+        encoded(ENTRY | {"capacity": "3"}),
+        encoded(ENTRY | {"capacity": True}),
+        encoded(ENTRY | {"capacity": 0}),
+        encoded(ENTRY | {"address": "nowhere"}),
+        encoded(ENTRY | {"service": None}),
+        encoded(ENTRY | {"born": 1.5}),
+        encoded({key: value for key, value in ENTRY.items() if key != "zone"}),
+    ],
+)
+def test_an_entry_that_can_t_be_read_names_no_server(value: str) -> None:
+    """Guards against a malformed entry that ends the process or names a server to use."""
+    assert isinstance(decode_item("servers/i-1", value), Err)
+    assert readable(StoredItem(key="servers/i-1", value=value)) == []
+    changes = change_of(StoredItem(key="servers/i-1", value=value))
+    assert changes == [Removed(key=ServerKey(server="i-1"))]
+
+
+def test_a_configuration_that_can_t_be_read_changes_nothing() -> None:
+    """Guards against a malformed configuration that takes the routes away."""
+    assert change_of(StoredItem(key="op/config", value=encoded({"version": 9}))) == []
+
+
+@pytest.mark.parametrize(
+    ("options", "target"),
+    [
+        ({"service": "desk"}, SingleService(service="desk")),
+        (
+            {"traffic_split": [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]},
+            WeightedServices(weights=(("a", 3.0), ("b", 1.0))),
+        ),
+        (
+            {"gather": ["a", "b"], "top_k": 5, "min_coverage": 0.5},
+            ShardSet(shards=("a", "b"), top=5, coverage_min=0.5),
+        ),
+    ],
+    ids=["single", "weighted", "shards"],
+)
+def test_a_route_says_where_its_requests_go(options: dict[str, Any], target: object) -> None:
+    value = config(7, route("r", "/x/", **options), services=("a", "b", "desk"))
+    decoded = decode_item("op/config", encoded(value | {"new_field": 1}))
+    assert isinstance(decoded, Ok)
+    table = decoded.ok_value
+    assert isinstance(table, RouteTable)
+    found = table.match("a.example", "/x/1")
+    assert found is not None
+    assert (table.version, found.target, found.timeout_s, found.goal_s) == (7, target, 1.0, 0.2)
+    assert found.idempotent
+    assert table.services["a"].connections_max == 30
+    assert table.limits.idle_timeout_s == 15.0
+
+
+def test_a_route_that_names_no_service_is_refused() -> None:
+    value = config(7, route("r", "/x/"), services=())
+    assert isinstance(decode_item("op/config", encoded(value)), Err)
+
+
+@pytest.mark.parametrize(
+    ("key", "item"),
+    [
+        (InstanceKey(instance="n1"), InstanceEntry(instance="n1")),
+        (ConvictionKey(fingerprint="f"), ConvictionEntry(fingerprint="f")),
+    ],
+)
+def test_own_entries_come_back_as_they_were_written(
+    key: InstanceKey | ConvictionKey, item: object
+) -> None:
+    path = path_of(key)
+    assert key_of(path) == key
+    assert decode_item(path, encoded({})) == Ok(item)
+
+
+def test_other_keys_concern_nobody_here() -> None:
+    assert key_of("status/anything") is None
+    assert decode_item("status/anything", "%%%") == Ok(None)
--- /dev/null
+++ b/tests/fleet/test_settings.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from result import Err, Ok
+
+from azurefield_fleet.settings import load
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+SETTINGS = """
+node_name = "n1"
+zone = "one"
+new_field = 1
+[listen]
+frontend = "127.0.0.1:8001"
+readiness = "127.0.0.1:8002"
+admin = "127.0.0.1:8003"
+[bounds]
+retry_budget_ratio = 0.25
+grace_s = 6
+[platform]
+address = "127.0.0.1:8004"
+"""
+
+
+def write(path: Path, text: str) -> Path:
+    file = path / "settings.toml"
+    file.write_text(text, encoding="utf-8")
+    return file
+
+
+def test_the_settings_are_named_as_the_gateway_names_them(tmp_path: Path) -> None:
+    settings = load(write(tmp_path, SETTINGS))
+    assert isinstance(settings, Ok)
+    loaded = settings.ok_value
+    assert (loaded.instance, loaded.availability_zone) == ("n1", "one")
+    assert loaded.store_address == "127.0.0.1:8004"
+    assert (loaded.further_calls_ratio, loaded.stop_grace_s) == (0.25, 6)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('node_name = "n1"', "", "node_name"),
+        ('"127.0.0.1:8001"', "8001", "frontend"),
+        ('"127.0.0.1:8001"', '"127.0.0.1:0"', "listen.frontend"),
+        ('"127.0.0.1:8004"', '"store:80"', "platform.address"),
+        ("grace_s = 6", 'grace_s = "six"', "grace_s"),
+        ("[listen]", "[listen", "line"),
+    ],
+)
+def test_bad_settings_are_refused_with_the_field_that_is_wrong(
+    tmp_path: Path, old: str, new: str, named: str
+) -> None:
+    result = load(write(tmp_path, SETTINGS.replace(old, new)))
+    assert isinstance(result, Err)
+    assert named in result.err_value.problem
+
+
+def test_a_missing_file_is_refused(tmp_path: Path) -> None:
+    assert isinstance(load(tmp_path / "none.toml"), Err)
--- /dev/null
+++ b/tests/fleet/test_store.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+from result import Err, Ok
+
+from azurefield.directory import RegisteredServer
+from azurefield.routes import RouteTable
+from azurefield_entry.gateway.ports import HistoryLost, InstanceKey, LeaseEnded, Removed, ServerKey
+from azurefield_fleet.store import StoreHttp
+from azurefield_platform.failures import PlatformUnavailable
+from standins import LeafStandIn, StoreStandIn, config, route, running
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+LEAF = LeafStandIn(name="i-1", service="desk", address="192.0.2.1:80")
+
+
+@asynccontextmanager
+async def opened() -> AsyncIterator[tuple[StoreStandIn, StoreHttp]]:
+    stand_in = StoreStandIn()
+    async with running(stand_in), aiohttp.ClientSession() as session:
+        yield stand_in, StoreHttp(address=stand_in.address, session=session)
+
+
+@pytest.mark.parametrize("page", [500, 1], ids=["one-page", "many-pages"])
+async def test_a_listing_holds_all_pages_of_what_concerns_the_gateway(page: int) -> None:
+    """Guards against servers of later pages that are taken for gone."""
+    async with opened() as (stand_in, store):
+        stand_in.page = page
+        stand_in.put("op/config", config(3, route("r", "/x/", service="desk"), services=("desk",)))
+        stand_in.put("servers/i-1", LEAF.entry())
+        stand_in.put("servers/i-2", LEAF.entry())
+        stand_in.put("servers/i-3", b"rubbish")
+        stand_in.put("status/x", b"rubbish")
+        listing = await store.list_all()
+        assert isinstance(listing, Ok)
+        names = [type(item).__name__ for item in listing.ok_value.items]
+        assert names == [RouteTable.__name__, *[RegisteredServer.__name__] * 2]
+        assert listing.ok_value.revision == stand_in.revision
+
+
+async def test_a_watch_tells_what_has_changed_since_a_revision() -> None:
+    """Guards against changes between a listing and the watch that are never seen."""
+    async with opened() as (stand_in, store):
+        before = stand_in.revision
+        stand_in.put("servers/i-1", LEAF.entry())
+        stand_in.remove("servers/i-1")
+        changes = await store.watch(before, 1.0)
+        assert isinstance(changes, Ok)
+        written, removed = changes.ok_value.items
+        assert isinstance(written, RegisteredServer)
+        assert removed == Removed(key=ServerKey(server="i-1"))
+        assert changes.ok_value.revision == stand_in.revision
+
+
+async def test_a_watch_wakes_when_something_changes_and_ends_when_nothing_does() -> None:
+    async with opened() as (stand_in, store):
+        waiting = asyncio.create_task(store.watch(stand_in.revision, 5.0))
+        await asyncio.sleep(0.05)
+        stand_in.put("servers/i-1", LEAF.entry())
+        changes = await waiting
+        assert isinstance(changes, Ok)
+        assert len(changes.ok_value.items) == 1
+        nothing = await store.watch(stand_in.revision, 0.05)
+        assert isinstance(nothing, Ok)
+        assert nothing.ok_value.items == ()
+
+
+async def test_a_lost_history_is_told() -> None:
+    """Guards against a watch that goes on although changes are missing."""
+    async with opened() as (stand_in, store):
+        before = stand_in.revision
+        stand_in.put("servers/i-1", LEAF.entry())
+        stand_in.forget_history()
+        assert await store.watch(before, 0.1) == Err(HistoryLost())
+
+
+async def test_a_store_that_is_down_is_a_typed_failure() -> None:
+    async with opened() as (stand_in, store):
+        stand_in.down = True
+        for result in (
+            await store.list_all(),
+            await store.watch(1, 0.1),
+            await store.new_lease(5.0),
+            await store.renew_lease(1),
+        ):
+            assert isinstance(result, Err)
+            assert isinstance(result.err_value, PlatformUnavailable)
+
+
+async def test_an_instance_s_entry_is_written_under_a_lease() -> None:
+    async with opened() as (stand_in, store):
+        lease = (await store.new_lease(5.0)).ok()
+        assert lease is not None
+        assert await store.put(InstanceKey(instance="n1"), lease) == Ok(None)
+        assert stand_in.items["azurefield/instances/n1"]["lease"] == lease
+        assert await store.renew_lease(lease) == Ok(None)
+        assert await store.renew_lease(lease + 1) == Err(LeaseEnded())
--- /dev/null
+++ b/tests/fleet/test_wire.py
@@ -0,0 +1,134 @@
+"""Translation of callers' requests and leafs' answers."""
+
+from __future__ import annotations
+
+import pytest
+from result import Err, Ok
+
+from azurefield.failures import FailureKind, LeafFailureReason, RequestFailure
+from azurefield.merge import MergedParts
+from azurefield.model import Outcome
+from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, OpaqueAnswer
+from azurefield_fleet.callers import CallersHttp
+from azurefield_fleet.headers import end_to_end
+from azurefield_fleet.leafs import LeafsHttp
+
+REQUEST = GatewayRequest(
+    request_id="q1",
+    method="POST",
+    host="a.example",
+    target="/x/%2f?a=b%20c",
+    headers=(("Request-Id", "q1"), ("X-Other", "1")),
+    body=b"body",
+    arrived_at=10.0,
+    deadline=12.0,
+)
+CALL = LeafCall(request=REQUEST, server="i-1", deadline=11.5)
+
+
+def test_a_call_carries_the_request_unchanged_with_the_time_left_and_the_server_meant() -> None:
+    head, _, body = LeafsHttp().encode(CALL, 11.25).partition(b"\r\n\r\n")
+    assert body == b"body"
+    assert head.decode().split("\r\n") == [
+        "POST /x/%2f?a=b%20c HTTP/1.1",
+        "Host: a.example",
+        "Request-Id: q1",
+        "X-Other: 1",
+        "deadline-ms: 250",
+        "expected-instance: i-1",
+        "Content-Length: 4",
+    ]
+
+
+OK_HEADERS = (("Request-Id", "q1"), ("Response-Signature", "p"))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "reason"),
+    [
+        (503, (("Not-Executed", "1"),), LeafFailureReason.SHEDDING),
+        (400, (("not-executed", "1"),), LeafFailureReason.SHEDDING),
+        (421, (("Instance-Id", "i-2"),), LeafFailureReason.WRONG_SERVER),
+    ],
+)
+def test_only_what_the_leaf_says_was_not_run_is_a_refusal(
+    status: int, headers: tuple[tuple[str, str], ...], reason: LeafFailureReason
+) -> None:
+    result = LeafsHttp().decode(CALL, status, headers, b"")
+    assert isinstance(result, Err)
+    assert (result.err_value.reason, result.err_value.outcome) == (reason, Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503, 504])
+def test_a_leaf_s_own_answer_is_passed_on_with_its_proof(status: int) -> None:
+    """Guards against a leaf's own 503, which may have run, being taken for a refusal."""
+    answer = LeafsHttp().decode(CALL, status, OK_HEADERS, b"x")
+    assert answer == Ok(OpaqueAnswer(status=status, headers=OK_HEADERS, body=b"x", proof="p"))
+
+
+def test_an_answer_to_another_request_is_no_answer() -> None:
+    assert LeafsHttp().decode(CALL, 200, (("Request-Id", "q0"),), b"x") is None
+
+
+def test_an_encoded_body_is_not_the_leaf_s_body() -> None:
+    headers = (*OK_HEADERS, ("Content-Encoding", "gzip"))
+    result = LeafsHttp().decode(CALL, 200, headers, b"x")
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    headers = [
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("Keep-Alive", "timeout=5"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "5"),
+        ("X-End", "2"),
+        ("Drop-Me", "3"),
+    ]
+    assert end_to_end(headers, without=frozenset({"drop-me"})) == (("X-End", "2"),)
+
+
+def failed(kind: FailureKind, outcome: Outcome) -> RequestFailure:
+    return RequestFailure(kind=kind, outcome=outcome, detail="d", retry_after_s=0.25)
+
+
+@pytest.mark.parametrize(
+    ("kind", "outcome", "status"),
+    [
+        (FailureKind.UNKNOWN_SERVICE, Outcome.NOT_RUN, 404),
+        (FailureKind.MALFORMED_REQUEST, Outcome.NOT_RUN, 400),
+        (FailureKind.BODY_TOO_LARGE, Outcome.NOT_RUN, 413),
+        (FailureKind.NOT_READY, Outcome.NOT_RUN, 503),
+        (FailureKind.DEADLINE_EXCEEDED, Outcome.NOT_RUN, 503),
+        (FailureKind.DEADLINE_EXCEEDED, Outcome.MAY_HAVE_RUN, 504),
+        (FailureKind.LEAF_UNAVAILABLE, Outcome.MAY_HAVE_RUN, 502),
+        (FailureKind.LEAF_UNAVAILABLE, Outcome.NOT_RUN, 503),
+        (FailureKind.INTERNAL, Outcome.MAY_HAVE_RUN, 502),
+    ],
+)
+def test_a_status_that_promises_not_run_is_used_only_if_it_is_true(
+    kind: FailureKind, outcome: Outcome, status: int
+) -> None:
+    """Guards against a promise that a request which may have run was not run."""
+    response = CallersHttp().write(Err(failed(kind, outcome)))
+    assert response.status == status
+    assert response.headers.get("Retry-After") == ("0.250" if status == 503 else None)
+
+
+def test_a_leaf_s_answer_reaches_the_caller_unchanged() -> None:
+    headers = (("Response-Signature", "p"), ("Connection", "close"), ("Content-Type", "x/y"))
+    answer = OpaqueAnswer(status=418, headers=headers, body=b"\x00x", proof="p")
+    response = CallersHttp().write(Ok(answer))
+    assert (response.status, response.body) == (418, b"\x00x")
+    assert response.headers["Response-Signature"] == "p"
+    assert response.headers["Content-Type"] == "x/y"
+    assert "Connection" not in response.headers
+
+
+def test_merged_parts_name_their_proofs_and_what_is_missing() -> None:
+    response = CallersHttp().write(Ok(MergedParts(proofs=("p1", "p2"), missing=1, body=b"zz")))
+    assert (response.status, response.body) == (200, b"zz")
+    assert response.headers["Partial-Stamps"] == "p1, p2"
+    assert response.headers["Missing-Shards"] == "1"
