Count a server's share of failed calls in the choice of servers, and bound the log

Change: a server's recent share of failed calls counts as wait, 1 s if all fail. Logs go to standard output, at a bounded rate and without waiting. The real program is tested as a process between stand-ins: routes, refusals, three failures explained from the log alone, outage, stop, settings.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
@@ -29,3 +29,5 @@
 # this part of the time that its caller waits.
 START_WAIT_S = 0.5
 START_WAIT_FRACTION = 0.4
+# The wait that a failed call costs its request, for the choice among servers.
+FAILURE_COST_S = 1.0
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -12,11 +12,12 @@
 from azurefield_entry.gateway.front import GatewayFront
 from azurefield_entry.gateway.metadata import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.policies import BUDGET_FRACTION
+from azurefield_entry.gateway.policies import BUDGET_FRACTION, FAILURE_COST_S
 from azurefield_entry.gateway.ports import CallerDialect, LeafDialect, MetadataStore
 from azurefield_entry.gateway.reload import ReloadService
 from azurefield_entry.gateway.service import GatewayService
 from azurefield_entry.kernel import Kernel, Service
+from azurefield_entry.logs import DROPS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,11 +53,12 @@
     """
     random = Random()
     metrics = GatewayMetrics()
+    DROPS.listeners.append(metrics.log_lines_dropped.inc)
     gateway = GatewayService(
         instance=settings.instance,
         availability_zone=settings.availability_zone,
         leaf_dialect=dialects.leafs,
-        router=OwnObservationRouter(random=random),
+        router=OwnObservationRouter(random=random, failure_cost_s=FAILURE_COST_S),
         budget=WindowedBudget(
             ratio=BUDGET_FRACTION * settings.further_calls_ratio,
             window_s=settings.further_calls_window_s,
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -33,6 +33,7 @@
 # long as another server can take it.
 BLOCK_S = 0.1
 BLOCK_MAX_S = 2.0
+FAILURE_GAIN = 0.2
 # A server whose oldest call has waited for this multiple of the typical latency without any answer
 # since then has stalled.
 STALL_FACTOR = 3.0
@@ -113,6 +114,8 @@
     blocked_until: float = float("-inf")
     block_s: float = 0.0
     answered_at: float = float("-inf")
+    failure_share: float = 0.0
+    ended_at: float = float("-inf")
 
     def observe(self, now: float, latency_s: float) -> None:
         """Move the latency estimate towards one observation."""
@@ -140,6 +143,17 @@
         """Return how long the oldest call that has not ended has taken so far."""
         return now - self.sent_at[0] if self.sent_at else 0.0
 
+    def note_end(self, now: float, *, failed: bool) -> None:
+        """Move the share of failed calls towards one call."""
+        share = self.recent_failures(now)
+        self.failure_share = share + FAILURE_GAIN * (failed - share)
+        self.ended_at = now
+
+    def recent_failures(self, now: float) -> float:
+        """Return the share of failed calls, which fades while there are no calls."""
+        idle_s = max(0.0, now - self.ended_at)
+        return float(self.failure_share * 0.5 ** (idle_s / IDLE_HALF_LIFE_S))
+
     def stalled(self, now: float, typical_s: float) -> bool:
         """Whether the server has been silent for too long to send it more."""
         if not self.sent_at or self.answered_at >= self.sent_at[0]:
@@ -184,13 +198,16 @@
     it. A server is ejected after consecutive failures and, with ``outlier_factor``, when its
     latency is that multiple of the median of its leaf; at most a third of a leaf's servers are
     ejected at once. An ejection ends after a time that doubles with each repetition, and the server
-    then starts slowly. ``on_return`` starts a server slowly that was started anew, and ``forget``
-    drops a server that left the configuration. Load reports are not used: late ones did not pay.
+    then starts slowly. ``failure_cost_s`` is the additional wait that a server counts with whose
+    calls all fail; a smaller share counts in proportion. ``on_return`` starts a server slowly that
+    was started anew, and ``forget`` drops a server that left the configuration. Load reports are
+    not used: late ones did not pay.
     """
 
     random: Random
     choices: int = CHOICES
     outlier_factor: float | None = None
+    failure_cost_s: float = 0.0
     views: dict[str, ServerView] = field(default_factory=dict)
     distances_s: dict[str, float] = field(default_factory=dict)
 
@@ -228,6 +245,8 @@
         """
         view = self.view(server)
         view.end_call(now - latency_s)
+        if result in (CallResult.ANSWERED, CallResult.FAILED):
+            view.note_end(now, failed=result is CallResult.FAILED)
         match result:
             case CallResult.ANSWERED:
                 view.failures = 0
@@ -282,6 +301,7 @@
         view = self.view(server)
         latency_s = max(view.estimate(now, typical_s), view.waiting_s(now))
         wait_s = (view.outstanding + 1) * latency_s + self.distances_s.get(server, 0.0)
+        wait_s += self.failure_cost_s * view.recent_failures(now)
         # An ejected server that is used because of the cap is needed at its full share.
         share = 1.0 if view.ejected_until > now else view.slow_start(now)
         equal = share >= 1.0 or self.random.random() < share
--- a/packages/azurefield/tests/test_routing.py
+++ b/packages/azurefield/tests/test_routing.py
@@ -157,3 +157,25 @@
     router.on_dispatch(20.0, "a")
     router.on_result(20.1, "a", CallResult.CANCELLED, 0.1)
     assert not router.answering(20.1, "a", 0.01)
+
+
+@pytest.mark.parametrize(
+    ("failure_cost_s", "least", "most"), [(1.0, 0.0, 0.1), (0.0, 0.1, 1.0)], ids=["on", "off"]
+)
+def test_a_server_that_loses_part_of_its_answers_gets_few_calls(
+    failure_cost_s: float, least: float, most: float
+) -> None:
+    """Guards against calls to a lossy server, whose retries use up the budget."""
+    router = OwnObservationRouter(random=Random(10), failure_cost_s=failure_cost_s)
+    lossy = Random(11)
+    chosen = []
+    for index in range(1000):
+        now = index * 0.2
+        server = router.choose(now, LEAF)
+        assert server is not None
+        chosen.append(server)
+        router.on_dispatch(now, server)
+        lost = server == "a" and lossy.random() < 0.4
+        result = CallResult.FAILED if lost else CallResult.ANSWERED
+        router.on_result(now, server, result, 0.01)
+    assert least <= chosen.count("a") / len(chosen) <= most
--- /dev/null
+++ b/tests/fleet/test_process.py
@@ -0,0 +1,300 @@
+"""The real program as a process, between stand-ins of the store and leafs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import signal
+import sys
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+from yarl import URL
+
+from azurefield_testkit.entry_support.instance import free_address
+from azurefield_testkit.processes import ManagedProcess
+from azurefield_testkit.waiting import wait_until
+from standins import LeafStandIn, StoreStandIn, config, route, running
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from multidict import CIMultiDictProxy
+
+pytestmark = pytest.mark.process
+
+PROGRAM = Path(__file__).parent.parent.parent / "platform" / "run.py"
+EXIT_BAD_SETTINGS = 78
+
+
+@dataclass(slots=True, kw_only=True)
+class Site:
+    """One gateway process with a store and two shards of two leafs, and a desk of one."""
+
+    directory: Path
+    store: StoreStandIn = field(default_factory=StoreStandIn)
+    leafs: dict[str, LeafStandIn] = field(default_factory=dict)
+    callers: str = field(default_factory=free_address)
+    readiness: str = field(default_factory=free_address)
+    admin: str = field(default_factory=free_address)
+    process: ManagedProcess | None = None
+    session: aiohttp.ClientSession | None = None
+
+    def __post_init__(self) -> None:
+        for name, service in (("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"), ("d1", "desk")):
+            body = name.encode() * 8
+            self.leafs[name] = LeafStandIn(name=name, service=service, body=body)
+
+    def settings(self) -> str:
+        """The settings file of the process."""
+        return (
+            'node_name = "n1"\nzone = "one"\n'
+            f'[listen]\nfrontend = "{self.callers}"\nreadiness = "{self.readiness}"\n'
+            f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n'
+            f'[platform]\naddress = "{self.store.address}"\n'
+        )
+
+    def write_settings(self, text: str) -> Path:
+        """Write the settings file."""
+        path = self.directory / "settings.toml"
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    def put_config(self, version: int = 1, **listing: object) -> None:
+        """Write the operator's configuration."""
+        gather = {"gather": ["a", "b"], "top_k": 1, "min_coverage": 0.5} | listing
+        routes = (
+            route("listing", "/l/", **gather),
+            route("single", "/s/", service="desk"),
+            route("order", "/o/", service="desk", route_type="unsafe"),
+            route("nowhere", "/n/", service="none"),
+        )
+        services = ("a", "b", "desk", "none")
+        self.store.put("op/config", config(version, *routes, services=services))
+
+    async def start(self) -> None:
+        """Start the process."""
+        path = self.write_settings(self.settings())
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            env={"PATH": os.environ["PATH"], "AZUREFIELD_BOOT": str(path)},
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self.process = ManagedProcess(name="gateway", process=process)
+        self.process.reader = asyncio.create_task(self.process.collect())
+
+    async def ready(self) -> bool:
+        """Whether the process says that it is ready."""
+        assert self.session is not None
+        assert self.process is not None
+        assert self.process.running, self.process.tail()
+        try:
+            async with self.session.get(f"http://{self.readiness}/readiness") as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def call(
+        self, path: str, request_id: str, method: str = "GET", deadline_ms: int = 900
+    ) -> tuple[int, CIMultiDictProxy[str], bytes]:
+        """Send a request as a caller."""
+        assert self.session is not None
+        headers = {"Host": "a.example", "Request-Id": request_id, "Deadline-Ms": str(deadline_ms)}
+        async with self.session.request(
+            method,
+            URL(f"http://{self.callers}{path}", encoded=True),
+            headers=headers,
+            data=b"x" * (method == "POST"),
+        ) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    def line_of(self, request_id: str) -> str:
+        """Return the log line of a request."""
+        assert self.process is not None
+        return next((line for line in self.process.output if f"id={request_id} " in line), "")
+
+    async def logged(self, request_id: str) -> str:
+        """Wait for the log line of a request."""
+        await wait_until(lambda: bool(self.line_of(request_id)), f"{request_id} is logged")
+        return self.line_of(request_id)
+
+    async def logs(self, text: str) -> None:
+        """Wait for a text in the log."""
+        assert self.process is not None
+        output = self.process.output
+        await wait_until(lambda: any(text in line for line in output), f"{text} is logged")
+
+
+@asynccontextmanager
+async def serving(directory: Path) -> AsyncIterator[Site]:
+    site = Site(directory=directory)
+    async with running(site.store, *site.leafs.values()), aiohttp.ClientSession() as session:
+        site.session = session
+        site.put_config()
+        for name, leaf in site.leafs.items():
+            site.store.put(f"servers/{name}", leaf.entry())
+        await site.start()
+        assert site.process is not None
+        try:
+            await wait_until(site.ready, "the gateway is ready")
+            yield site
+        finally:
+            site.process.send_signal(signal.SIGCONT)
+            site.process.send_signal(signal.SIGKILL)
+            await site.process.wait()
+
+
+async def test_each_kind_of_route_is_answered(tmp_path: Path) -> None:
+    async with serving(tmp_path) as site:
+        status, headers, body = await site.call("/l/x", "q1")
+        assert (status, headers["Missing-Shards"]) == (200, "0")
+        assert body in (b"b1" * 8, b"b2" * 8)
+        assert len(headers["Partial-Stamps"].split(",")) == 2
+        status, headers, body = await site.call("/s/x?y=%2f", "q2")
+        assert (status, body) == (200, b"d1" * 8)
+        assert headers["Response-Signature"] == "proof-d1-q2"
+        assert site.leafs["d1"].requests[-1]["target"] == "/s/x?y=%2f"
+        status, _, _ = await site.call("/o/x", "q3", "POST")
+        assert (status, site.leafs["d1"].bodies[-1]) == (200, b"x")
+        assert (await site.call("/zzz/x", "q4"))[0] == 404
+        assert site.session is not None
+        async with site.session.get(f"http://{site.admin}/metrics") as answer:
+            text = await answer.text()
+        assert 'azurefield_gateway_leaf_calls_total{result="200"}' in text
+
+
+async def test_a_request_that_may_not_be_repeated_is_not_called_not_run(tmp_path: Path) -> None:
+    """Guards against a 503 for a request whose answer was lost after it was sent."""
+    async with serving(tmp_path) as site:
+        site.leafs["d1"].behaviour = "reset"
+        status, _, _ = await site.call("/o/x", "q1", "POST")
+        assert status == 502
+        assert len(site.leafs["d1"].requests) == 1
+        site.leafs["d1"].behaviour = "shed"
+        status, headers, _ = await site.call("/o/x", "q2", "POST")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0.0
+
+
+async def test_three_kinds_of_failed_request_are_explained_by_the_log(tmp_path: Path) -> None:
+    """Guards against a failure whose cause on-call engineers can't find from its id."""
+    async with serving(tmp_path) as site:
+        site.leafs["d1"].behaviour = "hang"
+        assert (await site.call("/s/x", "late", deadline_ms=300))[0] == 504
+        line = await site.logged("late")
+        assert "route=single version=1" in line
+        assert re.search(r"store_age_ms=\d+", line)
+        assert "deadline-exceeded outcome=may_have_run" in line
+        assert "desk: timeout" in line
+        for name in ("a1", "a2", "b1", "b2"):
+            site.leafs[name].behaviour = "shed"
+        assert (await site.call("/l/x", "full", deadline_ms=300))[0] == 503
+        line = await site.logged("full")
+        assert "outcome=not_run" in line
+        assert re.search(r"calls=.*a[12]:shedding:\d+", line)
+        assert (await site.call("/n/x", "none"))[0] == 503
+        line = await site.logged("none")
+        assert "none: no_server" in line
+
+
+async def test_changes_of_the_store_take_effect(tmp_path: Path) -> None:
+    """Guards against requests that follow an old configuration or reach leaving leafs."""
+    async with serving(tmp_path) as site:
+        site.store.put("servers/a1", site.leafs["a1"].entry(state="draining"))
+        site.store.put("servers/b1", b"rubbish")
+        site.put_config(2, gather=["a"], min_coverage=1.0)
+        await site.logs("Version 2 is in force")
+        await site.logs("Server a1 is leaving")
+        before = len(site.leafs["a1"].requests)
+        for number in range(10):
+            status, headers, _ = await site.call("/l/x", f"q{number}")
+            assert status == 200
+            assert headers["Partial-Stamps"].startswith("proof-a2-")
+        assert len(site.leafs["a1"].requests) == before
+        site.put_config(1)
+        site.store.forget_history()
+        site.put_config(3)
+        await site.logs("Version 3 is in force")
+
+
+async def test_an_outage_of_the_store_changes_nothing_for_callers(tmp_path: Path) -> None:
+    """Guards against an outage that takes servers or routes away."""
+    async with serving(tmp_path) as site:
+        site.store.down = True
+        await site.logs("The store fails")
+        assert (await site.call("/l/x", "q1"))[0] == 200
+        for name in site.leafs:
+            site.store.remove(f"servers/{name}")
+        site.store.down = False
+        await site.logs("The store answers again")
+        assert (await site.call("/l/x", "q2"))[0] == 200
+        for name, leaf in site.leafs.items():
+            site.store.put(f"servers/{name}", leaf.entry())
+        assert (await site.call("/l/x", "q3"))[0] == 200
+
+
+async def test_a_planned_stop_finishes_what_runs_and_exits_with_0(tmp_path: Path) -> None:
+    """Guards against requests that are cut by a planned stop."""
+    async with serving(tmp_path) as site:
+        assert site.process is not None
+        site.leafs["d1"].behaviour = "slow"
+        waiting = asyncio.create_task(site.call("/s/x", "q1"))
+        await wait_until(lambda: bool(site.leafs["d1"].requests), "the leaf has the request")
+        site.process.send_signal(signal.SIGTERM)
+        assert (await waiting)[0] == 200
+        await site.logs("Draining")
+        assert not await site.ready()
+        status, headers, _ = await site.call("/s/x", "q2")
+        assert (status, headers["Connection"]) == (200, "close")
+        assert await site.process.wait() == 0
+
+
+async def test_a_caller_that_leaves_ends_its_calls(tmp_path: Path) -> None:
+    """Guards against leafs that work for callers who have left."""
+    async with serving(tmp_path) as site:
+        site.leafs["d1"].behaviour = "hang"
+        waiting = asyncio.create_task(site.call("/s/x", "q1"))
+        await wait_until(lambda: bool(site.leafs["d1"].requests), "the leaf has the request")
+        waiting.cancel()
+        await wait_until(lambda: site.leafs["d1"].cancelled == 1, "the leaf's work is cancelled")
+
+
+async def test_settings_are_loaded_again_on_a_signal(tmp_path: Path) -> None:
+    """Guards against a store that has moved, and against bad settings that end the process."""
+    async with serving(tmp_path) as site:
+        assert site.process is not None
+        site.write_settings("rubbish")
+        site.process.send_signal(signal.SIGHUP)
+        await site.logs("the old settings hold")
+        other = StoreStandIn(revision=site.store.revision, items=dict(site.store.items))
+        async with running(other):
+            site.store.down = True
+            text = site.settings().replace(site.store.address, other.address)
+            site.write_settings(text)
+            site.process.send_signal(signal.SIGHUP)
+            await site.logs("The settings have changed")
+            await wait_until(lambda: "/kv-watch" in other.calls, "the new store is watched")
+
+
+async def test_bad_settings_end_the_process_with_one_clear_line(tmp_path: Path) -> None:
+    site = Site(directory=tmp_path)
+    async with running(site.store):
+        path = site.write_settings(site.settings().replace('zone = "one"', ""))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            env={"PATH": os.environ["PATH"], "AZUREFIELD_BOOT": str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, error = await process.communicate()
+        assert process.returncode == EXIT_BAD_SETTINGS
+        assert re.fullmatch(r"\[settings\] .*zone.*\n", error.decode())
