--- a/packages/azurefield-entry/tests/test_process.py
+++ b/packages/azurefield-entry/tests/test_process.py
@@ -27,7 +27,13 @@
     file.write_text(json.dumps(values))
     command = [sys.executable, "-m", "azurefield_entry", "--settings", str(file)]
     environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
-    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, env=environment)
+    process = subprocess.Popen(
+        command,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        env=environment,
+    )
     return process, values
 
 
@@ -49,7 +55,7 @@
     assert ready_status(values["admin_listen"]) == 503, "no configuration is in force"
     begin = time.monotonic()
     process.send_signal(signal.SIGTERM)
-    _, log = process.communicate(timeout=10)
+    log, _ = process.communicate(timeout=10)
     assert process.returncode == 0
     assert time.monotonic() - begin >= 0.3
     assert "[front]" in log
@@ -69,7 +75,7 @@
     tmp_path: Path, changes: dict[str, Any], code: int, line: str
 ) -> None:
     process, _ = start(tmp_path, **changes)
-    _, log = process.communicate(timeout=10)
+    log, _ = process.communicate(timeout=10)
     assert process.returncode == code
     assert line in log.splitlines()[-1]
     assert "Traceback" not in log
