Make two tests of the entry daemon independent of waiting for a core

The trace of the first: the admission queue lets a request wait for 0.08 of its deadline (160 ms), and its estimate of the wait rises with the time that requests are held, which includes the time without a core; the refusal is truthful and does not come from the containment of suspects that the test is about. The second measured 50 ms on the wall.

--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/whole_path.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/whole_path.py
@@ -35,14 +35,15 @@
 
 @asynccontextmanager
 async def running(
-    scripts: dict[str, Any], **services: Any
+    scripts: dict[str, Any], *, deadline_max_ms: int = 2000, **services: Any
 ) -> AsyncIterator[tuple[Instance, dict[str, WireServer]]]:
     """Run an instance with a server `x1` or more for each leaf `x`, ready for requests."""
     servers = {}
     for name, script in scripts.items():
         server = WireServer(name=name, script=script, leafs=(name[0],), shard_map=SHARD_MAP)
         servers[name] = await server.start()
-    async with running_instance(make_service_config([*servers.values()]), **services) as instance:
+    config = make_service_config([*servers.values()], deadline_max_ms=deadline_max_ms)
+    async with running_instance(config, **services) as instance:
         await until_all_are_known(instance, len(servers))
         yield instance, servers
     for server in servers.values():
