Divide the allowance of further calls among the instances

With 87 instances each one sends a shard a handful of calls in the window of ten seconds, of which the ratio alone allows less than one further call. The allowance beside the ratio, which the limit grants to all instances together, was not used.

Change: each instance gets an equal part of two fifths of it, so that each may start anew once in a window. The number of instances counts those whose entry ended in the last 12 s: entries that a store loses at once no longer raise the shares of those that run on, which held for the connections too.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
@@ -15,6 +15,9 @@
 CONNECTION_WAIT_S = 0.25
 # Further calls are kept below the ratio that all instances together must keep to.
 BUDGET_FRACTION = 0.9
+# The allowance is divided among the instances. One that starts anew forgets what it has spent, so
+# that two starts in one window must fit.
+ALLOWANCE_FRACTION = 0.4
 HEDGE_QUANTILE = 0.9
 # Added to the expected wait on servers of other zones, whose answers are priced by the byte.
 OTHER_ZONE_S = 0.015
@@ -25,6 +28,8 @@
 # While no instance is known, connections are divided among this many.
 INSTANCES_ASSUMED = 8
 TICK_S = 0.25
+# An instance counts for this long after its entry in the store has ended.
+INSTANCE_GRACE_S = 12.0
 # A request that arrives while the process starts waits so long for the configuration, at most for
 # this part of the time that its caller waits.
 START_WAIT_S = 0.5
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -15,6 +15,7 @@
 from azurefield.directory import Change, Directory, DirectoryChange, RegisteredServer
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.hedging import LeafLatencies, SharedDelayHedging
+from azurefield.instances import RunningInstances
 from azurefield.merge import MergedParts, TopRecordsMerge
 from azurefield.model import Outcome, Snapshot
 from azurefield.query import CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
@@ -76,11 +77,12 @@
     router: OwnObservationRouter
     budget: WindowedBudget
     metrics: GatewayMetrics
+    further_calls_allowance: float = 0.0
     table: RouteTable | None = None
     directory: Directory = field(default_factory=Directory)
     listed: bool = False
     first_listing: asyncio.Event = field(default_factory=asyncio.Event)
-    instances: set[str] = field(default_factory=set)
+    instances: RunningInstances = field(init=False)
     crashes: CrashReports = field(init=False)
     turns: WeightedTurns = field(default_factory=WeightedTurns)
     hedging: dict[str, SharedDelayHedging] = field(default_factory=dict)
@@ -92,6 +94,7 @@
 
     def __post_init__(self) -> None:
         self.crashes = CrashReports(instance=self.instance)
+        self.instances = RunningInstances(own=self.instance, grace_s=policies.INSTANCE_GRACE_S)
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Follow the store until ``Stop``."""
@@ -110,6 +113,8 @@
                 case SettingsChanged(settings=settings):
                     self.budget.ratio = policies.BUDGET_FRACTION * settings.further_calls_ratio
                     self.budget.window_s = settings.further_calls_window_s
+                    self.further_calls_allowance = settings.further_calls_allowance
+                    self.divide_limits()
                 case Tick():
                     self.tick(now)
                 case Stop():
@@ -137,7 +142,9 @@
         """Replace what is known by a complete listing."""
         servers = {item.server: item for item in items if isinstance(item, RegisteredServer)}
         self.note_changes(now, self.directory.on_listing(now, servers))
-        self.instances = {item.instance for item in items if isinstance(item, InstanceEntry)}
+        self.instances.on_listing(
+            now, {item.instance for item in items if isinstance(item, InstanceEntry)}
+        )
         self.crashes.reports.clear()
         for item in items:
             if isinstance(item, CrashReportEntry):
@@ -148,7 +155,7 @@
         self.listed = True
         if self.ready:
             self.first_listing.set()
-        self.resize_pools()
+        self.divide_limits()
 
     def take_item(self, now: float, item: Item | Removed) -> None:
         """Take one change of the store."""
@@ -158,16 +165,15 @@
             case RegisteredServer():
                 self.note_changes(now, self.directory.on_entry(item))
             case InstanceEntry(instance=instance):
-                self.instances.add(instance)
-                self.resize_pools()
+                self.instances.on_listed(instance)
+                self.divide_limits()
             case CrashReportEntry(instance=instance, request=request):
                 self.crashes.on_report(instance, request)
                 log.info("Instance {} reports that request {} crashes servers.", instance, request)
             case Removed(key=ServerKey(server=server)):
                 self.note_changes(now, self.directory.on_removed(now, server))
             case Removed(key=InstanceKey(instance=instance)):
-                self.instances.discard(instance)
-                self.resize_pools()
+                self.instances.on_removed(now, instance)
             case Removed(key=CrashReportKey(instance=instance, request=request)):
                 self.crashes.on_report_ended(instance, request)
 
@@ -184,7 +190,7 @@
         self.budget.forget_except(
             frozenset(service for route in table.routes for service in route.services)
         )
-        self.resize_pools()
+        self.divide_limits()
         self.metrics.version_in_force.set(table.version)
         log.info("Version {} is in force with {} routes.", table.version, len(routes))
         if self.kernel is not None:
@@ -217,9 +223,13 @@
     def tick(self, now: float) -> None:
         """Do what is due at regular intervals."""
         self.note_changes(now, self.directory.expire(now))
+        if self.instances.expire(now):
+            self.divide_limits()
 
-    def resize_pools(self) -> None:
-        """Divide the connections to each server among the instances."""
+    def divide_limits(self) -> None:
+        """Divide the connections to each server and the further calls among the instances."""
+        share = policies.ALLOWANCE_FRACTION / len(self.instances) if self.instances.known else 0.0
+        self.budget.allowance = share * self.further_calls_allowance
         for server, pool in self.pools.items():
             pool.set_ceiling(self.ceiling(server))
 
@@ -232,8 +242,8 @@
         limits = None if entry is None or self.table is None else self.table.services
         if entry is None or limits is None or entry.service not in limits:
             return 1
-        count = len(self.instances | {self.instance}) if self.instances else None
-        divisor = policies.INSTANCES_ASSUMED if count is None else count + 1
+        known = self.instances.known
+        divisor = len(self.instances) + 1 if known else policies.INSTANCES_ASSUMED
         return max(1, limits[entry.service].connections_max // divisor)
 
     async def handle(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -14,6 +14,7 @@
     :param admin_address: ``host:port`` for metrics; None for no metrics
     :param store_address: ``host:port`` of the platform's store
     :param further_calls_ratio: further calls to a service per first call, all instances together
+    :param further_calls_allowance: further calls to a service beyond the ratio in such a window
     :param further_calls_window_s: the window in which that ratio must hold
     :param stop_grace_s: time between a planned stop and the end of the process by force
     """
@@ -25,5 +26,6 @@
     admin_address: str | None
     store_address: str
     further_calls_ratio: float
+    further_calls_allowance: float
     further_calls_window_s: float
     stop_grace_s: float
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -63,6 +63,7 @@
             ratio=BUDGET_FRACTION * settings.further_calls_ratio,
             window_s=settings.further_calls_window_s,
         ),
+        further_calls_allowance=settings.further_calls_allowance,
         metrics=metrics,
     )
     services: dict[str, Service] = {
