Let a few instances of each zone watch the store, and the others follow them

Each instance kept a waiting watch, renewed it every 3 s and answered each change with a new one, so the calls grew with the product of instances and changes.

Change: the first two instances of a zone by name watch the store; the others connect to one of them and take the store's replies as they are, with the revisions between which they lie and a beat every 0.5 s that tells their age. A frame that does not join on, a beat that is missing for 1.5 s, a relay that does not watch the store or whose last reply is older than 4 s: the follower watches the store itself and tries another one.

Tests: test_relay.py (gap, old revision, silence, relay that stops watching, who watches).

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -24,11 +24,30 @@
 class MetadataChanged:
     """From ``metadata``: changes in the store.
 
+    :param age_s: time since the store sent them
     :param after_outage: whether the store could not be reached before
     """
 
     changes: Changes
     after_outage: bool
+    age_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreFollowed:
+    """From ``metadata``: the store's own reply to a watch, or the revision of a listing.
+
+    :param encoded: the reply; empty if it holds no change
+    """
+
+    after: int
+    revision: int
+    encoded: bytes = b""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreLeft:
+    """From ``metadata``: this instance does not watch the store now."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -115,9 +115,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class InstanceEntry:
-    """Another instance of the system that runs."""
+    """An instance of the system that runs.
+
+    :param relay_address: ``host:port`` where it passes on changes of the store, if it does
+    """
 
     instance: str
+    availability_zone: str = ""
+    relay_address: str | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -170,10 +175,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Changes:
-    """What changed in the store, in order, up to ``revision``."""
+    """What changed in the store, in order, up to ``revision``.
+
+    :param encoded: the same in the store's own form, for ``decode_changes``
+    """
 
     items: tuple[Item | Removed, ...]
     revision: int
+    encoded: bytes = b""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -202,6 +211,9 @@
     ) -> Result[Changes, HistoryLost | PlatformUnavailable | MalformedReply | InvalidCall]:
         """Wait for changes after a revision; none may have come after ``wait_s``."""
 
+    def decode_changes(self, encoded: bytes) -> Result[Changes, MalformedReply]:
+        """Decode changes that another instance received."""
+
     async def new_lease(
         self, ttl_s: float
     ) -> Result[int, PlatformUnavailable | ReplyLost | InvalidCall]:
@@ -213,6 +225,6 @@
         """Renew a lease."""
 
     async def put(
-        self, key: InstanceKey | CrashReportKey, lease: int
+        self, entry: InstanceEntry | CrashReportEntry, lease: int
     ) -> Result[None, LeaseEnded | PlatformUnavailable | ReplyLost | InvalidCall]:
         """Write an entry that is removed when its lease ends."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -104,10 +104,10 @@
             now = self.now()
             match await mailbox.receive():
                 case MetadataListed(listing=listing, after_outage=after_outage):
-                    self.note_contact(now, after_outage=after_outage)
+                    self.note_contact(now, 0.0, after_outage=after_outage)
                     self.take_listing(now, listing.items)
-                case MetadataChanged(changes=changes, after_outage=after_outage):
-                    self.note_contact(now, after_outage=after_outage)
+                case MetadataChanged(changes=changes, after_outage=after_outage, age_s=age_s):
+                    self.note_contact(now, age_s, after_outage=after_outage)
                     for item in changes.items:
                         self.take_item(now, item)
                 case SettingsChanged(settings=settings):
@@ -132,9 +132,9 @@
         """Whether requests can be served."""
         return self.table is not None and self.listed
 
-    def note_contact(self, now: float, *, after_outage: bool) -> None:
-        """Note an answer of the store."""
-        self.store_contact_at = now
+    def note_contact(self, now: float, age_s: float, *, after_outage: bool) -> None:
+        """Note an answer of the store, which may have come by way of another instance."""
+        self.store_contact_at = now - age_s
         if after_outage:
             self.directory.on_outage_end(now)
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -17,6 +17,7 @@
     :param further_calls_allowance: further calls to a service beyond the ratio in such a window
     :param further_calls_window_s: the window in which that ratio must hold
     :param stop_grace_s: time between a planned stop and the end of the process by force
+    :param relay_address: ``host:port`` for instances that follow this one; None for no such
     """
 
     instance: str
@@ -29,3 +30,4 @@
     further_calls_allowance: float
     further_calls_window_s: float
     stop_grace_s: float
+    relay_address: str | None = None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -13,7 +13,13 @@
 from azurefield_entry.gateway.metadata import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.policies import BUDGET_FRACTION, FAILURE_COST_S
-from azurefield_entry.gateway.ports import CallerDialect, LeafDialect, MetadataStore
+from azurefield_entry.gateway.ports import (
+    CallerDialect,
+    InstanceEntry,
+    LeafDialect,
+    MetadataStore,
+)
+from azurefield_entry.gateway.relay import RelayService
 from azurefield_entry.gateway.reload import ReloadService
 from azurefield_entry.gateway.service import GatewayService
 from azurefield_entry.kernel import Kernel, Service
@@ -70,7 +76,14 @@
         "settings": ReloadService(load=load, current=settings),
         "gateway": gateway,
         "metadata": MetadataService(
-            instance=settings.instance, store=dialects.store, random=random, metrics=metrics
+            entry=InstanceEntry(
+                instance=settings.instance,
+                availability_zone=settings.availability_zone,
+                relay_address=settings.relay_address,
+            ),
+            store=dialects.store,
+            random=random,
+            metrics=metrics,
         ),
         "front": GatewayFront(
             address=settings.callers_address,
@@ -80,6 +93,8 @@
             finish_s=max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S),
         ),
     }
+    if settings.relay_address is not None:
+        services["relay"] = RelayService(address=settings.relay_address)
     if settings.admin_address is not None:
         services["admin"] = GatewayAdmin(address=settings.admin_address, metrics=metrics)
     kernel = Kernel()
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -0,0 +1,254 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+from result import Err, Ok, Result
+
+from azurefield_entry.gateway.messages import (
+    MetadataChanged,
+    MetadataListed,
+    StoreFollowed,
+    StoreLeft,
+)
+from azurefield_entry.gateway.metadata import MetadataService
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.ports import (
+    Changes,
+    CrashReportEntry,
+    HistoryLost,
+    InstanceEntry,
+    Item,
+    LeaseEnded,
+    Listing,
+)
+from azurefield_entry.gateway.relay import RelayLink, RelayLost, RelayService, open_relay
+from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_platform.failures import MalformedReply, PlatformUnavailable
+from azurefield_testkit.waiting import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HOST = "127.0.0.1"
+
+
+@asynccontextmanager
+async def relay() -> AsyncIterator[tuple[Kernel, str]]:
+    """Run a relay on a free port."""
+    kernel = Kernel()
+    server = await asyncio.start_server(lambda *_: None, HOST, 0)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    server.close()
+    await server.wait_closed()
+    kernel.register("relay", RelayService(address=address))
+    kernel.start()
+    try:
+        yield kernel, address
+    finally:
+        await kernel.stop("relay")
+
+
+async def opened(address: str, after: int) -> RelayLink:
+    """Follow a relay, which may need a moment to listen."""
+    async with asyncio.timeout(5):
+        while True:
+            match await open_relay(address, after):
+                case Ok(link):
+                    return link
+                case Err(_):
+                    await asyncio.sleep(0.01)
+
+
+async def test_a_follower_gets_what_it_lacks_and_what_comes_later() -> None:
+    """Guards against changes between a follower's own reading and its first frame."""
+    async with relay() as (kernel, address):
+        mailbox = kernel.lookup("relay")
+        mailbox.send(StoreFollowed(after=5, revision=5))
+        mailbox.send(StoreFollowed(after=5, revision=7, encoded=b"seven"))
+        mailbox.send(StoreFollowed(after=7, revision=9, encoded=b"nine"))
+        link = await opened(address, after=7)
+        mailbox.send(StoreFollowed(after=9, revision=10, encoded=b"ten"))
+        frames: list[bytes] = []
+        while not frames or frames[-1] != b"ten":
+            frame = (await link.receive()).unwrap()
+            if frame.encoded:
+                frames.append(frame.encoded)
+        assert frames == [b"nine", b"ten"]
+        mailbox.send(StoreLeft())
+        async with asyncio.timeout(5):
+            while isinstance(await link.receive(), Ok):
+                pass
+        link.close()
+
+
+@pytest.mark.parametrize(
+    ("messages", "after"),
+    [
+        ((), 5),
+        ((StoreFollowed(after=5, revision=5), StoreLeft()), 5),
+        ((StoreFollowed(after=5, revision=5),), 4),
+        (
+            (
+                StoreFollowed(after=5, revision=7, encoded=b"seven"),
+                StoreFollowed(after=8, revision=9, encoded=b"nine"),
+            ),
+            7,
+        ),
+    ],
+    ids=["not-watching", "no-longer-watching", "too-old", "gap"],
+)
+async def test_a_follower_is_sent_away_when_changes_could_be_missed(
+    messages: tuple[object, ...], after: int
+) -> None:
+    """Guards against an instance that believes it knows all changes."""
+    async with relay() as (kernel, address):
+        for message in messages:
+            kernel.lookup("relay").send(message)
+        link = await opened(address, after)
+        assert isinstance(await link.receive(), Err)
+        link.close()
+
+
+async def test_a_silent_relay_is_lost() -> None:
+    """Guards against a follower of an instance that has been suspended."""
+
+    async def stay_silent(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+        await reader.read()
+
+    server = await asyncio.start_server(stay_silent, HOST, 0)
+    async with server:
+        link = await opened(f"{HOST}:{server.sockets[0].getsockname()[1]}", after=1)
+        assert isinstance(await link.receive(), Err)
+        link.close()
+
+
+class FakeStore:
+    """Test double of the store: counts the watches and answers each with nothing new."""
+
+    def __init__(self, items: tuple[Item, ...]) -> None:
+        self.items = items
+        self.watches = 0
+
+    def use_address(self, address: str) -> None:
+        """Do nothing."""
+
+    async def list_all(self) -> Result[Listing, PlatformUnavailable]:
+        return Ok(Listing(items=self.items, revision=5))
+
+    async def watch(
+        self, after: int, wait_s: float  # noqa: ARG002
+    ) -> Result[Changes, HistoryLost | PlatformUnavailable]:
+        self.watches += 1
+        await asyncio.sleep(0.05)
+        return Ok(Changes(items=(), revision=after))
+
+    def decode_changes(self, encoded: bytes) -> Result[Changes, MalformedReply]:
+        if encoded == b"rubbish":
+            return Err(MalformedReply(detail="rubbish"))
+        return Ok(Changes(items=(InstanceEntry(instance="new"),), revision=int(encoded)))
+
+    async def new_lease(self, ttl_s: float) -> Result[int, PlatformUnavailable]:  # noqa: ARG002
+        return Ok(1)
+
+    async def renew_lease(
+        self, lease: int  # noqa: ARG002
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
+        return Ok(None)
+
+    async def put(
+        self, entry: InstanceEntry | CrashReportEntry, lease: int  # noqa: ARG002
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
+        return Ok(None)
+
+
+class Recorder:
+    """Test double of ``gateway``: records what it is told."""
+
+    def __init__(self) -> None:
+        self.messages: list[object] = []
+
+    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
+        while not isinstance(message := await mailbox.receive(), Stop):
+            self.messages.append(message)
+
+    def revisions(self) -> list[int]:
+        """List the revisions of the changes."""
+        found = [m.changes.revision for m in self.messages if isinstance(m, MetadataChanged)]
+        return sorted({revision for revision in found if revision > 5})
+
+
+def watchers(address: str) -> tuple[InstanceEntry, ...]:
+    names = ("a", "b", "c", "d")
+    return tuple(
+        InstanceEntry(instance=name, availability_zone="z", relay_address=address) for name in names
+    )
+
+
+@asynccontextmanager
+async def instance(name: str, zone: str, address: str) -> AsyncIterator[tuple[FakeStore, Recorder]]:
+    """Run the metadata service of one of four instances of the zone ``z``."""
+    kernel, store, recorder = Kernel(), FakeStore(watchers(address)), Recorder()
+    metadata = MetadataService(
+        entry=InstanceEntry(instance=name, availability_zone=zone, relay_address=address),
+        store=store,
+        random=Random(1),
+        metrics=GatewayMetrics(),
+    )
+    kernel.register("gateway", recorder)
+    kernel.register("metadata", metadata)
+    kernel.start()
+    try:
+        yield store, recorder
+    finally:
+        await kernel.stop("metadata")
+        await kernel.stop("gateway")
+
+
+async def until_listed(recorder: Recorder) -> None:
+    await wait_until(
+        lambda: any(isinstance(message, MetadataListed) for message in recorder.messages),
+        "everything is listed",
+    )
+
+
+@pytest.mark.parametrize(
+    ("name", "zone", "watches"),
+    [("a", "z", True), ("b", "z", True), ("c", "z", False), ("e", "alone", True)],
+)
+async def test_a_few_instances_of_each_zone_watch_the_store(
+    name: str, zone: str, watches: bool
+) -> None:
+    """Guards against calls to the store in proportion to the instances."""
+    async with relay() as (kernel, address):
+        kernel.lookup("relay").send(StoreFollowed(after=5, revision=5))
+        (await opened(address, after=5)).close()
+        async with instance(name, zone, address) as (store, recorder):
+            await until_listed(recorder)
+            await asyncio.sleep(0.3)
+            assert (store.watches > 0) is watches
+
+
+async def test_a_follower_takes_changes_and_watches_itself_when_it_is_sent_away() -> None:
+    """Guards against an instance that misses changes when the one that it follows is lost."""
+    async with relay() as (kernel, address):
+        mailbox = kernel.lookup("relay")
+        mailbox.send(StoreFollowed(after=5, revision=5))
+        (await opened(address, after=5)).close()
+        async with instance("c", "z", address) as (store, recorder):
+            await until_listed(recorder)
+            await asyncio.sleep(0.1)
+            mailbox.send(StoreFollowed(after=5, revision=6, encoded=b"6"))
+            await wait_until(lambda: recorder.revisions() == [6], "the change has come")
+            assert store.watches == 0
+            mailbox.send(StoreFollowed(after=6, revision=7, encoded=b"rubbish"))
+            await wait_until(lambda: store.watches > 0, "the instance watches the store")
+
+
+async def test_a_port_without_a_listener_is_no_relay() -> None:
+    result = await open_relay(f"{HOST}:1", after=1)
+    assert isinstance(result, Err)
+    assert isinstance(result.err_value, RelayLost)
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -110,6 +110,21 @@
     assert service.ceiling("s1") == expected
 
 
+async def test_the_allowance_of_further_calls_is_divided_among_the_instances() -> None:
+    """Guards against a sum over all instances that exceeds the allowance when entries are lost."""
+    known = [InstanceEntry(instance=f"i{number}") for number in range(1, 5)]
+    service = gateway()
+    service.further_calls_allowance = 50.0
+    service.divide_limits()
+    assert service.budget.allowance == 0.0, "the other instances are not known yet"
+    service.take_listing(0.0, tuple(known))
+    share = service.budget.allowance
+    assert 2 * 4 * share <= 50.0, "two starts of each instance in one window must fit"
+    assert share > 0.0
+    service.take_listing(1.0, ())
+    assert service.budget.allowance == share
+
+
 async def test_a_request_without_a_configuration_is_refused_as_not_run() -> None:
     """Guards against a 404 by an instance that knows no configuration yet."""
     service = gateway()
@@ -153,7 +168,7 @@
     assert not service.ready
     listing = Listing(items=(table(1),), revision=1)
     message = MetadataListed(listing=listing, after_outage=True)
-    service.note_contact(3.0, after_outage=message.after_outage)
+    service.note_contact(3.0, 0.0, after_outage=message.after_outage)
     service.take_listing(3.0, message.listing.items)
     assert service.ready
     assert service.directory.confirm_at > 3.0
--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -17,7 +17,7 @@
     Removed,
     ServerKey,
 )
-from azurefield_fleet.records import decode_item, key_of, path_of
+from azurefield_fleet.records import decode_item, encode_entry, key_of
 from azurefield_fleet.store import StoredItem, change_of, readable
 from standins import LeafStandIn, config, route
 
@@ -111,6 +111,10 @@
     ("key", "item"),
     [
         (InstanceKey(instance="n1"), InstanceEntry(instance="n1")),
+        (
+            InstanceKey(instance="n1"),
+            InstanceEntry(instance="n1", availability_zone="z", relay_address="192.0.2.1:7740"),
+        ),
         (
             CrashReportKey(instance="n1", request="f"),
             CrashReportEntry(instance="n1", request="f"),
@@ -118,11 +122,11 @@
     ],
 )
 def test_own_entries_come_back_as_they_were_written(
-    key: InstanceKey | CrashReportKey, item: object
+    key: InstanceKey | CrashReportKey, item: InstanceEntry | CrashReportEntry
 ) -> None:
-    path = path_of(key)
+    path, value = encode_entry(item)
     assert key_of(path) == key
-    assert decode_item(path, encoded({})) == Ok(item)
+    assert decode_item(path, b64encode(value).decode()) == Ok(item)
 
 
 def test_other_keys_concern_nobody_here() -> None:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -10,7 +10,13 @@
 
 from azurefield.directory import RegisteredServer
 from azurefield.routes import RouteTable
-from azurefield_entry.gateway.ports import HistoryLost, InstanceKey, LeaseEnded, Removed, ServerKey
+from azurefield_entry.gateway.ports import (
+    HistoryLost,
+    InstanceEntry,
+    LeaseEnded,
+    Removed,
+    ServerKey,
+)
 from azurefield_fleet.store import StoreHttp
 from azurefield_platform.failures import PlatformUnavailable
 from standins import LeafStandIn, StoreStandIn, config, route, running
@@ -57,6 +63,7 @@
         assert isinstance(written, RegisteredServer)
         assert removed == Removed(key=ServerKey(server="i-1"))
         assert changes.ok_value.revision == stand_in.revision
+        assert store.decode_changes(changes.ok_value.encoded) == changes
 
 
 async def test_a_watch_wakes_when_something_changes_and_ends_when_nothing_does() -> None:
@@ -98,7 +105,7 @@
     async with opened() as (stand_in, store):
         lease = (await store.new_lease(5.0)).ok()
         assert lease is not None
-        assert await store.put(InstanceKey(instance="n1"), lease) == Ok(None)
+        assert await store.put(InstanceEntry(instance="n1"), lease) == Ok(None)
         assert stand_in.items["azurefield/instances/n1"]["lease"] == lease
         assert await store.renew_lease(lease) == Ok(None)
         assert await store.renew_lease(lease + 1) == Err(LeaseEnded())
