--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/packages/azurefield/src:$(CURDIR)/packages/azurefield-platform/src:$(CURDIR)/packages/azurefield-entry/src:$(CURDIR)/packages/azurefield-operator/src:$(CURDIR)/packages/azurefield-testkit/src:$(CURDIR)/platform/src
 
-.PHONY: setup format check lint types unit test demo bench cost prove clean
+.PHONY: setup format check lint types unit test demo bench cost prove soak clean
 
 # NO_SETUP=1 uses an environment that is already installed, for instance from another work tree.
 ifdef NO_SETUP
@@ -30,7 +30,7 @@
 # The tests need one call per directory, because names of modules repeat between them.
 types: setup
 	$(BIN)/mypy packages/*/src platform/src platform/run.py
-	set -e; for tests in packages/*/tests tests/fleet; do $(BIN)/mypy $$tests; done
+	set -e; for tests in packages/*/tests tests/fleet tests/soak; do $(BIN)/mypy $$tests; done
 
 unit: setup
 	$(BIN)/pytest
@@ -51,5 +51,10 @@
 prove: setup
 	$(BIN)/python -m azurefield_testkit.prove
 
+# SEED is the first seed, SEEDS the number of seeds, SECONDS the time with faults of each.
+soak: setup
+	PYTHONPATH=$(PYTHONPATH):tests/fleet:tests/soak $(BIN)/python -m soak.run \
+		--seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),30)
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache
--- a/tests/fleet/test_process.py
+++ b/tests/fleet/test_process.py
@@ -289,6 +289,37 @@
             await wait_until(lambda: "/kv-watch" in other.calls, "the new store is watched")
 
 
+async def test_a_signal_while_the_process_starts_does_not_end_it(tmp_path: Path) -> None:
+    """Guards against a change of the settings that ends processes that have just been restarted."""
+    site = Site(directory=tmp_path)
+    async with running(site.store), aiohttp.ClientSession() as session:
+        site.session = session
+        site.put_config()
+        await site.start()
+        assert site.process is not None
+        host, _, port = site.callers.rpartition(":")
+
+        async def listens() -> bool:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                return False
+            writer.close()
+            return True
+
+        async def ready_despite_signals() -> bool:
+            assert site.process is not None
+            site.process.send_signal(signal.SIGHUP)
+            return await site.ready()
+
+        try:
+            await wait_until(listens, "the process has begun to start", step_s=0.005)
+            await wait_until(ready_despite_signals, "the gateway is ready", step_s=0.01)
+        finally:
+            site.process.send_signal(signal.SIGKILL)
+            await site.process.wait()
+
+
 async def test_bad_settings_end_the_process_with_one_clear_line(tmp_path: Path) -> None:
     site = Site(directory=tmp_path)
     async with running(site.store):
--- /dev/null
+++ b/tests/soak/soak/site.py
@@ -0,0 +1,200 @@
+"""The gateways as processes, and what they talk to, each behind a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from aiohttp import web
+from soak.history import ATTEMPTS_MAX, TOP, History
+from soak.leafs import Leaf
+from soak.proxy import Proxy
+
+from azurefield_testkit.processes import ManagedProcess, Processes
+from standins import StoreStandIn, config, route
+
+PROGRAM = Path(__file__).parents[3] / "platform" / "run.py"
+HOST = "127.0.0.1"
+GRACE_S = 6
+SHARD_SETS = (("a", "b", "c"), ("d", "e"))
+DESKS = ("desk", "annex")
+LEAFS_PER_SERVICE = 3
+GATEWAYS = ("n1", "n2", "n3")
+PORTS = Processes()
+
+
+@dataclass(slots=True, kw_only=True)
+class Gateway:
+    """One gateway process, which is started anew whenever it ends."""
+
+    name: str
+    directory: Path
+    store: Proxy
+    callers: str = ""
+    readiness: str = ""
+    relay_port: int = 0
+    process: ManagedProcess | None = None
+    ended_by_soak: bool = False
+    started_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.callers, self.readiness = (f"{HOST}:{PORTS.free_port()}" for _ in range(2))
+        self.relay_port = PORTS.free_port()
+
+    @property
+    def settings(self) -> Path:
+        """The settings file."""
+        return self.directory / f"{self.name}.toml"
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self.settings.write_text(
+            f'node_name = "{self.name}"\nzone = "one"\nip = "{HOST}"\n'
+            f"port_range = [{self.relay_port}, {self.relay_port}]\n"
+            f'[listen]\nfrontend = "{self.callers}"\nreadiness = "{self.readiness}"\n'
+            f"[bounds]\ngrace_s = {GRACE_S}\nbudget_slack = 50\n"
+            f'[platform]\naddress = "{self.store.address}"\n',
+            encoding="utf-8",
+        )
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.ended_by_soak = False
+        self.started_at = asyncio.get_running_loop().time()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            env={"PATH": os.environ["PATH"], "AZUREFIELD_BOOT": str(self.settings)},
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self.process = ManagedProcess(name=self.name, process=process)
+        self.process.reader = asyncio.create_task(self.process.collect())
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal; one that ends the process is noted."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.ended_by_soak = True
+        if self.process is not None:
+            self.process.send_signal(number)
+
+
+@dataclass(slots=True, kw_only=True)
+class Site:
+    """Everything that runs, with the leafs by name and a proxy for each."""
+
+    directory: Path
+    random: Random
+    history: History
+    store: StoreStandIn = field(default_factory=StoreStandIn)
+    leafs: dict[str, Leaf] = field(default_factory=dict)
+    proxies: dict[str, Proxy] = field(default_factory=dict)
+    gateways: dict[str, Gateway] = field(default_factory=dict)
+    runners: list[web.ServerRunner] = field(default_factory=list)
+    version: int = 0
+    names: int = 0
+    shards: int = 0
+    desk: int = 0
+    keeping: bool = True
+
+    async def start(self) -> None:
+        """Start the stand-ins, then the gateways."""
+        self.store.address = await self.serve(self.store.handle)
+        self.history.services = {"listing": set(), "single": set(DESKS), "order": set(DESKS)}
+        for shards in SHARD_SETS:
+            self.history.shard_sets.append(shards)
+            self.history.services["listing"] |= set(shards)
+        for service in (*(name for shards in SHARD_SETS for name in shards), *DESKS):
+            for _ in range(LEAFS_PER_SERVICE):
+                await self.add_leaf(service)
+        self.put_config()
+        for name in GATEWAYS:
+            proxy = Proxy(target=self.store.address)
+            await proxy.start()
+            gateway = Gateway(name=name, directory=self.directory, store=proxy)
+            gateway.write_settings()
+            self.gateways[name] = gateway
+            await gateway.start()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self.keeping = False
+        for gateway in self.gateways.values():
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            if gateway.process is not None:
+                await gateway.process.wait()
+            await gateway.store.stop()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def serve(self, handler: object) -> str:
+        """Serve a handler; return its ``host:port``."""
+        server = web.Server(handler, handler_cancellation=True, access_log=None)  # type: ignore[arg-type]
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, 0).start()
+        self.runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def add_leaf(self, service: str) -> Leaf:
+        """Start a leaf and register it."""
+        self.names += 1
+        name = f"i-{self.names}"
+        leaf = Leaf(name=name, service=service, history=self.history, random=self.random)
+        leaf.address = await self.serve(leaf.handle)
+        proxy = Proxy(target=leaf.address)
+        await proxy.start()
+        self.leafs[name], self.proxies[name] = leaf, proxy
+        self.register(leaf)
+        return leaf
+
+    def register(self, leaf: Leaf, state: str = "ready") -> None:
+        """Write a leaf's entry."""
+        self.history.service_of[leaf.name] = leaf.service
+        address = self.proxies[leaf.name].address
+        self.store.put(f"servers/{leaf.name}", leaf.entry(address, state))
+
+    def unregister(self, name: str) -> None:
+        """Remove a leaf's entry."""
+        if f"servers/{name}" in self.store.items:
+            self.store.remove(f"servers/{name}")
+
+    def put_config(self) -> None:
+        """Write the next version of the operator's configuration."""
+        self.version += self.random.randrange(1, 4)
+        shards, desk = SHARD_SETS[self.shards], DESKS[self.desk]
+        gather = {"gather": list(shards), "top_k": TOP, "min_coverage": 0.5}
+        common = {"max_attempts": ATTEMPTS_MAX}
+        self.store.put(
+            "op/config",
+            config(
+                self.version,
+                route("listing", "/l/", **gather, **common),
+                route("single", "/s/", service=desk, **common),
+                route("order", "/o/", service=desk, route_type="unsafe", **common),
+                services=(*SHARD_SETS[0], *SHARD_SETS[1], *DESKS),
+            ),
+        )
+
+    async def keep(self, gateway: Gateway) -> None:
+        """Start a gateway anew whenever it has ended; its own ends are violations."""
+        while self.keeping:
+            assert gateway.process is not None
+            code = await gateway.process.process.wait()
+            if not self.keeping:
+                return
+            if not gateway.ended_by_soak:
+                tail = gateway.process.tail()
+                self.history.violate("EXIT", gateway.name, f"it ended with code {code}\n{tail}")
+            await asyncio.sleep(0.3 * self.random.random())
+            await gateway.start()
