Let hedges follow the budget, also in a process's first requests

(3) With no budget left a call was still cut at its first deadline, so its shard was lost for good.

Change: the hedge delay is the quantile whose calls half of the further calls can pay for, counting the allowance; a third of the goal until latencies are known; 128 observations tell whether all servers are slow; a call is cut early only if the budget has room for another one.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
@@ -18,7 +18,14 @@
 # The allowance is divided among the instances. One that starts anew forgets what it has spent, so
 # that two starts in one window must fit.
 ALLOWANCE_FRACTION = 0.4
-HEDGE_QUANTILE = 0.9
+# Hedges may take this part of the further calls; the rest is left for retries.
+HEDGE_FRACTION = 0.5
+HEDGE_QUANTILE_MIN = 0.7
+# Until latencies are known, a call is hedged after this part of the goal.
+INITIAL_HEDGE_FRACTION = 1 / 3
+# The answers of one request come in the order of their latencies, the slowest last, so that fewer
+# calls than a request has shards would say that all servers are slow.
+HEDGE_RECENT_CALLS = 128
 # Added to the expected wait on servers of other zones, whose answers are priced by the byte.
 OTHER_ZONE_S = 0.015
 # A refused caller may come back after this time.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -225,6 +225,15 @@
         self.note_changes(now, self.directory.expire(now))
         if self.instances.expire(now):
             self.divide_limits()
+        for route in () if self.table is None else self.table.routes:
+            hedging = self.hedging.get(route.name)
+            if hedging is not None:
+                hedging.latencies.quantile = self.hedge_quantile(now, route)
+
+    def hedge_quantile(self, now: float, route: Route) -> float:
+        """Choose the quantile after which as many calls are hedged as the budget allows."""
+        share = policies.HEDGE_FRACTION * self.budget.share(now, route.services)
+        return max(policies.HEDGE_QUANTILE_MIN, 1.0 - share)
 
     def divide_limits(self) -> None:
         """Divide the connections to each server and the further calls among the instances."""
@@ -348,8 +357,16 @@
         """Return the hedge policy of a route."""
         known = self.hedging.get(route.name)
         if known is None:
-            latencies = LeafLatencies(quantile=policies.HEDGE_QUANTILE)
-            known = SharedDelayHedging(latencies=latencies, budget=self.budget)
+            quantile = self.hedge_quantile(self.now(), route)
+            latencies = LeafLatencies(quantile=quantile, recent_calls=policies.HEDGE_RECENT_CALLS)
+            goal_s = route.goal_s
+            known = SharedDelayHedging(
+                latencies=latencies,
+                budget=self.budget,
+                initial_delay_s=(
+                    None if goal_s is None else policies.INITIAL_HEDGE_FRACTION * goal_s
+                ),
+            )
             self.hedging[route.name] = known
         return known
 
--- a/packages/azurefield/src/azurefield/hedging.py
+++ b/packages/azurefield/src/azurefield/hedging.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from azurefield.retry import CallBudget
+from azurefield.retry import WindowedBudget
 
 HEDGE_QUANTILE = 0.95
 # While less than half of the tokens is left, only later calls are hedged, so that there are tokens
@@ -62,15 +62,22 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeafLatencies:
-    """Recent latencies of one leaf and the hedge delay that follows from them."""
+    """Recent latencies of one leaf and the hedge delay that follows from them.
+
+    :param recent_calls: how many calls tell whether all servers are slow alike
+    """
 
     quantile: float = HEDGE_QUANTILE
     window: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_CALLS))
-    outlasted: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_CALLS))
+    recent_calls: int = RECENT_CALLS
+    outlasted: deque[bool] = field(init=False)
     delay_s: float | None = None
     saving_delay_s: float | None = None
     since_refresh: int = 0
 
+    def __post_init__(self) -> None:
+        self.outlasted = deque(maxlen=self.recent_calls)
+
     def observe(self, latency_s: float) -> None:
         """Add one latency."""
         self.window.append(latency_s)
@@ -89,7 +96,8 @@
     def slow_alike(self) -> bool:
         """Whether so many recent calls were slow that another server is no faster."""
         recent = self.outlasted
-        return len(recent) == RECENT_CALLS and sum(recent) >= SLOW_ALIKE_FRACTION * RECENT_CALLS
+        slow = sum(recent) >= SLOW_ALIKE_FRACTION * self.recent_calls
+        return len(recent) == self.recent_calls and slow
 
 
 @dataclass(slots=True, kw_only=True)
@@ -134,10 +142,13 @@
 
     For leafs that answer equally well, so that few observations are enough. The budget counts the
     first calls itself.
+
+    :param initial_delay_s: the delay while too few calls were observed; None for no hedges then
     """
 
     latencies: LeafLatencies
-    budget: CallBudget
+    budget: WindowedBudget
+    initial_delay_s: float | None = None
 
     def on_first_call(self, leaf: str) -> None:
         """Do nothing."""
@@ -147,8 +158,11 @@
         self.latencies.observe(latency_s)
 
     def delay_s(self, leaf: str) -> float | None:  # noqa: ARG002
-        """Return the observed quantile; None with few calls or if all servers are slow."""
-        return None if self.latencies.slow_alike else self.latencies.delay_s
+        """Return the observed quantile; None if all servers are slow."""
+        if self.latencies.slow_alike:
+            return None
+        known_s = self.latencies.delay_s
+        return self.initial_delay_s if known_s is None else known_s
 
     def try_spend(self, now: float, leaf: str) -> bool:
         """Take one hedge from the budget, if it has one."""
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -128,8 +128,8 @@
     :param attempts_max: on how many servers a leaf's call may run at most; None for no limit
     :param answer_by: time from which the query ends as soon as enough leafs have answered
     :param first_deadline: deadline of calls that are sent before ``answer_by`` and leave another
-        attempt, so that a server with too much work drops them instead of answering too late; None
-        for ``deadline``
+        attempt that the budget can pay for, so that a server with too much work drops them instead
+        of answering too late; None for ``deadline``
     """
 
     request_id: str
@@ -349,16 +349,16 @@
                 leaf=leaf,
                 server=server,
                 snapshot=self.snapshot,
-                deadline=self.call_deadline(now, progress),
+                deadline=self.call_deadline(now, leaf, progress),
             )
         )
         return True
 
-    def call_deadline(self, now: float, progress: LeafProgress[A]) -> float:
+    def call_deadline(self, now: float, leaf: str, progress: LeafProgress[A]) -> float:
         """Return until when a call that is sent now may take."""
         if self.first_deadline is None or self.answer_by is None or now >= self.answer_by:
             return self.deadline
-        if not self.attempts_left(progress):
+        if not self.attempts_left(progress) or not self.retries.has_room(now, leaf):
             return self.deadline
         return min(self.deadline, self.first_deadline)
 
--- a/packages/azurefield/src/azurefield/retry.py
+++ b/packages/azurefield/src/azurefield/retry.py
@@ -4,7 +4,10 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 RETRY_TOKENS_MAX = 20.0
 # Windows are counted in slices of this length, which bounds the memory.
@@ -17,6 +20,9 @@
     def on_first_attempt(self, now: float, leaf: str) -> None:
         """Credit the first call of a request to a leaf."""
 
+    def has_room(self, now: float, leaf: str) -> bool:
+        """Whether the budget has a further call to a leaf."""
+
     def try_spend(self, now: float, leaf: str) -> bool:
         """Take one further call to a leaf from the budget, if it has one."""
 
@@ -37,6 +43,10 @@
         """Credit one first attempt."""
         self.tokens = min(self.tokens_max, self.tokens + self.ratio)
 
+    def has_room(self, now: float, leaf: str) -> bool:  # noqa: ARG002
+        """Whether the budget has a retry."""
+        return self.tokens >= 1.0
+
     def try_spend(self, now: float, leaf: str) -> bool:  # noqa: ARG002
         """Take one retry from the budget, if it has one."""
         if self.tokens < 1.0:
@@ -88,16 +98,29 @@
         """Count a first call."""
         self.count(leaf).add(now, first=1.0, further=0.0)
 
-    def try_spend(self, now: float, leaf: str) -> bool:
-        """Count a further call if the window has room for it."""
+    def has_room(self, now: float, leaf: str) -> bool:
+        """Whether the window has room for a further call."""
         count = self.count(leaf)
         # A slice is dropped by its begin; further calls are kept one slice longer than needed.
         count.forget(now - self.window_s - SLICE_S)
-        if count.further + 1.0 > self.ratio * count.first + self.allowance:
+        return count.further + 1.0 <= self.ratio * count.first + self.allowance
+
+    def try_spend(self, now: float, leaf: str) -> bool:
+        """Count a further call if the window has room for it."""
+        if not self.has_room(now, leaf):
             return False
-        count.add(now, first=0.0, further=1.0)
+        self.count(leaf).add(now, first=0.0, further=1.0)
         return True
 
+    def share(self, now: float, leafs: Collection[str]) -> float:
+        """Return how many further calls the budget allows per first call to these leafs."""
+        first = 0.0
+        for leaf in leafs:
+            count = self.count(leaf)
+            count.forget(now - self.window_s - SLICE_S)
+            first += count.first
+        return self.ratio + (self.allowance * len(leafs) / first if first else 0.0)
+
     def count(self, leaf: str) -> WindowCount:
         """Return the counts of a leaf."""
         return self.counts.setdefault(leaf, WindowCount())
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -20,7 +20,7 @@
     SendLeafCall,
     WakeAt,
 )
-from azurefield.retry import RetryBudget
+from azurefield.retry import RetryBudget, WindowedBudget
 from azurefield.routing import RoundRobinRouter
 
 if TYPE_CHECKING:
@@ -139,6 +139,23 @@
     assert deadlines == [0.12, 1.0]
 
 
+@pytest.mark.parametrize(("ratio", "expected"), [(0.2, 1.0), (1.0, 0.12)])
+def test_a_call_is_cut_early_only_if_another_one_can_be_paid_for(
+    ratio: float, expected: float
+) -> None:
+    """Guards against a slow shard that is lost although its caller would have waited."""
+    query = fan_out(
+        SingleAnswer(),
+        ("leaf",),
+        attempts_max=2,
+        answer_by=0.1,
+        first_deadline=0.12,
+        retries=WindowedBudget(ratio=ratio, window_s=10.0),
+    )
+    deadlines = [a.deadline for a in query.start(0.0) if isinstance(a, SendLeafCall)]
+    assert deadlines == [expected]
+
+
 def test_hedges_count_as_attempts() -> None:
     """Guards against a hedge beside a retry that exceeds the route's attempts."""
     query = fan_out(SingleAnswer(), ("leaf",), attempts_max=2, hedging=EarlyHedge())
--- a/packages/azurefield/tests/test_retry.py
+++ b/packages/azurefield/tests/test_retry.py
@@ -73,3 +73,13 @@
     assert not budget.try_spend(0.0, "quiet")
     budget.forget_except(frozenset({"quiet"}))
     assert not budget.try_spend(0.0, "busy")
+
+
+def test_the_share_of_further_calls_counts_the_allowance_of_each_leaf() -> None:
+    budget = WindowedBudget(ratio=RATIO, window_s=WINDOW_S, allowance=1.0)
+    assert budget.share(0.0, ("a", "b")) == RATIO
+    for leaf in ("a", "b"):
+        for _ in range(10):
+            budget.on_first_attempt(0.0, leaf)
+    assert budget.share(0.0, ("a", "b")) == pytest.approx(RATIO + 0.1)
+    assert budget.share(WINDOW_S + 1.0, ("a", "b")) == RATIO
