--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
@@ -0,0 +1,80 @@
+"""The connections of this instance to all backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING
+
+from azurefield.directory import Directory
+from azurefield.routes import ServiceLimits
+from azurefield_entry.backends.pool import ConnectionPool
+from azurefield_entry.gateway import policies
+from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.ports import LeafConnection, LeafDialect
+
+if TYPE_CHECKING:
+    from azurefield.directory import RegisteredServer
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerConnections:
+    """One pool of connections per server, within this instance's part of the server's limit.
+
+    :param instances: how many instances share the limits; None if that is not known
+    """
+
+    dialect: LeafDialect
+    directory: Directory
+    metrics: GatewayMetrics
+    limits: Mapping[str, ServiceLimits] = field(default_factory=dict)
+    instances: int | None = None
+    pools: dict[str, ConnectionPool[LeafConnection]] = field(default_factory=dict)
+
+    def divide(self, limits: Mapping[str, ServiceLimits], instances: int | None) -> None:
+        """Divide the connections to each server among the instances."""
+        self.limits, self.instances = limits, instances
+        for server, pool in self.pools.items():
+            pool.set_ceiling(self.ceiling(server))
+
+    def ceiling(self, server: str) -> int:
+        """Return how many connections this instance may open to a server.
+
+        One share is left for an instance that is not known yet.
+        """
+        entry = self.directory.servers.get(server)
+        if entry is None or entry.service not in self.limits:
+            return 1
+        count = self.instances
+        divisor = policies.INSTANCES_ASSUMED if count is None else count + 1
+        return max(1, self.limits[entry.service].connections_max // divisor)
+
+    def pool(self, entry: RegisteredServer) -> ConnectionPool[LeafConnection]:
+        """Return the connections to a server."""
+        pool = self.pools.get(entry.server)
+        if pool is None:
+            pool = ConnectionPool(
+                connect=partial(self.connect, entry.address),
+                ceiling=self.ceiling(entry.server),
+                idle_max_s=policies.IDLE_MAX_S,
+            )
+            self.pools[entry.server] = pool
+        return pool
+
+    def connect(self, address: str) -> LeafConnection:
+        """Make a connection."""
+        self.metrics.connections_opened.inc()
+        return HttpLeafConnection(address=address, dialect=self.dialect)
+
+    def retire(self, server: str) -> None:
+        """Close the connections to a server, those in use when their calls end."""
+        pool = self.pools.pop(server, None)
+        if pool is not None:
+            pool.retire()
+
+    def retire_all(self) -> None:
+        """Close all connections."""
+        for server in [*self.pools]:
+            self.retire(server)
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/outcomes.py
@@ -0,0 +1,48 @@
+"""How a request of the gateway ends without an answer, and how its end is described."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from azurefield.failures import FailureKind, RequestFailure
+from azurefield.merge import MergedParts
+from azurefield.model import Outcome
+from azurefield_entry.gateway import policies
+from azurefield_entry.gateway.ports import OpaqueAnswer
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from azurefield.crash_reports import CrashReports
+
+
+def refusal(kind: FailureKind, detail: str) -> RequestFailure:
+    """Build a refusal of a request that was not run."""
+    return RequestFailure(
+        kind=kind, outcome=Outcome.NOT_RUN, detail=detail, retry_after_s=policies.RETRY_AFTER_S
+    )
+
+
+def crashing(reports: CrashReports) -> RequestFailure:
+    """Build the failure of a request that crashed servers in earlier runs."""
+    return RequestFailure(
+        kind=FailureKind.REQUEST_CRASHES_SERVERS,
+        outcome=Outcome.MAY_HAVE_RUN,
+        detail=f"earlier runs of this request crashed servers, as {reports.instance} knows",
+    )
+
+
+def describe(result: Result[OpaqueAnswer | MergedParts, RequestFailure]) -> str:
+    """Describe the end of a request for the log."""
+    match result:
+        case Ok(MergedParts(proofs=proofs, missing=0)):
+            return f"whole parts={len(proofs)}"
+        case Ok(MergedParts(proofs=proofs, missing=missing)):
+            return f"partial parts={len(proofs)} missing={missing}"
+        case Ok(OpaqueAnswer(status=status)):
+            return f"answered status={status}"
+        case Err(failure):
+            return f"{failure.kind} outcome={failure.outcome} detail={failure.detail!r}"
+    return "unknown"
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
@@ -0,0 +1,109 @@
+"""How a request is carried out: shards, deadlines, hedges and the budget of further calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from azurefield.hedging import LeafLatencies, SharedDelayHedging
+from azurefield.merge import TopRecordsMerge
+from azurefield.model import Snapshot
+from azurefield.query import FanOut, Holders
+from azurefield.retry import WindowedBudget
+from azurefield.routes import ShardSet, SingleService, WeightedServices, WeightedTurns
+from azurefield.routing import Router
+from azurefield_entry.gateway import policies
+from azurefield_entry.gateway.answers import PartOfLeaf, PassThrough
+
+if TYPE_CHECKING:
+    from azurefield.routes import Route, RouteTable
+    from azurefield_entry.gateway.ports import GatewayRequest
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestPlanner:
+    """Builds the state machine of each request, over what all requests share."""
+
+    holders: Holders
+    router: Router
+    budget: WindowedBudget
+    turns: WeightedTurns = field(default_factory=WeightedTurns)
+    hedging: dict[str, SharedDelayHedging] = field(default_factory=dict)
+    requests: int = 0
+
+    def forget_except(self, table: RouteTable) -> None:
+        """Drop what belongs to routes and services that are no longer in use."""
+        routes = frozenset(route.name for route in table.routes)
+        self.turns.forget_except(routes)
+        self.hedging = {name: entry for name, entry in self.hedging.items() if name in routes}
+        self.budget.forget_except(
+            frozenset(service for route in table.routes for service in route.services)
+        )
+
+    def tick(self, now: float, table: RouteTable) -> None:
+        """Let the hedges of each route follow the budget."""
+        for route in table.routes:
+            hedging = self.hedging.get(route.name)
+            if hedging is not None:
+                hedging.latencies.quantile = self.hedge_quantile(now, route)
+
+    def hedge_quantile(self, now: float, route: Route) -> float:
+        """Choose the quantile after which as many calls are hedged as the budget allows."""
+        share = policies.HEDGE_FRACTION * self.budget.share(now, route.services)
+        return max(policies.HEDGE_QUANTILE_MIN, 1.0 - share)
+
+    def fan_out(
+        self, now: float, request: GatewayRequest, route: Route, version: int
+    ) -> FanOut[Any, Any]:
+        """Build the state machine of a request."""
+        self.requests += 1
+        deadline = request.arrived_at + route.timeout_s
+        if request.deadline is not None:
+            deadline = min(deadline, request.deadline - policies.CALLER_WAY_S)
+        answer_by = None
+        if route.goal_s is not None:
+            answer_by = request.arrived_at + max(0.0, route.goal_s - policies.CALLER_WAY_S)
+        common: dict[str, Any] = {
+            "request_id": f"{request.request_id}.{self.requests}",
+            "snapshot": Snapshot(index_version=version, map_version=version),
+            "deadline": deadline,
+            "holders": self.holders,
+            "router": self.router,
+            "hedging": self.hedging_of(now, route),
+            "retries": self.budget,
+            "idempotent": route.idempotent,
+            "attempts_max": route.attempts_max,
+            "answer_by": answer_by,
+        }
+        if answer_by is not None and isinstance(route.target, ShardSet):
+            extra_s = policies.FIRST_DEADLINE_EXTRA * (answer_by - request.arrived_at)
+            common["first_deadline"] = answer_by + extra_s
+        match route.target:
+            case ShardSet(shards=shards, top=top, coverage_min=coverage_min):
+                top_records = TopRecordsMerge(
+                    top=top, coverage_min=coverage_min, record_bytes=policies.RECORD_BYTES
+                )
+                return FanOut(leafs=shards, merge=PartOfLeaf(top_records=top_records), **common)
+            case SingleService(service=service):
+                return FanOut(leafs=(service,), merge=PassThrough(), **common)
+            case WeightedServices(weights=weights):
+                chosen = self.turns.choose(route.name, weights)
+                leafs = () if chosen is None else (chosen,)
+                return FanOut(leafs=leafs, merge=PassThrough(), **common)
+
+    def hedging_of(self, now: float, route: Route) -> SharedDelayHedging:
+        """Return the hedge policy of a route."""
+        known = self.hedging.get(route.name)
+        if known is None:
+            quantile = self.hedge_quantile(now, route)
+            latencies = LeafLatencies(quantile=quantile, recent_calls=policies.HEDGE_RECENT_CALLS)
+            goal_s = route.goal_s
+            known = SharedDelayHedging(
+                latencies=latencies,
+                budget=self.budget,
+                initial_delay_s=(
+                    None if goal_s is None else policies.INITIAL_HEDGE_FRACTION * goal_s
+                ),
+            )
+            self.hedging[route.name] = known
+        return known
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -5,7 +5,6 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import dataclass, field
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from logbook import Logger
@@ -14,18 +13,14 @@
 from azurefield.crash_reports import REPORT_S, CrashReports, digest_of
 from azurefield.directory import Change, Directory, DirectoryChange, RegisteredServer
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
-from azurefield.hedging import LeafLatencies, SharedDelayHedging
 from azurefield.instances import RunningInstances
-from azurefield.merge import MergedParts, TopRecordsMerge
-from azurefield.model import Outcome, Snapshot
-from azurefield.query import CancelLeafCall, FanOut, Finished, SendLeafCall, WakeAt
+from azurefield.model import Outcome
+from azurefield.query import CancelLeafCall, Finished, SendLeafCall, WakeAt
 from azurefield.retry import WindowedBudget
-from azurefield.routes import RouteTable, ShardSet, SingleService, WeightedServices, WeightedTurns
+from azurefield.routes import RouteTable
 from azurefield.routing import OwnObservationRouter
-from azurefield_entry.backends.pool import ConnectionPool
 from azurefield_entry.gateway import policies
-from azurefield_entry.gateway.answers import PartOfLeaf, PassThrough
-from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.connections import ServerConnections
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
@@ -35,6 +30,8 @@
     Tick,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.outcomes import crashing, describe, refusal
+from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
     CrashReportKey,
@@ -43,7 +40,6 @@
     InstanceKey,
     Item,
     LeafCall,
-    LeafConnection,
     LeafDialect,
     OpaqueAnswer,
     Removed,
@@ -54,6 +50,7 @@
 from azurefield_entry.notify import notify, notify_all
 
 if TYPE_CHECKING:
+    from azurefield.merge import MergedParts
     from azurefield.query import Action
     from azurefield.routes import Route
     from azurefield_entry.kernel import Mailbox
@@ -84,17 +81,21 @@
     first_listing: asyncio.Event = field(default_factory=asyncio.Event)
     instances: RunningInstances = field(init=False)
     crashes: CrashReports = field(init=False)
-    turns: WeightedTurns = field(default_factory=WeightedTurns)
-    hedging: dict[str, SharedDelayHedging] = field(default_factory=dict)
-    pools: dict[str, ConnectionPool[LeafConnection]] = field(default_factory=dict)
+    connections: ServerConnections = field(init=False)
+    planner: RequestPlanner = field(init=False)
     calls: dict[str, ActiveCall] = field(default_factory=dict)
     kernel: Kernel | None = None
-    requests: int = 0
     store_contact_at: float = float("-inf")
 
     def __post_init__(self) -> None:
         self.crashes = CrashReports(instance=self.instance)
         self.instances = RunningInstances(own=self.instance, grace_s=policies.INSTANCE_GRACE_S)
+        self.connections = ServerConnections(
+            dialect=self.leaf_dialect, directory=self.directory, metrics=self.metrics
+        )
+        self.planner = RequestPlanner(
+            holders=self.directory, router=self.router, budget=self.budget
+        )
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Follow the store until ``Stop``."""
@@ -120,8 +121,7 @@
                 case Stop():
                     break
         ticking.cancel()
-        for pool in self.pools.values():
-            pool.retire()
+        self.connections.retire_all()
 
     def now(self) -> float:
         """Return the time of the steady clock."""
@@ -184,15 +184,10 @@
         self.table = table
         if self.ready:
             self.first_listing.set()
-        routes = frozenset(route.name for route in table.routes)
-        self.turns.forget_except(routes)
-        self.hedging = {name: entry for name, entry in self.hedging.items() if name in routes}
-        self.budget.forget_except(
-            frozenset(service for route in table.routes for service in route.services)
-        )
+        self.planner.forget_except(table)
         self.divide_limits()
         self.metrics.version_in_force.set(table.version)
-        log.info("Version {} is in force with {} routes.", table.version, len(routes))
+        log.info("Version {} is in force with {} routes.", table.version, len(table.routes))
         if self.kernel is not None:
             notify_all(self.kernel, RoutesInForce(table=table))
 
@@ -211,49 +206,23 @@
                 if entry.warmup_s > 0:
                     self.router.on_return(now, change.server)
             if change.change in (Change.GONE, Change.STARTED, Change.LEAVING):
-                self.retire_pool(change.server)
+                self.connections.retire(change.server)
         self.metrics.servers.set(len(self.directory.servers))
 
-    def retire_pool(self, server: str) -> None:
-        """Close the connections to a server, those in use when their calls end."""
-        pool = self.pools.pop(server, None)
-        if pool is not None:
-            pool.retire()
-
     def tick(self, now: float) -> None:
         """Do what is due at regular intervals."""
         self.note_changes(now, self.directory.expire(now))
         if self.instances.expire(now):
             self.divide_limits()
-        for route in () if self.table is None else self.table.routes:
-            hedging = self.hedging.get(route.name)
-            if hedging is not None:
-                hedging.latencies.quantile = self.hedge_quantile(now, route)
-
-    def hedge_quantile(self, now: float, route: Route) -> float:
-        """Choose the quantile after which as many calls are hedged as the budget allows."""
-        share = policies.HEDGE_FRACTION * self.budget.share(now, route.services)
-        return max(policies.HEDGE_QUANTILE_MIN, 1.0 - share)
+        if self.table is not None:
+            self.planner.tick(now, self.table)
 
     def divide_limits(self) -> None:
         """Divide the connections to each server and the further calls among the instances."""
         share = policies.ALLOWANCE_FRACTION / len(self.instances) if self.instances.known else 0.0
         self.budget.allowance = share * self.further_calls_allowance
-        for server, pool in self.pools.items():
-            pool.set_ceiling(self.ceiling(server))
-
-    def ceiling(self, server: str) -> int:
-        """Return how many connections this instance may open to a server.
-
-        One share is left for an instance that is not known yet.
-        """
-        entry = self.directory.servers.get(server)
-        limits = None if entry is None or self.table is None else self.table.services
-        if entry is None or limits is None or entry.service not in limits:
-            return 1
-        known = self.instances.known
-        divisor = len(self.instances) + 1 if known else policies.INSTANCES_ASSUMED
-        return max(1, limits[entry.service].connections_max // divisor)
+        limits = {} if self.table is None else self.table.services
+        self.connections.divide(limits, len(self.instances) if self.instances.known else None)
 
     async def handle(
         self, request: GatewayRequest
@@ -283,7 +252,7 @@
             digest=digest,
             route=route,
             version=table.version,
-            fan_out=self.fan_out(request, route, table.version),
+            fan_out=self.planner.fan_out(now, request, route, table.version),
             ended=asyncio.get_running_loop().create_future(),
         )
         self.carry_out(running, running.fan_out.start(now))
@@ -316,60 +285,6 @@
             async with asyncio.timeout(wait_s):
                 await self.first_listing.wait()
 
-    def fan_out(self, request: GatewayRequest, route: Route, version: int) -> FanOut[Any, Any]:
-        """Build the state machine of a request."""
-        self.requests += 1
-        deadline = request.arrived_at + route.timeout_s
-        if request.deadline is not None:
-            deadline = min(deadline, request.deadline - policies.CALLER_WAY_S)
-        answer_by = None
-        if route.goal_s is not None:
-            answer_by = request.arrived_at + max(0.0, route.goal_s - policies.CALLER_WAY_S)
-        common: dict[str, Any] = {
-            "request_id": f"{request.request_id}.{self.requests}",
-            "snapshot": Snapshot(index_version=version, map_version=version),
-            "deadline": deadline,
-            "holders": self.directory,
-            "router": self.router,
-            "hedging": self.hedging_of(route),
-            "retries": self.budget,
-            "idempotent": route.idempotent,
-            "attempts_max": route.attempts_max,
-            "answer_by": answer_by,
-        }
-        if answer_by is not None and isinstance(route.target, ShardSet):
-            extra_s = policies.FIRST_DEADLINE_EXTRA * (answer_by - request.arrived_at)
-            common["first_deadline"] = answer_by + extra_s
-        match route.target:
-            case ShardSet(shards=shards, top=top, coverage_min=coverage_min):
-                top_records = TopRecordsMerge(
-                    top=top, coverage_min=coverage_min, record_bytes=policies.RECORD_BYTES
-                )
-                return FanOut(leafs=shards, merge=PartOfLeaf(top_records=top_records), **common)
-            case SingleService(service=service):
-                return FanOut(leafs=(service,), merge=PassThrough(), **common)
-            case WeightedServices(weights=weights):
-                chosen = self.turns.choose(route.name, weights)
-                leafs = () if chosen is None else (chosen,)
-                return FanOut(leafs=leafs, merge=PassThrough(), **common)
-
-    def hedging_of(self, route: Route) -> SharedDelayHedging:
-        """Return the hedge policy of a route."""
-        known = self.hedging.get(route.name)
-        if known is None:
-            quantile = self.hedge_quantile(self.now(), route)
-            latencies = LeafLatencies(quantile=quantile, recent_calls=policies.HEDGE_RECENT_CALLS)
-            goal_s = route.goal_s
-            known = SharedDelayHedging(
-                latencies=latencies,
-                budget=self.budget,
-                initial_delay_s=(
-                    None if goal_s is None else policies.INITIAL_HEDGE_FRACTION * goal_s
-                ),
-            )
-            self.hedging[route.name] = known
-        return known
-
     def carry_out(self, running: RunningRequest, actions: list[Action[Any]]) -> None:
         """Carry out the actions of a fan-out."""
         for action in actions:
@@ -428,7 +343,7 @@
         entry = self.directory.servers.get(action.server)
         if entry is None:
             return Err(LeafFailure(reason=LeafFailureReason.NO_SERVER, outcome=Outcome.NOT_RUN))
-        pool = self.pool(entry)
+        pool = self.connections.pool(entry)
         wait_until = min(action.deadline, self.now() + self.connection_wait_s(running.route))
         match await pool.acquire(priority=running.route.priority, deadline=wait_until):
             case Err(failure):
@@ -448,30 +363,13 @@
             return policies.CONNECTION_WAIT_S
         return policies.CONNECTION_WAIT_FRACTION * route.goal_s
 
-    def pool(self, entry: RegisteredServer) -> ConnectionPool[LeafConnection]:
-        """Return the connections to a server."""
-        pool = self.pools.get(entry.server)
-        if pool is None:
-            pool = ConnectionPool(
-                connect=partial(self.connect, entry.address),
-                ceiling=self.ceiling(entry.server),
-                idle_max_s=policies.IDLE_MAX_S,
-            )
-            self.pools[entry.server] = pool
-        return pool
-
-    def connect(self, address: str) -> LeafConnection:
-        """Make a connection."""
-        self.metrics.connections_opened.inc()
-        return HttpLeafConnection(address=address, dialect=self.leaf_dialect)
-
     def learn(self, running: RunningRequest, server: str, failure: LeafFailure) -> None:
         """Learn what a failed call says of the server beyond routing."""
         match failure.reason:
             case LeafFailureReason.WRONG_SERVER:
                 if self.directory.on_misdirected(server):
                     log.info("Server {} is no longer at its address.", server)
-                    self.retire_pool(server)
+                    self.connections.retire(server)
             case LeafFailureReason.CONNECTION_LOST:
                 running.lost.add(server)
             case LeafFailureReason.CONNECT_FAILED:
@@ -500,33 +398,3 @@
             result,
             ",".join(running.calls),
         )
-
-
-def refusal(kind: FailureKind, detail: str) -> RequestFailure:
-    """Build a refusal of a request that was not run."""
-    return RequestFailure(
-        kind=kind, outcome=Outcome.NOT_RUN, detail=detail, retry_after_s=policies.RETRY_AFTER_S
-    )
-
-
-def crashing(reports: CrashReports) -> RequestFailure:
-    """Build the failure of a request that crashed servers in earlier runs."""
-    return RequestFailure(
-        kind=FailureKind.REQUEST_CRASHES_SERVERS,
-        outcome=Outcome.MAY_HAVE_RUN,
-        detail=f"earlier runs of this request crashed servers, as {reports.instance} knows",
-    )
-
-
-def describe(result: Result[OpaqueAnswer | MergedParts, RequestFailure]) -> str:
-    """Describe the end of a request for the log."""
-    match result:
-        case Ok(MergedParts(proofs=proofs, missing=0)):
-            return f"whole parts={len(proofs)}"
-        case Ok(MergedParts(proofs=proofs, missing=missing)):
-            return f"partial parts={len(proofs)} missing={missing}"
-        case Ok(OpaqueAnswer(status=status)):
-            return f"answered status={status}"
-        case Err(failure):
-            return f"{failure.kind} outcome={failure.outcome} detail={failure.detail!r}"
-    return "unknown"
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -107,7 +107,7 @@
     """Guards against instances that take more connections together than a server accepts."""
     known = [InstanceEntry(instance=f"i{number}") for number in range(1, instances + 1)]
     service = gateway(table(1, connections_max=limit), server("192.0.2.1:80"), *known)
-    assert service.ceiling("s1") == expected
+    assert service.connections.ceiling("s1") == expected
 
 
 async def test_the_allowance_of_further_calls_is_divided_among_the_instances() -> None:
