Make the soak's leafs misbehave more often

Change: a service of the newest version misbehaves after every second fault, all its leafs at once; the second copy of an answer comes late, on a connection that stays open.

--- a/tests/soak/soak/faults.py
+++ b/tests/soak/soak/faults.py
@@ -18,7 +18,7 @@
     from soak.site import Gateway
 
 PAUSE_S = 0.3
-HARM_MAX_S = 3.0
+HARM_MAX_S = 2.5
 FREEZE_MAX_S = 2.5
 # An entry that ended with its leaf is removed about so much later.
 REMOVAL_S = 1.0
@@ -38,8 +38,6 @@
         """Inject one fault after the other; most last while the next ones begin."""
         random = self.site.random
         kinds: tuple[Callable[[], Awaitable[None]], ...] = (
-            self.misbehave,
-            self.misbehave,
             self.harm_leaf,
             self.harm_leaf,
             self.harm_store,
@@ -58,10 +56,10 @@
         )
         async with asyncio.TaskGroup() as group:
             while True:
-                await asyncio.sleep(2 * PAUSE_S * random.random())
-                kind = random.choice(kinds)
-                self.log.append(kind.__name__)
-                group.create_task(self.run(kind))
+                for kind in (self.misbehave, random.choice(kinds)):
+                    await asyncio.sleep(2 * PAUSE_S * random.random())
+                    self.log.append(kind.__name__)
+                    group.create_task(self.run(kind))
 
     async def run(self, kind: Callable[[], Awaitable[None]]) -> None:
         """Inject one fault."""
@@ -80,11 +78,15 @@
         return self.site.random.choice([*self.site.gateways.values()])
 
     async def misbehave(self) -> None:
-        """Let a leaf spoil a part of its answers."""
-        leaf = self.leaf()
-        leaf.behaviour = self.site.random.choice(BEHAVIOURS)
+        """Let the leafs of a service in use spoil a part of their answers."""
+        service = self.site.random.choice(self.site.services_in_force)
+        behaviour = self.site.random.choice(BEHAVIOURS)
+        leafs = [leaf for leaf in self.site.leafs.values() if leaf.service == service]
+        for leaf in leafs:
+            leaf.behaviour = behaviour
         await self.wait(HARM_MAX_S)
-        leaf.behaviour = "answer"
+        for leaf in leafs:
+            leaf.behaviour = "answer"
 
     async def harm(self, proxy: Proxy) -> None:
         """Harm the connections of a proxy, those that are open at once."""
--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -74,7 +74,10 @@
         headers = echo | {"Response-Signature": proof_of(name, request_id)}
         status = 500 if behaviour == "error" else 200
         answer = body_of(name, request_id)
-        if behaviour in ("lost", "truncated", "extra", "unframed"):
+        if behaviour == "extra":
+            late_s = SLOW_S * self.random.random()
+            asyncio.get_running_loop().call_later(late_s, write_again, transport, headers, answer)
+        if behaviour in ("lost", "truncated", "unframed"):
             self.spoil(behaviour, transport, headers, answer)
             return web.Response()
         return web.Response(status=status, body=answer, headers=headers)
@@ -87,17 +90,25 @@
         answer: bytes,
     ) -> None:
         """Write something else than one whole answer, and close the connection."""
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        head = f"HTTP/1.1 200 OK\r\n{lines}".encode()
-        framed = head + f"Content-Length: {len(answer)}\r\n\r\n".encode() + answer
         match behaviour:
             case "truncated":
-                transport.write(framed[:-7])
-            case "extra":
-                transport.write(framed + framed[: self.random.randrange(len(framed))])
+                transport.write(encode(headers, answer, framed=True)[:-7])
             case "unframed":
-                transport.write(head + b"\r\n" + answer)
+                transport.write(encode(headers, answer, framed=False))
         if behaviour == "lost":
             transport.abort()
         else:
             transport.close()
+
+
+def write_again(transport: asyncio.Transport, headers: dict[str, str], answer: bytes) -> None:
+    """Write an answer once more, when the connection may be in use by another request."""
+    if not transport.is_closing():
+        transport.write(encode(headers, answer, framed=True))
+
+
+def encode(headers: dict[str, str], answer: bytes, *, framed: bool) -> bytes:
+    """Write an answer, with its length if ``framed``."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    length = f"Content-Length: {len(answer)}\r\n" if framed else ""
+    return f"HTTP/1.1 200 OK\r\n{lines}{length}\r\n".encode() + answer
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -96,7 +96,9 @@
         sent = [await callers.call_once(number, gateway.name) for number in range(CHECKS)]
         statuses = [one.status for one in sent]
         if statuses.count(200) < CHECKS:
-            history.violate("RECOVER", gateway.name, f"{[(one.request_id, one.status) for one in sent]}")
+            history.violate(
+                "RECOVER", gateway.name, f"{[(one.request_id, one.status) for one in sent]}"
+            )
 
 
 async def soak(seed: int, seconds: float) -> Report:
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -169,6 +169,11 @@
         if f"servers/{name}" in self.store.items:
             self.store.remove(f"servers/{name}")
 
+    @property
+    def services_in_force(self) -> tuple[str, ...]:
+        """The services that the newest version names."""
+        return (*SHARD_SETS[self.shards], DESKS[self.desk])
+
     def put_config(self) -> None:
         """Write the next version of the operator's configuration."""
         self.version += self.random.randrange(1, 4)
