Bound the age of what a relay passes on, and follow in large zones only

Cause: found by reading. A relay that is cut off from the store keeps sending beats while its own watch hangs, for up to 4.3 s; a follower believed it up to an age of 4 s, while a version has to be in force after 3 s on the small sites. With a smaller bound the relay's watches must be answered more often, which in a zone of three instances costs more calls than the follower saves.

Change: a follower leaves at an age of 2 s (2.5 s with a beat), watches of a zone with followers wait 1.5 s at most, and instances follow only in zones of five or more. The soak runs five gateways, so that three of them follow.

Measured: test_a_follower_of_an_instance_that_is_cut_off_reads_the_store_in_time fails with the old bound (4 s) and passes with the new one.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
@@ -49,10 +49,14 @@
 RENEW_INTERVAL_S = 5.0
 # The second one takes the followers of the first when it is lost.
 WATCHERS_PER_ZONE = 2
+# In smaller zones the shorter waits of the watchers cost more calls than followers save.
+FOLLOWED_ZONE_MIN = 5
+# A relay that is cut off from the store shows it by the age of the last reply. Followers must have
+# noticed that, and read the store themselves, before a change of the configuration is due (3 s).
+FOLLOWED_WATCH_WAIT_S = 1.5
+STORE_AGE_MAX_S = 2.0
 # An instance that was lost is not followed again for this time.
 RELAY_PAUSE_S = 5.0
-# A relay whose own watch is silent for longer is given up; a watch is answered within its wait.
-STORE_AGE_MAX_S = WATCH_WAIT_S + 1.0
 log = Logger("metadata")
 
 
@@ -133,7 +137,8 @@
 
         :return: the revision up to which they are known; None if everything must be read again
         """
-        match await self.store.watch(revision, WATCH_WAIT_S):
+        wait_s = FOLLOWED_WATCH_WAIT_S if self.followed_zone else WATCH_WAIT_S
+        match await self.store.watch(revision, wait_s):
             case Ok(changes):
                 self.take(kernel, changes, age_s=0.0)
                 notify(
@@ -173,14 +178,19 @@
                 case Removed(key=InstanceKey(instance=instance)):
                     self.zone.pop(instance, None)
 
+    @property
+    def followed_zone(self) -> bool:
+        """Whether the zone is large enough for instances that follow others."""
+        return len(self.zone) >= FOLLOWED_ZONE_MIN
+
     def relay_to_follow(self) -> InstanceEntry | None:
         """Choose the instance to follow; None if this one is to watch the store itself.
 
-        The first instances of the zone by name watch the store.
+        The first instances of a large zone by name watch the store.
         """
         now = asyncio.get_running_loop().time()
         watchers = sorted(self.zone)[:WATCHERS_PER_ZONE]
-        if self.entry.instance in watchers or len(watchers) < WATCHERS_PER_ZONE:
+        if self.entry.instance in watchers or not self.followed_zone:
             return None
         usable = [name for name in watchers if self.avoided_until.get(name, now) <= now]
         return self.zone[self.random.choice(usable)] if usable else None
--- a/packages/azurefield-entry/tests/gateway/test_relay.py
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -25,7 +25,17 @@
     LeaseEnded,
     Listing,
 )
-from azurefield_entry.gateway.relay import RelayLink, RelayLost, RelayService, open_relay
+from azurefield_entry.gateway.relay import (
+    BEAT_S,
+    Follow,
+    RelayFrame,
+    RelayLink,
+    RelayLost,
+    RelayService,
+    encode,
+    open_relay,
+    read_frame,
+)
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_platform.failures import MalformedReply, PlatformUnavailable
 from azurefield_testkit.waiting import wait_until
@@ -34,6 +44,8 @@
     from collections.abc import AsyncIterator
 
 HOST = "127.0.0.1"
+# The platform's bound on the time until a version is in force.
+CONFIGURATION_DUE_S = 3.0
 
 
 @asynccontextmanager
@@ -182,7 +194,7 @@
 
 
 def watchers(address: str) -> tuple[InstanceEntry, ...]:
-    names = ("a", "b", "c", "d")
+    names = ("a", "b", "c", "d", "e")
     return tuple(
         InstanceEntry(instance=name, availability_zone="z", relay_address=address) for name in names
     )
@@ -190,7 +202,7 @@
 
 @asynccontextmanager
 async def instance(name: str, zone: str, address: str) -> AsyncIterator[tuple[FakeStore, Recorder]]:
-    """Run the metadata service of one of four instances of the zone ``z``."""
+    """Run the metadata service of one of five instances of the zone ``z``."""
     kernel, store, recorder = Kernel(), FakeStore(watchers(address)), Recorder()
     metadata = MetadataService(
         entry=InstanceEntry(instance=name, availability_zone=zone, relay_address=address),
@@ -217,7 +229,7 @@
 
 @pytest.mark.parametrize(
     ("name", "zone", "watches"),
-    [("a", "z", True), ("b", "z", True), ("c", "z", False), ("e", "alone", True)],
+    [("a", "z", True), ("b", "z", True), ("c", "z", False), ("f", "alone", True)],
 )
 async def test_a_few_instances_of_each_zone_watch_the_store(
     name: str, zone: str, watches: bool
@@ -252,3 +264,31 @@
     result = await open_relay(f"{HOST}:1", after=1)
     assert isinstance(result, Err)
     assert isinstance(result.err_value, RelayLost)
+
+
+class CutOffRelay:
+    """A relay whose replies from the store grow old, as when it is cut off from the store."""
+
+    def __init__(self) -> None:
+        self.age_s = 0.0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Send beats until the follower leaves."""
+        await read_frame(reader, Follow)
+        while not reader.at_eof():
+            writer.write(encode(RelayFrame(after=5, revision=5, age_s=self.age_s)))
+            self.age_s += BEAT_S
+            await asyncio.sleep(0.01)
+        writer.close()
+
+
+async def test_a_follower_of_an_instance_that_is_cut_off_reads_the_store_in_time() -> None:
+    """Guards against a configuration that comes late because the relay can't reach the store."""
+    relay = CutOffRelay()
+    server = await asyncio.start_server(relay.serve, HOST, 0)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    async with server, instance("c", "z", address) as (store, recorder):
+        await until_listed(recorder)
+        await wait_until(lambda: store.watches > 0, "the instance watches the store")
+        ages = [m.age_s for m in recorder.messages if isinstance(m, MetadataChanged)]
+    assert max(ages) + BEAT_S < CONFIGURATION_DUE_S
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import tempfile
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -35,6 +36,7 @@
     seed: int
     requests: int = 0
     answered: int = 0
+    endings: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     logs: list[str] = field(default_factory=list)
@@ -42,7 +44,8 @@
     def __str__(self) -> str:
         """Describe the run in a line, and each violation in one more."""
         head = f"seed {self.seed}: {self.answered} of {self.requests} requests answered with 200"
-        return "\n".join([f"{head}, {len(self.faults)} faults", *self.violations])
+        endings = ", ".join(f"{name} {count}" for name, count in sorted(self.endings.items()))
+        return "\n".join([f"{head}, {len(self.faults)} faults; {endings}", *self.violations])
 
 
 async def ready(site: Site) -> bool:
@@ -137,6 +140,7 @@
             await site.stop()
     report.requests = len(history.sent)
     report.answered = sum(sent.status == 200 for sent in history.sent.values())
+    report.endings = Counter(f"{sent.kind}:{sent.status}" for sent in history.sent.values())
     report.violations = history.violations
     return report
 
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -24,7 +24,7 @@
 SHARD_SETS = (("a", "b", "c"), ("d", "e"))
 DESKS = ("desk", "annex")
 LEAFS_PER_SERVICE = 3
-GATEWAYS = ("n1", "n2", "n3")
+GATEWAYS = ("n1", "n2", "n3", "n4", "n5")
 PORTS = Processes()
 
 
