Log a crash after the loop has stopped, so that it is the last line

Change: serve returns the crash, and run_process, now the one copy for both programs, logs it when the loop has stopped. Nothing else changes.

Measured: the new test, a service that logs at each turn of the loop beside one that crashes, finds six lines after the crash with the old order and passes now.

--- a/packages/azurefield-entry/src/azurefield_entry/lifetime.py
+++ b/packages/azurefield-entry/src/azurefield_entry/lifetime.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
-from typing import TYPE_CHECKING
+import sys
+from typing import TYPE_CHECKING, Any
 
+import uvloop
 from logbook import Logger
-from result import Err
+from result import Err, Ok, Result
 
 from azurefield_entry.kernel import BeginDrain
-from azurefield_entry.logs import describe_error
+from azurefield_entry.logs import describe_error, make_handler
 from azurefield_entry.notify import notify_all
 
 if TYPE_CHECKING:
-    from azurefield_entry.kernel import Kernel
+    from collections.abc import Coroutine
+
+    from azurefield_entry.kernel import Kernel, ServiceCrashed
 
 EXIT_OK = 0
 EXIT_CRASHED = 70
@@ -22,11 +27,28 @@
 log = Logger("kernel")
 
 
-async def serve(kernel: Kernel, *, drain_notice_s: float) -> int:
-    """Run all services until SIGTERM or SIGINT, or until one crashes.
+def run_process(
+    serving: Coroutine[Any, Any, Result[None, ServiceCrashed]], *, log_level: str
+) -> int:
+    """Run a process until ``serving`` ends; a crash ends it at once.
 
-    :return: the exit code of the process
+    :return: the exit code
     """
+    handler = make_handler(log_level)
+    with handler.applicationbound(), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        match runner.run(serving):
+            case Err(crashed):
+                # The loop has stopped, so that no other service writes a line after this one.
+                log.critical("Service {} crashed: {}.", crashed.name, describe_error(crashed.error))
+                # The other services may be stuck, so their tasks are not waited for.
+                sys.stdout.flush()
+                sys.stderr.flush()
+                os._exit(EXIT_CRASHED)
+    return EXIT_OK
+
+
+async def serve(kernel: Kernel, *, drain_notice_s: float) -> Result[None, ServiceCrashed]:
+    """Run all services until SIGTERM or SIGINT, or until one crashes."""
     stop_asked = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -36,14 +58,12 @@
     stop = asyncio.create_task(stop_gracefully(kernel, stop_asked, drain_notice_s))
     await asyncio.wait({crash, stop}, return_when=asyncio.FIRST_COMPLETED)
     if not stop.done() or stop.exception() is not None:
-        match await crash:
-            case Err(crashed):
-                place = describe_error(crashed.error)
-                log.critical("Service {} crashed: {}.", crashed.name, place)
-                return EXIT_CRASHED
+        ended = await crash
+        if isinstance(ended, Err):
+            return ended
     await stop
     log.info("Stopped.")
-    return EXIT_OK
+    return Ok(None)
 
 
 async def stop_gracefully(kernel: Kernel, asked: asyncio.Event, drain_notice_s: float) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/main.py
+++ b/packages/azurefield-entry/src/azurefield_entry/main.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 import sys
 from pathlib import Path  # noqa: TC003 - defopt resolves annotations at run time.
+from typing import TYPE_CHECKING
 
 import defopt
-import uvloop
 from aiohttp import ClientSession
 from result import Err, Ok
 
-from azurefield_entry.lifetime import EXIT_BAD_SETTINGS, EXIT_OK, serve
-from azurefield_entry.logs import make_handler
+from azurefield_entry.lifetime import EXIT_BAD_SETTINGS, run_process, serve
 from azurefield_entry.settings import Settings, load_settings
 from azurefield_entry.wiring import make_kernel, make_services
 
+if TYPE_CHECKING:
+    from result import Result
+
+    from azurefield_entry.kernel import ServiceCrashed
+
 
 def run(*, settings: Path) -> int:
     """Run one entry instance until SIGTERM.
@@ -29,25 +31,10 @@
             sys.stderr.write(f"[settings] {failure.path}: {failure.problem}\n")
             return EXIT_BAD_SETTINGS
         case Ok(loaded):
-            return run_instance(loaded)
-
-
-def run_instance(settings: Settings) -> int:
-    """Run an instance with checked settings.
-
-    :return: the exit code of the process
-    """
-    handler = make_handler(settings.log_level)
-    with handler.applicationbound(), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        code = runner.run(start(settings))
-        if code != EXIT_OK:
-            # After a crash the other services may be stuck, so their tasks are not waited for.
-            sys.stderr.flush()
-            os._exit(code)
-        return code
+            return run_process(start(loaded), log_level=loaded.log_level)
 
 
-async def start(settings: Settings) -> int:
+async def start(settings: Settings) -> Result[None, ServiceCrashed]:
     """Build the services inside the event loop and serve."""
     async with ClientSession() as session:
         kernel = make_kernel(make_services(settings, session))
--- a/packages/azurefield-entry/tests/test_lifetime.py
+++ b/packages/azurefield-entry/tests/test_lifetime.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 from dataclasses import dataclass
 
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
-from azurefield_entry.lifetime import stop_gracefully
+from azurefield_entry.lifetime import EXIT_CRASHED, stop_gracefully
 from azurefield_entry.wiring import make_kernel
 
 
@@ -39,3 +41,45 @@
     kernel = make_kernel({"query": Recorder(events=[], returns_at_once=True)})
     kernel.start()
     assert (await kernel.wait_for_crash()).unwrap_err().name == "query"
+
+
+CRASH_BESIDE_A_LOGGING_SERVICE = """
+import asyncio, sys
+from logbook import Logger
+from azurefield_entry.kernel import Kernel
+from azurefield_entry.lifetime import run_process, serve
+
+class Failing:
+    async def run(self, kernel, mailbox):
+        kernel.lookup("logging").send("begin")
+        raise OSError("no address")
+
+class Logging:
+    async def run(self, kernel, mailbox):
+        await mailbox.receive()
+        for number in range(1000):
+            Logger("logging").info("Line {}.", number)
+            await asyncio.sleep(0)
+
+async def start():
+    kernel = Kernel()
+    kernel.register("failing", Failing())
+    kernel.register("logging", Logging())
+    return await serve(kernel, drain_notice_s=0.0)
+
+sys.exit(run_process(start(), log_level="info"))
+"""
+
+
+def test_the_last_line_of_a_process_names_the_service_that_crashed() -> None:
+    """Guards against a service that logs between the crash and the end of the process."""
+    ended = subprocess.run(
+        [sys.executable, "-c", CRASH_BESIDE_A_LOGGING_SERVICE],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    assert ended.returncode == EXIT_CRASHED, ended.stderr
+    assert "Line 0" in ended.stdout
+    assert "Service failing crashed" in ended.stdout.splitlines()[-1]
