Let the soak's doubled answers meet the next request

Change: a leaf writes it when the next request on that connection arrives, and works a little longer on each request.

--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from aiohttp import web
 from soak.history import History, body_of, proof_of
 
 BEHAVIOURS = ("shed", "error", "slow", "hang", "reset", "lost", "truncated", "extra", "unframed")
-WORK_S = 0.005
+WORK_S = 0.02
 SLOW_S = 0.3
 
 
@@ -26,6 +26,7 @@
     behaviour: str = "answer"
     share: float = 0.3
     down: bool = False
+    extra: dict[asyncio.Transport, bytes] = field(default_factory=dict)
 
     def entry(self, address: str, state: str = "ready") -> dict[str, object]:
         """What the leaf writes about itself, under the address at which it can be reached."""
@@ -53,6 +54,8 @@
         if request.headers.get("Expected-Instance") != self.name:
             return web.Response(status=421, headers=echo | {"Not-Executed": "1"})
         body = await request.read()
+        # The second copy of an answer comes where the answer to the next request is expected.
+        transport.write(self.extra.pop(transport, b""))
         behaviour = self.behaviour if self.random.random() < self.share else "answer"
         if behaviour == "shed":
             return web.Response(status=503, headers=echo | {"Not-Executed": "1"})
@@ -75,8 +78,7 @@
         status = 500 if behaviour == "error" else 200
         answer = body_of(name, request_id)
         if behaviour == "extra":
-            late_s = SLOW_S * self.random.random()
-            asyncio.get_running_loop().call_later(late_s, write_again, transport, headers, answer)
+            self.extra[transport] = encode(headers, answer, framed=True)
         if behaviour in ("lost", "truncated", "unframed"):
             self.spoil(behaviour, transport, headers, answer)
             return web.Response()
@@ -101,12 +103,6 @@
             transport.close()
 
 
-def write_again(transport: asyncio.Transport, headers: dict[str, str], answer: bytes) -> None:
-    """Write an answer once more, when the connection may be in use by another request."""
-    if not transport.is_closing():
-        transport.write(encode(headers, answer, framed=True))
-
-
 def encode(headers: dict[str, str], answer: bytes, *, framed: bool) -> bytes:
     """Write an answer, with its length if ``framed``."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
