Read and log the rate limit that a backend server names

The logs could not show which server named which limit when, so that the hypotheses could not be told apart.

The adapter decodes the header into the answer; an unreadable value counts as no statement. ServerLimits keeps what each server named last: an answer without a limit ends it only if its call was sent after the limit was named, so that answers that were on their way do not. A log line at the first limit, at its end and at changes of a quarter or more; the metric azurefield_gateway_limited_servers. Callers do not get the header.

--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
@@ -0,0 +1,37 @@
+"""Which HTTP headers are passed on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from azurefield_entry.gateway.ports import Headers
+
+# Hop-by-hop headers, which concern only one connection.
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end(headers: Iterable[tuple[str, str]], *, without: frozenset[str]) -> Headers:
+    """Remove hop-by-hop headers, those that ``Connection`` names, and those in ``without``."""
+    headers = tuple(headers)
+    dropped = HOP_BY_HOP_HEADERS | without
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped |= {token.strip().lower() for token in value.split(",")}
+    return tuple((name, value) for name, value in headers if name.lower() not in dropped)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -20,6 +20,7 @@
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     servers: Gauge = field(init=False)
+    limited_servers: Gauge = field(init=False)
     version_in_force: Gauge = field(init=False)
     store_failures: Counter = field(init=False)
     store_contact_at: Gauge = field(init=False)
@@ -60,6 +61,11 @@
         self.servers = Gauge(
             "azurefield_gateway_servers", "Backend servers known.", registry=registry
         )
+        self.limited_servers = Gauge(
+            "azurefield_gateway_limited_servers",
+            "Backend servers that name a limit of requests per second.",
+            registry=registry,
+        )
         self.version_in_force = Gauge(
             "azurefield_gateway_configuration_version",
             "Configuration version in force.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -8,6 +8,7 @@
 from azurefield.coordinators import InstanceProfile
 from azurefield.directory import RegisteredServer
 from azurefield.routes import RouteTable
+from azurefield.server_limits import NO_LIMIT
 
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest, Response
@@ -49,12 +50,15 @@
     """A backend server's whole answer; the gateway does not interpret its body.
 
     :param proof: proves to the caller which server answered which request; None if missing
+    :param limit_per_s: requests per second that the server takes from all instances together;
+        ``NO_LIMIT`` if the answer names no limit, None if what it names is unreadable
     """
 
     status: int
     headers: Headers
     body: bytes
     proof: str | None
+    limit_per_s: float | None = NO_LIMIT
 
     @property
     def success(self) -> bool:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -15,6 +15,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield.query_actions import CancelLeafCall, Finished, SendLeafCall, WakeAt
+from azurefield.server_limits import ServerLimits
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.connections import ServerConnections
@@ -47,6 +48,7 @@
     metrics: GatewayMetrics
     report_crash: Callable[[str], None]
     store_age_s: Callable[[], float]
+    limits: ServerLimits = field(default_factory=ServerLimits)
     active_calls: dict[str, ActiveCall] = field(default_factory=dict)
 
     async def run(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
@@ -145,6 +147,7 @@
         finally:
             del self.active_calls[action.call_id]
         ended_at = now()
+        self.record_limit(action.server, result, began)
         match result:
             case Ok(answer):
                 label = str(answer.status)
@@ -178,6 +181,22 @@
         finally:
             pool.release(connection, reusable=True)
 
+    def record_limit(
+        self, server: str, result: Result[OpaqueAnswer, LeafFailure], sent_at: float
+    ) -> None:
+        """Record what an answer says of the rate limit of its server."""
+        answer = result.ok_value if isinstance(result, Ok) else result.err_value
+        if answer.limit_per_s is None:
+            return
+        if self.limits.on_answer(now(), server, answer.limit_per_s, sent_at):
+            if server in self.limits.known:
+                log.info(
+                    "Server {} takes {} requests/s from all instances.", server, answer.limit_per_s
+                )
+            else:
+                log.info("Server {} no longer names a limit.", server)
+            self.metrics.limited_servers.set(len(self.limits.known))
+
     def connection_wait_s(self, route: Route) -> float:
         """Return how long a call may wait for a connection."""
         if route.goal_s is None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -238,7 +238,9 @@
                 DirectoryChangeKind.LEAVING,
             ):
                 self.connections.retire(change.server)
+                self.runner.limits.forget(change.server)
         self.metrics.servers.set(len(self.directory.servers))
+        self.metrics.limited_servers.set(len(self.runner.limits.known))
 
     def tick(self, now: float) -> None:
         """Expire old entries and adjust the hedge delays; runs every ``TICK_INTERVAL_S``."""
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -38,12 +38,14 @@
     """A leaf call that failed.
 
     ``outcome`` is ``NOT_RUN`` only if no byte of the request can have reached the backend server,
-    or if the server answered that it did not run the call.
+    or if the server answered that it did not run the call. ``limit_per_s`` is the limit, in
+    requests per second, that such an answer named; None if it named none.
     """
 
     reason: LeafFailureReason
     outcome: Outcome
     detail: str = ""
+    limit_per_s: float | None = None
 
 
 class FailureKind(StrEnum):
--- /dev/null
+++ b/packages/azurefield/src/azurefield/server_limits.py
@@ -0,0 +1,70 @@
+"""Rate limits that backend servers name in their answers, as one instance knows them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+
+# Value of a limit, in requests per second, of a server that names none.
+NO_LIMIT = inf
+# A changed limit is logged only if it differs by at least this fraction.
+LOGGED_CHANGE_FRACTION = 0.25
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class NamedLimit:
+    """The limit that a server named last.
+
+    :param per_s: requests per second that the server takes from all instances together;
+        ``NO_LIMIT`` if it takes any number
+    :param named_at: when the answer that named it arrived
+    """
+
+    per_s: float
+    named_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerLimits:
+    """The servers that have a limit; it holds as long as their answers name it.
+
+    :param logged: the limits in the last log lines, by server
+    """
+
+    known: dict[str, NamedLimit] = field(default_factory=dict)
+    logged: dict[str, float] = field(default_factory=dict)
+
+    def on_answer(self, now: float, server: str, limit_per_s: float, sent_at: float) -> bool:
+        """Record what an answer says of its server's limit.
+
+        An answer without a limit ends a known one only if its call was sent after the limit was
+        named. Answers to earlier calls may have been on their way.
+
+        :param limit_per_s: the limit in the answer; ``NO_LIMIT`` if it names none
+        :param sent_at: when the call was sent
+        :return: whether the change is worth a log line
+        """
+        known = self.known.get(server)
+        if limit_per_s != NO_LIMIT:
+            self.known[server] = NamedLimit(per_s=limit_per_s, named_at=now)
+        elif known is None or sent_at < known.named_at:
+            return False
+        else:
+            del self.known[server]
+        return self.is_worth_logging(server, limit_per_s)
+
+    def is_worth_logging(self, server: str, limit_per_s: float) -> bool:
+        """Whether a limit differs enough from the one in the last log line."""
+        logged = self.logged.get(server, NO_LIMIT)
+        if limit_per_s == NO_LIMIT:
+            self.logged.pop(server, None)
+            return logged != NO_LIMIT
+        if logged != NO_LIMIT and abs(limit_per_s - logged) < LOGGED_CHANGE_FRACTION * logged:
+            return False
+        self.logged[server] = limit_per_s
+        return True
+
+    def forget(self, server: str) -> None:
+        """Drop a server that is gone or was started again."""
+        self.known.pop(server, None)
+        self.logged.pop(server, None)
--- a/tests/fleet/test_names.py
+++ b/tests/fleet/test_names.py
@@ -17,6 +17,7 @@
     "Expected-Instance",
     "Instance-Id",
     "Deadline-Ms",
+    "Server-Limit",
     "kv-key",
     "kv-range",
     "kv-watch",
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -9,9 +9,10 @@
 from azurefield.failures import FailureKind, LeafFailureReason, RequestFailure
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
+from azurefield.server_limits import NO_LIMIT
+from azurefield_entry.gateway.http_headers import end_to_end
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, OpaqueAnswer
 from azurefield_fleet.callers import CallersHttp
-from azurefield_fleet.headers import end_to_end
 from azurefield_fleet.leafs import LeafsHttp
 
 REQUEST = GatewayRequest(
@@ -165,3 +166,43 @@
     assert (response.status, response.body) == (200, b"zz")
     assert response.headers["Partial-Stamps"] == "p1, p2"
     assert response.headers["Missing-Shards"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("named", "expected"),
+    [
+        (None, NO_LIMIT),
+        ("13.7", 13.7),
+        ("0", 0.0),
+        ("0.25", 0.25),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e9", None),
+        ("5, 6", None),
+        ("9" * 400, None),
+    ],
+)
+def test_only_a_plain_number_is_a_limit(named: str | None, expected: float | None) -> None:
+    """Guards against a malformed limit that stops all calls or ends a real limit."""
+    headers = OK_HEADERS if named is None else (*OK_HEADERS, ("Server-Limit", named))
+    result = LeafsHttp().decode(CALL, 200, headers, b"x")
+    assert isinstance(result, Ok)
+    assert result.ok_value.limit_per_s == expected
+
+
+def test_a_refusal_names_a_limit_but_never_ends_one() -> None:
+    """Guards against a full leaf whose refusal without a limit lifts the one that it named."""
+    for named, expected in (((("Server-Limit", "2"),), 2.0), ((), None)):
+        headers = (("Request-Id", "q1"), ("Not-Executed", "1"), *named)
+        result = LeafsHttp().decode(CALL, 503, headers, b"")
+        assert isinstance(result, Err)
+        assert result.err_value.limit_per_s == expected
+
+
+def test_callers_do_not_see_the_limit_of_a_leaf() -> None:
+    """Guards against a header about the leaf that callers could take for their own limit."""
+    headers = (*OK_HEADERS, ("Server-Limit", "2"))
+    answer = OpaqueAnswer(status=200, headers=headers, body=b"x", proof="p")
+    assert "Server-Limit" not in CallersHttp().build_response(Ok(answer)).headers
