--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -28,7 +28,7 @@
     if os.environ.get(RUN_KNOWN_RED_VARIABLE) or not KNOWN_RED.exists():
         return frozenset()
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    return frozenset(line for line in lines if line.startswith("packages/"))
+    return frozenset(line for line in lines if line.startswith(("packages/", "tests/")))
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import sys
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -19,7 +19,7 @@
 from standins import LeafStandIn, StoreStandIn, config, route, running
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Mapping
 
     from multidict import CIMultiDictProxy
 
@@ -174,3 +174,41 @@
             yield site
         finally:
             await site.kill()
+
+
+@asynccontextmanager
+async def serving_fleet(
+    directory: Path, cores: Mapping[str, float], *, connections_max: int = 30
+) -> AsyncIterator[dict[str, Site]]:
+    """Run several gateway processes with the same store and leafs.
+
+    :param cores: the processor capacity of each process, by its name
+    """
+    sites: dict[str, Site] = {}
+    for name, capacity in cores.items():
+        (directory / name).mkdir()
+        site = Site(
+            directory=directory / name,
+            name=name,
+            cores=capacity,
+            first_port=PORTS.free_port(),
+            connections_max=connections_max,
+        )
+        if sites:
+            first = next(iter(sites.values()))
+            site.store, site.leafs = first.store, first.leafs
+        sites[name] = site
+    first = next(iter(sites.values()))
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(running(first.store, *first.leafs.values()))
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        first.put_config()
+        for name, leaf in first.leafs.items():
+            first.store.put(f"servers/{name}", leaf.entry())
+        for site in sites.values():
+            site.session = session
+            await site.start()
+            stack.push_async_callback(site.kill)
+        for site in sites.values():
+            await wait_until(site.ready, f"{site.name} is ready")
+        yield sites
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -125,7 +125,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class LeafStandIn:
-    """One leaf; ``behaviour`` is answer, shed, error, hang, reset or slow."""
+    """One leaf; ``behaviour`` is answer, shed, error, hang, reset or slow.
+
+    :param limit_per_s: the limit that its answers name; None for none
+    :param arrived_at: when the requests that it ran arrived, on the event loop's clock
+    """
 
     name: str
     service: str
@@ -134,6 +138,8 @@
     address: str = ""
     requests: list[dict[str, str]] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
+    limit_per_s: float | None = None
+    arrived_at: list[float] = field(default_factory=list)
     cancelled: int = 0
 
     def entry(self, **changes: object) -> dict[str, object]:
@@ -156,7 +162,10 @@
         if request.headers.get("Expected-Instance", self.name) != self.name:
             return web.Response(status=421, headers={"Instance-Id": self.name})
         self.requests.append(dict(request.headers) | {"target": request.raw_path})
+        self.arrived_at.append(asyncio.get_running_loop().time())
         self.bodies.append(await request.read())
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = str(self.limit_per_s)
         match self.behaviour:
             case "shed":
                 return web.Response(status=503, headers=headers | {"Not-Executed": "1"})
--- a/tests/fleet/test_coordinator_processes.py
+++ b/tests/fleet/test_coordinator_processes.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import signal
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-import aiohttp
 import pytest
 
 from azurefield_testkit.waiting import wait_until
-from gateway_process import PORTS, Site
-from standins import running
+from gateway_process import Site, serving_fleet
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -26,32 +24,8 @@
 @asynccontextmanager
 async def fleet(directory: Path) -> AsyncIterator[dict[str, Site]]:
     """Run two strong gateways and a weak one with the same store and leafs."""
-    sites: dict[str, Site] = {}
-    for name, cores in (("n1", 4.0), ("n2", 4.0), ("n3", 1.0)):
-        (directory / name).mkdir()
-        site = Site(
-            directory=directory / name,
-            name=name,
-            cores=cores,
-            first_port=PORTS.free_port(),
-            connections_max=CONNECTIONS_MAX,
-        )
-        if sites:
-            site.store, site.leafs = sites["n1"].store, sites["n1"].leafs
-        sites[name] = site
-    first = sites["n1"]
-    async with AsyncExitStack() as stack:
-        await stack.enter_async_context(running(first.store, *first.leafs.values()))
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        first.put_config()
-        for name, leaf in first.leafs.items():
-            first.store.put(f"servers/{name}", leaf.entry())
-        for site in sites.values():
-            site.session = session
-            await site.start()
-            stack.push_async_callback(site.kill)
-        for site in sites.values():
-            await wait_until(site.ready, f"{site.name} is ready")
+    cores = {"n1": 4.0, "n2": 4.0, "n3": 1.0}
+    async with serving_fleet(directory, cores, connections_max=CONNECTIONS_MAX) as sites:
         await wait_until(lambda: is_forwarded(sites["n3"]), "n3 knows the coordinators")
         yield sites
 
