Reserve both ports of the range that a test gives a gateway process

test_a_suspended_coordinator_costs_its_callers_bounded_time failed once in the whole test run: 'Service admin crashed: ... bind on address (127.0.0.1, 21238): address already in use'. The range of a process consists of a chosen port and the next one, but only the first was reserved, so that another process of the same test could be given the second. free_port_pair reserves both. The new test fails if only the first is marked as used.

--- a/packages/azurefield-testkit/src/azurefield_testkit/processes.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/processes.py
@@ -162,15 +162,28 @@
         first = FIRST_PORT + os.getpid() % PORT_RANGE_COUNT * PORTS_PER_PROCESS
         while True:
             port = first + random.randrange(PORTS_PER_PROCESS)
-            if port in self.used_ports:
-                continue
-            with socket.socket() as probe:
-                try:
-                    probe.bind((LOOPBACK, port))
-                except OSError:
-                    continue
-            self.used_ports.add(port)
-            return port
+            if self.is_free(port):
+                self.used_ports.add(port)
+                return port
+
+    def free_port_pair(self) -> int:
+        """Choose two consecutive ports that are not in use, and return the first."""
+        while True:
+            port = self.free_port()
+            if self.is_free(port + 1):
+                self.used_ports.add(port + 1)
+                return port
+
+    def is_free(self, port: int) -> bool:
+        """Whether a loopback port was not chosen before and is not in use."""
+        if port in self.used_ports:
+            return False
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+        return True
 
     async def spawn(self, name: str, module: str, *arguments: str) -> ManagedProcess:
         """Start ``python -m MODULE`` under a name.
--- a/packages/azurefield-testkit/tests/test_processes.py
+++ b/packages/azurefield-testkit/tests/test_processes.py
@@ -68,3 +68,11 @@
         await wait_until(
             lambda: not processes.processes["platform"].running, "the platform has ended"
         )
+
+
+def test_the_second_port_of_a_pair_is_not_chosen_again() -> None:
+    """Guards against two processes of a test that listen on the same port."""
+    ports = Processes()
+    pairs = [ports.free_port_pair() for _ in range(20)]
+    chosen = [*pairs, *(port + 1 for port in pairs), *(ports.free_port() for _ in range(60))]
+    assert len(set(chosen)) == len(chosen)
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -191,7 +191,7 @@
             directory=directory / name,
             name=name,
             cores=capacity,
-            first_port=PORTS.free_port(),
+            first_port=PORTS.free_port_pair(),
             connections_max=connections_max,
         )
         if sites:
