--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -11,14 +11,12 @@
 from logbook import Logger
 
 from azurefield.overload import LoopLag
+from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield_entry.clock import now
 from azurefield_entry.front.activity import Activity
 from azurefield_entry.gateway.forward_frames import (
-    TO_COORDINATOR,
     CancelRequest,
     ForwardedRequest,
-    FromCoordinator,
-    Heartbeat,
     RequestAccepted,
     RequestRefused,
     decode_request,
@@ -26,11 +24,21 @@
 )
 from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.messages import Tick
+from azurefield_entry.gateway.peer_frames import TO_PEER, FromPeer, Heartbeat
 from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_entry.gateway.quota_frames import (
+    LimitEnded,
+    QuotaAsked,
+    QuotaGiven,
+    QuotaRefused,
+    QuotaWithdrawn,
+)
+from azurefield_entry.gateway.quota_issuer import QuotaIssuer
 from azurefield_entry.gateway.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Stop, send_every
 
 if TYPE_CHECKING:
+    from azurefield.quota import QuotaDecision
     from azurefield_entry.kernel import Kernel, Mailbox
 
 # Between two results, an instance that forwarded a request hears from its coordinator this often.
@@ -40,12 +48,13 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class AcceptedLink:
-    """The connection of an instance that forwards requests, with its running requests."""
+    """The connection of another instance, with its running requests and those for quota."""
 
     writer: asyncio.StreamWriter
     running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    quota_requests: set[int] = field(default_factory=set)
 
-    def send(self, frame: FromCoordinator) -> None:
+    def send(self, frame: FromPeer) -> None:
         """Send a frame; the size of the results and the number of requests bound what is queued."""
         if not self.writer.is_closing():
             self.writer.write(encode(frame))
@@ -61,12 +70,14 @@
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
     :param run_request: runs a request; cancelling it cancels its calls
+    :param quota_issuer: issues the quota of limited servers
     :param finish_timeout_s: how long a planned stop waits for running requests
     """
 
     address: str
     version: Callable[[], int | None]
     run_request: Callable[[GatewayRequest], Awaitable[RequestResult]]
+    quota_issuer: QuotaIssuer
     finish_timeout_s: float
     draining: bool = False
     request_count: int = 0
@@ -104,7 +115,7 @@
     def send_heartbeats(self) -> None:
         """Confirm to each instance that its requests are still running."""
         for link in self.links:
-            if link.running:
+            if link.running or link.quota_requests:
                 link.send(Heartbeat())
 
     async def serve_link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -113,19 +124,46 @@
         self.links.add(link)
         try:
             while True:
-                match await read_frame(reader, TO_COORDINATOR):
+                match await read_frame(reader, TO_PEER):
                     case ForwardedRequest() as frame:
                         self.accept(link, frame)
                     case CancelRequest(number=number) if number in link.running:
                         link.running[number].cancel()
+                    case QuotaAsked() as frame:
+                        self.ask_quota(link, frame)
+                    case QuotaWithdrawn(number=number):
+                        self.withdraw_quota(link, number)
+                    case LimitEnded(server=server):
+                        self.quota_issuer.on_limit_ended(server)
         except (OSError, EOFError, msgspec.DecodeError) as error:
             log.debug("The connection of a forwarding instance has ended: {!r}.", error)
         finally:
             self.links.discard(link)
             for task in link.running.values():
                 task.cancel()
+            for number in [*link.quota_requests]:
+                self.withdraw_quota(link, number)
             writer.close()
 
+    def ask_quota(self, link: AcceptedLink, frame: QuotaAsked) -> None:
+        """Take a request for quota; the reply follows now or when a token is due."""
+
+        def reply(decision: QuotaDecision) -> None:
+            link.quota_requests.discard(frame.number)
+            match decision:
+                case QuotaGranted(limit_ended=limit_ended):
+                    link.send(QuotaGiven(number=frame.number, limit_ended=limit_ended))
+                case QuotaDenied(wait_s=wait_s):
+                    link.send(QuotaRefused(number=frame.number, wait_s=wait_s))
+
+        link.quota_requests.add(frame.number)
+        self.quota_issuer.ask((id(link), frame.number), frame, reply)
+
+    def withdraw_quota(self, link: AcceptedLink, number: int) -> None:
+        """Drop a request for quota that is no longer needed."""
+        link.quota_requests.discard(number)
+        self.quota_issuer.withdraw((id(link), number))
+
     def accept(self, link: AcceptedLink, frame: ForwardedRequest) -> None:
         """Start a request, or refuse it."""
         problem = self.reason_to_refuse(frame)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -75,14 +75,8 @@
     retry_after_s: float | None = None
 
 
-class Heartbeat(msgspec.Struct, tag="heartbeat", frozen=True, kw_only=True):
-    """The coordinator is still running the requests of this link."""
-
-
 ToCoordinator = ForwardedRequest | CancelRequest
-FromCoordinator = RequestAccepted | RequestRefused | RequestAnswered | RequestFailed | Heartbeat
-TO_COORDINATOR = msgspec.msgpack.Decoder[ToCoordinator](ToCoordinator)
-FROM_COORDINATOR = msgspec.msgpack.Decoder[FromCoordinator](FromCoordinator)
+FromCoordinator = RequestAccepted | RequestRefused | RequestAnswered | RequestFailed
 
 
 def encode_request(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -1,17 +1,13 @@
-"""Forwards queries over many shards to coordinators, and keeps the links to them."""
+"""Forwards queries over many shards to coordinators."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
-from itertools import count
 from typing import TYPE_CHECKING, TypeVar
 
-import msgspec
-from logbook import Logger
 from result import Err, Ok, Result
 
 from azurefield.coordinators import CoordinatorView, fleet_needs_coordinators, zones_near_shards
@@ -21,37 +17,29 @@
 from azurefield.routing import CallResult, OwnObservationRouter
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.forward_frames import (
-    FROM_COORDINATOR,
     CancelRequest,
-    FromCoordinator,
     RequestAccepted,
     RequestAnswered,
     RequestFailed,
     RequestRefused,
-    ToCoordinator,
     decode_result,
     encode_request,
 )
-from azurefield_entry.gateway.framing import encode, read_frame
+from azurefield_entry.gateway.peer_links import PeerLink, PeerLinks
 from azurefield_entry.gateway.running import RequestResult
 
 if TYPE_CHECKING:
     from azurefield.directory import Directory
     from azurefield.routes import Route, RouteTable
+    from azurefield_entry.gateway.peer_frames import FromPeer
     from azurefield_entry.gateway.ports import GatewayRequest
 
-CONNECT_TIMEOUT_S = 0.1
 # Longest wait for the acceptance of a request, as a fraction of the route's latency goal; at least
 # and, without a goal, exactly the second value.
 ACCEPT_WAIT_FRACTION = 0.35
 ACCEPT_WAIT_MIN_S = 0.05
-# A link without a frame for this time while requests are running is given up.
-SILENCE_TIMEOUT_S = 0.5
-SILENCE_CHECK_INTERVAL_S = 0.1
 # A result may arrive this much after the deadline of its request.
 RESULT_MARGIN_S = 0.25
-log = Logger("forwarding")
-
 T = TypeVar("T")
 
 
@@ -82,71 +70,22 @@
     accepted: asyncio.Future[Result[None, NotForwarded]]
     result: asyncio.Future[Result[RequestResult, NotForwarded]]
 
-
-@dataclass(slots=True, kw_only=True)
-class CoordinatorLink:
-    """A connection to one coordinator, with the requests that it runs."""
-
-    writer: asyncio.StreamWriter
-    calls: dict[int, ForwardedCall] = field(default_factory=dict)
-    numbers: Iterator[int] = field(default_factory=count)
-    last_frame_at: float = 0.0
-    closed: bool = False
-
-    def send(self, frame: ToCoordinator) -> None:
-        """Send a frame."""
-        if not self.closed:
-            self.writer.write(encode(frame))
-
-    async def receive(self, reader: asyncio.StreamReader) -> None:
-        """Pass on results until the connection ends."""
-        detail = "closed"
-        try:
-            while True:
-                frame = await read_frame(reader, FROM_COORDINATOR)
-                self.last_frame_at = now()
-                self.apply(frame)
-        except (OSError, EOFError, msgspec.DecodeError) as error:
-            detail = repr(error)
-        finally:
-            self.close(detail)
-
-    def apply(self, frame: FromCoordinator) -> None:
-        """Apply a frame; frames of requests that have ended are ignored."""
+    def on_frame(self, frame: FromPeer) -> None:
+        """Apply a frame of the coordinator."""
         match frame:
-            case RequestAccepted(number=number) if number in self.calls:
-                set_result(self.calls[number].accepted, Ok(None))
-            case RequestRefused(number=number, detail=detail) if number in self.calls:
+            case RequestAccepted():
+                set_result(self.accepted, Ok(None))
+            case RequestRefused(detail=detail):
                 refused = NotForwarded(problem=ForwardProblem.REFUSED, detail=detail)
-                set_result(self.calls[number].accepted, Err(refused))
-            case RequestAnswered(number=number) | RequestFailed(number=number):
-                if number in self.calls:
-                    set_result(self.calls[number].result, Ok(decode_result(frame)))
-
-    def close(self, detail: str) -> None:
-        """Close the connection; requests without a result may have run."""
-        self.closed = True
-        self.writer.close()
+                set_result(self.accepted, Err(refused))
+            case RequestAnswered() | RequestFailed():
+                set_result(self.result, Ok(decode_result(frame)))
+
+    def on_lost(self, detail: str) -> None:
+        """Record that the link has ended; the request may have run."""
         unanswered = NotForwarded(problem=ForwardProblem.UNANSWERED, detail=detail)
-        lost = NotForwarded(problem=ForwardProblem.LOST, detail=detail)
-        for call in self.calls.values():
-            set_result(call.accepted, Err(unanswered))
-            set_result(call.result, Err(lost))
-
-    async def watch_silence(self) -> None:
-        """Close the connection if the coordinator is silent while it runs requests.
-
-        Time in which this process itself did not run is not counted.
-        """
-        checked_at = now()
-        while not self.closed:
-            await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
-            overslept_s = now() - checked_at - SILENCE_CHECK_INTERVAL_S
-            checked_at = now()
-            if overslept_s > SILENCE_CHECK_INTERVAL_S or not self.calls:
-                self.last_frame_at = checked_at
-            elif checked_at - self.last_frame_at > SILENCE_TIMEOUT_S:
-                self.close(f"silent for {SILENCE_TIMEOUT_S} s")
+        set_result(self.accepted, Err(unanswered))
+        set_result(self.result, Err(NotForwarded(problem=ForwardProblem.LOST, detail=detail)))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -161,11 +100,10 @@
     view: CoordinatorView
     router: OwnObservationRouter
     zones: Mapping[str, frozenset[str]] = field(default_factory=dict)
-    links: dict[str, CoordinatorLink] = field(default_factory=dict)
-    connecting: dict[str, asyncio.Task[Result[CoordinatorLink, NotForwarded]]] = field(
-        default_factory=dict
-    )
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    peers: PeerLinks = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.peers = PeerLinks(view=self.view)
 
     def update(self, table: RouteTable, directory: Directory, instances: int) -> None:
         """Recompute for which routes the fleet needs coordinators, and where they should be."""
@@ -233,10 +171,12 @@
         self.router.on_dispatch(sent_at, coordinator)
         call_result = CallResult.CANCELLED
         try:
-            match await self.link(coordinator):
+            match await self.peers.link(coordinator):
                 case Err(unreachable):
                     call_result = CallResult.FAILED
-                    return Err(unreachable)
+                    return Err(
+                        NotForwarded(problem=ForwardProblem.REFUSED, detail=unreachable.detail)
+                    )
                 case Ok(link):
                     result = await self.exchange(link, request, route, version)
             call_result = CallResult.ANSWERED if isinstance(result, Ok) else CallResult.FAILED
@@ -246,15 +186,12 @@
             self.router.on_result(ended_at, coordinator, call_result, ended_at - sent_at)
 
     async def exchange(
-        self, link: CoordinatorLink, request: GatewayRequest, route: Route, version: int
+        self, link: PeerLink, request: GatewayRequest, route: Route, version: int
     ) -> Result[RequestResult, NotForwarded]:
         """Send a request over a link and wait for its result."""
         loop = asyncio.get_running_loop()
-        number = next(link.numbers)
         call = ForwardedCall(accepted=loop.create_future(), result=loop.create_future())
-        link.calls[number] = call
-        if len(link.calls) == 1:
-            link.last_frame_at = now()
+        number = link.expect(call)
         try:
             link.send(encode_request(number, version, request, now()))
             match await wait_for_acceptance(call, route):
@@ -262,57 +199,15 @@
                     return Err(not_forwarded)
             return await wait_for_result(call, request, route)
         finally:
-            del link.calls[number]
+            del link.pending[number]
             if not call.result.done():
                 link.send(CancelRequest(number=number))
 
-    async def link(self, coordinator: str) -> Result[CoordinatorLink, NotForwarded]:
-        """Return the link to a coordinator, connecting first if needed."""
-        known = self.links.get(coordinator)
-        if known is not None and not known.closed:
-            return Ok(known)
-        connecting = self.connecting.get(coordinator)
-        if connecting is None:
-            connecting = asyncio.create_task(self.connect(coordinator))
-            self.connecting[coordinator] = connecting
-            connecting.add_done_callback(lambda _: self.connecting.pop(coordinator, None))
-        return await asyncio.shield(connecting)
-
-    async def connect(self, coordinator: str) -> Result[CoordinatorLink, NotForwarded]:
-        """Connect to a coordinator."""
-        profile = self.view.profiles.get(coordinator)
-        address = "" if profile is None else profile.coordinator_address or ""
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, ValueError, OverflowError) as error:
-            return Err(NotForwarded(problem=ForwardProblem.REFUSED, detail=repr(error)))
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_TIMEOUT_S * 1000))
-        link = CoordinatorLink(writer=writer, last_frame_at=now())
-        self.links[coordinator] = link
-        for work in (link.receive(reader), link.watch_silence()):
-            task = asyncio.create_task(work)
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-        log.info("Forwarding requests to instance {}.", coordinator)
-        return Ok(link)
-
     def retain_only(self, instances: frozenset[str]) -> None:
         """Drop the instances that no longer run."""
         self.view.retain_only(instances)
-        for name in [name for name in self.links if name not in instances]:
-            if not self.links[name].calls:
-                self.links.pop(name).close("the instance no longer runs")
-                self.router.forget(name)
-
-    def close(self) -> None:
-        """Close all links."""
-        for link in self.links.values():
-            link.close("this instance stops")
-        for task in self.tasks:
-            task.cancel()
+        for name in self.peers.retain_only(instances):
+            self.router.forget(name)
 
 
 async def wait_for_acceptance(call: ForwardedCall, route: Route) -> Result[None, NotForwarded]:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -21,6 +21,7 @@
     connections_opened: Counter = field(init=False)
     servers: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
+    quota_requests: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
     store_failures: Counter = field(init=False)
     store_contact_at: Gauge = field(init=False)
@@ -66,6 +67,12 @@
             "Backend servers that name a limit of requests per second.",
             registry=registry,
         )
+        self.quota_requests = Counter(
+            "azurefield_gateway_quota_requests",
+            "Requests of this instance for quota of limited servers by how they ended.",
+            ("result",),
+            registry=registry,
+        )
         self.version_in_force = Gauge(
             "azurefield_gateway_configuration_version",
             "Configuration version in force.",
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
@@ -0,0 +1,170 @@
+"""Links to other instances, each opened by the instance that first needs the other."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+from logbook import Logger
+from result import Err, Ok, Result
+
+from azurefield.coordinators import CoordinatorView
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.framing import encode, read_frame
+from azurefield_entry.gateway.peer_frames import FROM_PEER, FromPeer, Heartbeat, ToPeer
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+CONNECT_TIMEOUT_S = 0.1
+# A link without a frame for this time is given up while the other instance owes a reply.
+SILENCE_TIMEOUT_S = 0.5
+SILENCE_CHECK_INTERVAL_S = 0.1
+log = Logger("links")
+
+
+class PendingReply(Protocol):
+    """What an instance waits for on a link."""
+
+    def on_frame(self, frame: FromPeer) -> None:
+        """Apply a frame that carries its number."""
+
+    def on_lost(self, detail: str) -> None:
+        """Record that the link has ended."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PeerUnreachable:
+    """No link to another instance could be opened, so nothing was sent."""
+
+    detail: str
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerLink:
+    """A connection to another instance, with the replies that it owes."""
+
+    writer: asyncio.StreamWriter
+    pending: dict[int, PendingReply] = field(default_factory=dict)
+    numbers: Iterator[int] = field(default_factory=count)
+    last_frame_at: float = 0.0
+    closed: bool = False
+
+    def expect(self, reply: PendingReply) -> int:
+        """Register a reply that is about to be requested, and return its number."""
+        number = next(self.numbers)
+        self.pending[number] = reply
+        if len(self.pending) == 1:
+            self.last_frame_at = now()
+        return number
+
+    def send(self, frame: ToPeer) -> None:
+        """Send a frame."""
+        if not self.closed:
+            self.writer.write(encode(frame))
+
+    async def receive(self, reader: asyncio.StreamReader) -> None:
+        """Pass on replies until the connection ends."""
+        detail = "closed"
+        try:
+            while True:
+                frame = await read_frame(reader, FROM_PEER)
+                self.last_frame_at = now()
+                # Replies that nothing waits for any more are ignored.
+                if not isinstance(frame, Heartbeat) and frame.number in self.pending:
+                    self.pending[frame.number].on_frame(frame)
+        except (OSError, EOFError, msgspec.DecodeError) as error:
+            detail = repr(error)
+        finally:
+            self.close(detail)
+
+    def close(self, detail: str) -> None:
+        """Close the connection; the replies that it owes will not come."""
+        self.closed = True
+        self.writer.close()
+        for reply in [*self.pending.values()]:
+            reply.on_lost(detail)
+
+    async def watch_silence(self) -> None:
+        """Close the connection if the other instance owes replies and is silent.
+
+        Time in which this process itself did not run is not counted.
+        """
+        checked_at = now()
+        while not self.closed:
+            await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
+            overslept_s = now() - checked_at - SILENCE_CHECK_INTERVAL_S
+            checked_at = now()
+            if overslept_s > SILENCE_CHECK_INTERVAL_S or not self.pending:
+                self.last_frame_at = checked_at
+            elif checked_at - self.last_frame_at > SILENCE_TIMEOUT_S:
+                self.close(f"silent for {SILENCE_TIMEOUT_S} s")
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerLinks:
+    """Opens the links of one instance and keeps them.
+
+    :param view: knows the addresses of the other instances
+    """
+
+    view: CoordinatorView
+    links: dict[str, PeerLink] = field(default_factory=dict)
+    connecting: dict[str, asyncio.Task[Result[PeerLink, PeerUnreachable]]] = field(
+        default_factory=dict
+    )
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def link(self, instance: str) -> Result[PeerLink, PeerUnreachable]:
+        """Return the link to an instance, connecting first if needed."""
+        known = self.links.get(instance)
+        if known is not None and not known.closed:
+            return Ok(known)
+        connecting = self.connecting.get(instance)
+        if connecting is None:
+            connecting = asyncio.create_task(self.connect(instance))
+            self.connecting[instance] = connecting
+            connecting.add_done_callback(lambda _: self.connecting.pop(instance, None))
+        return await asyncio.shield(connecting)
+
+    async def connect(self, instance: str) -> Result[PeerLink, PeerUnreachable]:
+        """Connect to an instance."""
+        profile = self.view.profiles.get(instance)
+        address = "" if profile is None else profile.coordinator_address or ""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, ValueError, OverflowError) as error:
+            return Err(PeerUnreachable(detail=repr(error)))
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_TIMEOUT_S * 1000))
+        link = PeerLink(writer=writer, last_frame_at=now())
+        self.links[instance] = link
+        for work in (link.receive(reader), link.watch_silence()):
+            task = asyncio.create_task(work)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        log.info("Connected to instance {}.", instance)
+        return Ok(link)
+
+    def retain_only(self, instances: Collection[str]) -> list[str]:
+        """Close the idle links to instances that no longer run, and return their names."""
+        ended = [
+            name for name, link in self.links.items() if name not in instances and not link.pending
+        ]
+        for name in ended:
+            self.links.pop(name).close("the instance no longer runs")
+        return ended
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self.links.values():
+            link.close("this instance stops")
+        for task in self.tasks:
+            task.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
@@ -8,10 +8,12 @@
 from azurefield.hedging import LeafLatencies, SharedDelayHedging
 from azurefield.merge import TopRecordsMerge
 from azurefield.model import Snapshot
-from azurefield.query import FanOut, Holders
+from azurefield.query import FanOut
 from azurefield.retry import WindowedBudget
 from azurefield.routes import ShardSet, SingleService, WeightedRoundRobin, WeightedServices
 from azurefield.routing import Router
+from azurefield.server_choice import Holders
+from azurefield.server_limits import RouteServerLimits, ServerLimits
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.answers import PassThrough, ShardMerge
 
@@ -27,6 +29,7 @@
     holders: Holders
     router: Router
     budget: WindowedBudget
+    limits: ServerLimits = field(default_factory=ServerLimits)
     weighted_round_robin: WeightedRoundRobin = field(default_factory=WeightedRoundRobin)
     hedging: dict[str, SharedDelayHedging] = field(default_factory=dict)
     request_count: int = 0
@@ -72,6 +75,7 @@
             "hedging": self.route_hedging(now, route),
             "retries": self.budget,
             "idempotent": route.idempotent,
+            "limits": RouteServerLimits(limits=self.limits, priority=route.priority),
             "attempts_max": route.attempts_max,
             "answer_by": answer_by,
         }
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas.py
@@ -0,0 +1,230 @@
+"""Gets quota for the calls of this instance to servers that name a rate limit."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+from result import Err, Ok
+
+from azurefield.quota import (
+    QuotaDecision,
+    QuotaDenied,
+    QuotaGranted,
+    issuer_order,
+    rate_fraction,
+)
+from azurefield.server_limits import ServerLimits
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peer_links import PeerLinks
+from azurefield_entry.gateway.quota_frames import (
+    LimitEnded,
+    QuotaAsked,
+    QuotaGiven,
+    QuotaRefused,
+    QuotaWithdrawn,
+)
+from azurefield_entry.gateway.quota_issuer import QuotaIssuer
+
+if TYPE_CHECKING:
+    from azurefield.directory import RegisteredServer
+    from azurefield_entry.gateway.peer_frames import FromPeer
+
+# Another instance that has not replied for this time counts as unreachable, unless the request may
+# wait for longer.
+REPLY_TIMEOUT_S = 0.15
+# An unreachable issuer is passed over for this time.
+UNREACHABLE_S = 2.0
+# An issuer other than the first and its deputy issues so little that only this instance uses it.
+REMOTE_ISSUERS = 2
+log = Logger("quotas")
+
+
+@dataclass(slots=True, kw_only=True)
+class QuotaReply:
+    """The reply to one request; None in place of a decision if the link was lost."""
+
+    decision: asyncio.Future[QuotaDecision | None]
+
+    def on_frame(self, frame: FromPeer) -> None:
+        """Apply the issuer's decision."""
+        match frame:
+            case QuotaGiven(number=number, limit_ended=limit_ended):
+                self.set(QuotaGranted(key=number, limit_ended=limit_ended))
+            case QuotaRefused(number=number, wait_s=wait_s):
+                self.set(QuotaDenied(key=number, wait_s=wait_s))
+
+    def on_lost(self, detail: str) -> None:  # noqa: ARG002 - the link logs it
+        """Record that the link has ended."""
+        self.set(None)
+
+    def set(self, decision: QuotaDecision | None) -> None:
+        """Set the decision unless there is one."""
+        if not self.decision.done():
+            self.decision.set_result(decision)
+
+    async def wait(self, wait_s: float) -> QuotaDecision | None:
+        """Wait for the decision; the request counts as denied if none has come by then."""
+        await asyncio.wait([self.decision], timeout=wait_s)
+        return self.decision.result() if self.decision.done() else QuotaDenied(key=None, wait_s=0.0)
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerQuotas:
+    """Requests a token for each call to a limited server, from the instance that issues them.
+
+    If the first two issuers of a service can't be reached, this instance issues a small part of the
+    limit to itself.
+
+    :param own: the name of this instance
+    :param instances: returns the instances that run
+    :param unreachable_until: when an issuer that did not reply is asked again
+    :param orders: the instances for which the order of a service's issuers was computed, and it
+    """
+
+    own: str
+    limits: ServerLimits
+    peers: PeerLinks
+    instances: Callable[[], frozenset[str]]
+    metrics: GatewayMetrics
+    issuer: QuotaIssuer = field(init=False)
+    unreachable_until: dict[str, float] = field(default_factory=dict)
+    orders: dict[str, tuple[frozenset[str], tuple[str, ...]]] = field(default_factory=dict)
+    numbers: Iterator[int] = field(default_factory=count)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.issuer = QuotaIssuer(fraction=self.own_fraction)
+
+    async def acquire(self, server: RegisteredServer, priority: int, start_by: float) -> bool:
+        """Wait for a token for one call.
+
+        :param start_by: latest time at which the call is worth sending
+        :return: whether the call may be sent
+        """
+        if server.server not in self.limits.known:
+            return True
+        for issuer in self.issuers(server.service):
+            decision = await self.ask(issuer, server, priority, start_by)
+            match decision:
+                case QuotaGranted(limit_ended=limit_ended):
+                    if limit_ended:
+                        self.limits.forget(server.server)
+                        self.metrics.limited_servers.set(len(self.limits.known))
+                    self.metrics.quota_requests.labels("granted").inc()
+                    return True
+                case QuotaDenied(wait_s=wait_s):
+                    self.limits.on_denied(now(), server.server, priority, wait_s)
+                    self.metrics.quota_requests.labels("denied").inc()
+                    return False
+            self.metrics.quota_requests.labels("unreachable").inc()
+            log.info("Instance {} does not issue quota; asking another one.", issuer)
+            self.unreachable_until[issuer] = now() + UNREACHABLE_S
+        return False
+
+    def issuers(self, service: str) -> list[str]:
+        """List the instances to ask for quota, this one last."""
+        at = now()
+        remote = [
+            name
+            for name in self.order(service)[:REMOTE_ISSUERS]
+            if name != self.own and self.unreachable_until.get(name, at) <= at
+        ]
+        first = self.order(service)[0]
+        return [self.own] if first == self.own else [*remote, self.own]
+
+    def order(self, service: str) -> tuple[str, ...]:
+        """Return the order of the instances that may issue a service's quota."""
+        instances = self.instances()
+        known = self.orders.get(service)
+        if known is None or known[0] != instances:
+            known = self.orders[service] = (instances, issuer_order(service, instances))
+        return known[1]
+
+    def own_fraction(self, service: str) -> float:
+        """Return the part of a limit that this instance issues for a service's servers."""
+        order = self.order(service)
+        return rate_fraction(order.index(self.own), len(order))
+
+    async def ask(
+        self, issuer: str, server: RegisteredServer, priority: int, start_by: float
+    ) -> QuotaDecision | None:
+        """Request a token from one issuer; None if it does not reply."""
+        limit = self.limits.known.get(server.server)
+        if limit is None:
+            return QuotaGranted(key=None)
+        asked_at = now()
+        wait_s = max(0.0, start_by - asked_at)
+        reply = QuotaReply(decision=asyncio.get_running_loop().create_future())
+
+        def frame(number: int) -> QuotaAsked:
+            return QuotaAsked(
+                number=number,
+                server=server.server,
+                service=server.service,
+                limit_per_s=limit.per_s,
+                limit_age_s=asked_at - limit.named_at,
+                priority=priority,
+                wait_s=wait_s,
+            )
+
+        if issuer == self.own:
+            return await self.ask_self(frame(next(self.numbers)), reply)
+        return await self.ask_other(issuer, frame, reply, wait_s)
+
+    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> QuotaDecision | None:
+        """Request a token from the issuer of this instance."""
+        key = (self.own, frame.number)
+        self.issuer.ask(key, frame, reply.set)
+        try:
+            return await reply.wait(frame.wait_s)
+        finally:
+            self.issuer.withdraw(key)
+
+    async def ask_other(
+        self, issuer: str, frame: Callable[[int], QuotaAsked], reply: QuotaReply, wait_s: float
+    ) -> QuotaDecision | None:
+        """Request a token from another instance."""
+        match await self.peers.link(issuer):
+            case Err(_):
+                return None
+            case Ok(link):
+                number = link.expect(reply)
+        try:
+            link.send(frame(number))
+            # While a request waits, the silence of its link shows that the issuer is lost.
+            decision = await reply.wait(max(wait_s, REPLY_TIMEOUT_S))
+            lost = decision is None or (not reply.decision.done() and wait_s < REPLY_TIMEOUT_S)
+            return None if lost else decision
+        finally:
+            del link.pending[number]
+            if not reply.decision.done():
+                link.send(QuotaWithdrawn(number=number))
+
+    def on_limit_ended(self, server: RegisteredServer) -> None:
+        """Report to the issuer that a server has answered without a limit."""
+        task = asyncio.create_task(self.report_end(server))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def report_end(self, server: RegisteredServer) -> None:
+        """Send the report to the first issuer that can be reached."""
+        for issuer in self.issuers(server.service):
+            if issuer == self.own:
+                self.issuer.on_limit_ended(server.server)
+                return
+            match await self.peers.link(issuer):
+                case Ok(link):
+                    link.send(LimitEnded(server=server.server))
+                    return
+
+    def close(self) -> None:
+        """Stop issuing."""
+        self.issuer.close()
+        for task in self.tasks:
+            task.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -15,7 +15,6 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield.query_actions import CancelLeafCall, Finished, SendLeafCall, WakeAt
-from azurefield.server_limits import ServerLimits
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.connections import ServerConnections
@@ -23,6 +22,7 @@
 from azurefield_entry.gateway.outcomes import crashing_request_failure, describe
 from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, OpaqueAnswer
+from azurefield_entry.gateway.quotas import ServerQuotas
 from azurefield_entry.gateway.running import ActiveCall, RequestResult, RunningRequest
 from azurefield_entry.logs import describe_error
 
@@ -48,7 +48,7 @@
     metrics: GatewayMetrics
     report_crash: Callable[[str], None]
     store_age_s: Callable[[], float]
-    limits: ServerLimits = field(default_factory=ServerLimits)
+    quotas: ServerQuotas
     active_calls: dict[str, ActiveCall] = field(default_factory=dict)
 
     async def run(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
@@ -121,7 +121,7 @@
         call = self.active_calls.get(call_id)
         if call is None:
             return
-        if call.sent:
+        if call.sent_at is not None:
             asyncio.get_running_loop().call_later(
                 policies.SUPERSEDED_CALL_GRACE_S, call.task.cancel
             )
@@ -136,7 +136,7 @@
         except Exception as error:
             # Without a result the request would wait for this call until its deadline.
             log.error("A call to server {} failed: {}.", action.server, describe_error(error))
-            sent = self.active_calls[action.call_id].sent
+            sent = self.active_calls[action.call_id].sent_at is not None
             result = Err(
                 LeafFailure(
                     reason=LeafFailureReason.CONNECTION_LOST,
@@ -145,9 +145,10 @@
                 )
             )
         finally:
-            del self.active_calls[action.call_id]
+            call = self.active_calls.pop(action.call_id)
         ended_at = now()
-        self.record_limit(action.server, result, began)
+        if call.sent_at is not None:
+            self.record_limit(action.server, result, call.sent_at)
         match result:
             case Ok(answer):
                 label = str(answer.status)
@@ -167,6 +168,8 @@
         entry = self.directory.servers.get(action.server)
         if entry is None:
             return Err(LeafFailure(reason=LeafFailureReason.NO_SERVER, outcome=Outcome.NOT_RUN))
+        if not await self.quotas.acquire(entry, running.route.priority, action.start_by):
+            return Err(LeafFailure(reason=LeafFailureReason.RATE_LIMITED, outcome=Outcome.NOT_RUN))
         pool = self.connections.pool(entry)
         wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
         match await pool.acquire(priority=running.route.priority, deadline=wait_until):
@@ -174,7 +177,7 @@
                 return Err(failure)
             case Ok(connection):
                 pass
-        self.active_calls[action.call_id].sent = True
+        self.active_calls[action.call_id].sent_at = now()
         call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
         try:
             return await connection.exchange(call)
@@ -185,17 +188,21 @@
         self, server: str, result: Result[OpaqueAnswer, LeafFailure], sent_at: float
     ) -> None:
         """Record what an answer says of the rate limit of its server."""
+        limits = self.quotas.limits
         answer = result.ok_value if isinstance(result, Ok) else result.err_value
         if answer.limit_per_s is None:
             return
-        if self.limits.on_answer(now(), server, answer.limit_per_s, sent_at):
-            if server in self.limits.known:
+        if limits.on_answer(now(), server, answer.limit_per_s, sent_at):
+            if server in limits.known:
                 log.info(
                     "Server {} takes {} requests/s from all instances.", server, answer.limit_per_s
                 )
             else:
                 log.info("Server {} no longer names a limit.", server)
-            self.metrics.limited_servers.set(len(self.limits.known))
+                entry = self.directory.servers.get(server)
+                if entry is not None:
+                    self.quotas.on_limit_ended(entry)
+            self.metrics.limited_servers.set(len(limits.known))
 
     def connection_wait_s(self, route: Route) -> float:
         """Return how long a call may wait for a connection."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -25,10 +25,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class ActiveCall:
-    """A running call; ``sent`` is set once it has a connection."""
+    """A running call; ``sent_at`` is set once it has a connection."""
 
     task: asyncio.Task[None]
-    sent: bool = False
+    sent_at: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -19,6 +19,7 @@
 from azurefield.retry import WindowedBudget
 from azurefield.routes import RouteTable
 from azurefield.routing import OwnObservationRouter
+from azurefield.server_limits import ServerLimits
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.connections import ServerConnections
 from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, lost_failure
@@ -44,6 +45,7 @@
     Removed,
     ServerKey,
 )
+from azurefield_entry.gateway.quotas import ServerQuotas
 from azurefield_entry.gateway.request_runner import RequestRunner
 from azurefield_entry.kernel import Kernel, Stop, send_every
 from azurefield_entry.notify import notify, notify_all
@@ -85,6 +87,7 @@
     crash_reports: CrashReports = field(init=False)
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
+    quotas: ServerQuotas = field(init=False)
     planner: RequestPlanner = field(init=False)
     runner: RequestRunner = field(init=False)
     kernel: Kernel | None = None
@@ -102,8 +105,18 @@
                 random=self.router.random, failure_cost_s=self.router.failure_cost_s
             ),
         )
+        self.quotas = ServerQuotas(
+            own=self.instance,
+            limits=ServerLimits(),
+            peers=self.forwarding.peers,
+            instances=lambda: self.instances.names,
+            metrics=self.metrics,
+        )
         self.planner = RequestPlanner(
-            holders=self.directory, router=self.router, budget=self.budget
+            holders=self.directory,
+            router=self.router,
+            budget=self.budget,
+            limits=self.quotas.limits,
         )
         self.runner = RequestRunner(
             directory=self.directory,
@@ -113,6 +126,7 @@
             metrics=self.metrics,
             report_crash=self.report_crash,
             store_age_s=self.store_age_s,
+            quotas=self.quotas,
         )
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
@@ -141,7 +155,8 @@
                 case Stop():
                     break
         ticking.cancel()
-        self.forwarding.close()
+        self.quotas.close()
+        self.forwarding.peers.close()
         self.connections.retire_all()
 
     def now(self) -> float:
@@ -238,9 +253,9 @@
                 DirectoryChangeKind.LEAVING,
             ):
                 self.connections.retire(change.server)
-                self.runner.limits.forget(change.server)
+                self.quotas.limits.forget(change.server)
         self.metrics.servers.set(len(self.directory.servers))
-        self.metrics.limited_servers.set(len(self.runner.limits.known))
+        self.metrics.limited_servers.set(len(self.quotas.limits.known))
 
     def tick(self, now: float) -> None:
         """Expire old entries and adjust the hedge delays; runs every ``TICK_INTERVAL_S``."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -103,6 +103,7 @@
             address=settings.coordinator_address,
             version=lambda: None if gateway.table is None else gateway.table.version,
             run_request=gateway.run_forwarded,
+            quota_issuer=gateway.quotas.issuer,
             finish_timeout_s=finish_timeout_s,
         )
     if settings.relay_address is not None:
--- a/packages/azurefield-entry/src/azurefield_entry/query/booking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/booking.py
@@ -8,9 +8,9 @@
 
 from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.model import Outcome
-from azurefield.query import Holders
 from azurefield.query_actions import SendLeafCall
 from azurefield.routing import CallResult
+from azurefield.server_choice import Holders
 from azurefield.snapshot import Holding, LeafAnswer
 from azurefield_entry.messages import BookingAnswer, BookingRequest
 from azurefield_entry.query.failures import (
--- a/packages/azurefield-entry/src/azurefield_entry/query/quarantine.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/quarantine.py
@@ -21,7 +21,7 @@
     Suspect,
     fingerprint,
 )
-from azurefield.query import Holders
+from azurefield.server_choice import Holders
 from azurefield_entry.messages import SendToPeer
 from azurefield_entry.notify import notify
 from azurefield_entry.peers.frames import Conviction as ConvictionFields
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -19,12 +19,10 @@
 from azurefield.routes import Route, ShardSet
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.gateway.coordinator import CoordinatorService
-from azurefield_entry.gateway.forwarding import (
-    SILENCE_TIMEOUT_S,
-    Forwarding,
-    ForwardProblem,
-)
+from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem
+from azurefield_entry.gateway.peer_links import SILENCE_TIMEOUT_S
 from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_entry.gateway.quota_issuer import QuotaIssuer
 from azurefield_entry.gateway.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
@@ -99,6 +97,7 @@
         address=address,
         version=lambda: runner.version,
         run_request=runner.run,
+        quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
         finish_timeout_s=2.0,
     )
     mailbox = Mailbox(name="coordinator")
@@ -117,7 +116,7 @@
     try:
         yield Pair(forwarding=forwarding, coordinator=coordinator, mailbox=mailbox, serving=serving)
     finally:
-        forwarding.close()
+        forwarding.peers.close()
         mailbox.send(Stop())
         await serving
 
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -31,6 +31,17 @@
     SERVER_ERROR = "server_error"
     CANCELLED = "cancelled"
     NO_CAPACITY = "no_capacity"
+    RATE_LIMITED = "rate_limited"
+
+
+# No byte of such a call reached a server.
+NEVER_SENT_REASONS = frozenset(
+    {
+        LeafFailureReason.CONNECT_FAILED,
+        LeafFailureReason.NO_CAPACITY,
+        LeafFailureReason.RATE_LIMITED,
+    }
+)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -2,47 +2,39 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from dataclasses import dataclass, field, replace
+from math import inf
 from statistics import median
-from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+from typing import Generic, TypeVar
 
-from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
+from result import Err, Ok, Result
+
+from azurefield.failures import (
+    NEVER_SENT_REASONS,
+    LeafFailure,
+    LeafFailureReason,
+    RequestFailure,
+)
 from azurefield.hedging import HedgePolicy
 from azurefield.leaf_progress import LeafProgress, PendingCall
 from azurefield.merge import MergePolicy
 from azurefield.model import Outcome, Snapshot
 from azurefield.query_actions import Action, CancelLeafCall, Finished, SendLeafCall, WakeAt
+from azurefield.query_timers import QueryTimers
 from azurefield.retry import CallBudget
-from azurefield.routing import CallResult, Router
-from azurefield.snapshot import Holding
-
-if TYPE_CHECKING:
-    from result import Result
+from azurefield.routing import CallResult, Router, result_of
+from azurefield.server_choice import CallLimits, Holders, ServerChoice
+from azurefield.server_limits import NoServerLimits
 
 # Delay before a call is sent again to the servers that refused it. Refusals are usually brief.
 RESEND_DELAY_S = 0.05
+# A call waits for quota at most this fraction of its time; the rest is left to its server.
+QUOTA_WAIT_FRACTION = 0.75
+# Shortest time after which a caller whose request found no quota may retry.
+RETRY_AFTER_MIN_S = 0.1
 
 A = TypeVar("A")
 R = TypeVar("R")
-REFUSAL_REASONS = frozenset(
-    {
-        LeafFailureReason.DRAINING,
-        LeafFailureReason.SHEDDING,
-        LeafFailureReason.VERSION_MISSING,
-        LeafFailureReason.WRONG_LEAF,
-        LeafFailureReason.WRONG_SERVER,
-        LeafFailureReason.NO_CAPACITY,
-    }
-)
-NEVER_SENT_REASONS = frozenset({LeafFailureReason.CONNECT_FAILED, LeafFailureReason.NO_CAPACITY})
-
-
-class Holders(Protocol):
-    """Lists the usable backend servers of a leaf at a snapshot."""
-
-    def holders(self, now: float, holding: Holding) -> tuple[str, ...]:
-        """List the servers."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -73,6 +65,7 @@
     hedging: HedgePolicy
     retries: CallBudget
     idempotent: bool = True
+    limits: CallLimits = field(default_factory=NoServerLimits)
     attempts_max: int | None = None
     answer_by: float | None = None
     first_deadline: float | None = None
@@ -80,18 +73,25 @@
     leaf_of_call: dict[str, str] = field(default_factory=dict)
     open_leafs: set[str] = field(default_factory=set)
     answered: int = 0
-    # Heaps of due times and leaf positions, so that an event need not scan all leafs.
-    hedge_heap: list[tuple[float, int]] = field(default_factory=list)
-    resend_heap: list[tuple[float, int]] = field(default_factory=list)
+    timers: QueryTimers = field(default_factory=QueryTimers)
+    choice: ServerChoice = field(init=False)
     calls_sent: int = 0
     finished: bool = False
 
+    def __post_init__(self) -> None:
+        self.choice = ServerChoice(
+            snapshot=self.snapshot, holders=self.holders, router=self.router, limits=self.limits
+        )
+
     def start(self, now: float) -> list[Action[R]]:
         """Send the first call of each leaf; none if there can be no result."""
         actions: list[Action[R]] = []
+        self.progress = {
+            leaf: LeafProgress(position=position) for position, leaf in enumerate(self.leafs)
+        }
+        self.timers.progress = [*self.progress.values()]
         problem = self.reason_not_to_start(now)
-        for position, leaf in enumerate(self.leafs):
-            self.progress[leaf] = LeafProgress(position=position)
+        for leaf in self.leafs:
             if problem is not None:
                 self.progress[leaf].failure = problem
                 continue
@@ -107,13 +107,12 @@
         """Return why no call can lead to a result; None if calls can."""
         if now >= self.deadline:
             return LeafFailureReason.TIMEOUT
-        served = sum(bool(self.holders.holders(now, self.holding(leaf))) for leaf in self.leafs)
-        enough = self.merge.enough(answered=served, asked=len(self.leafs))
-        return None if enough else LeafFailureReason.NO_SERVER
-
-    def holding(self, leaf: str) -> Holding:
-        """Return what a server must hold to answer for a leaf."""
-        return Holding(leaf=leaf, snapshot=self.snapshot)
+        known = sum(bool(self.choice.servers(now, leaf)) for leaf in self.leafs)
+        if not self.merge.enough(answered=known, asked=len(self.leafs)):
+            return LeafFailureReason.NO_SERVER
+        opening = sum(self.choice.opens_at(now, leaf) < self.deadline for leaf in self.leafs)
+        enough = self.merge.enough(answered=opening, asked=len(self.leafs))
+        return None if enough else LeafFailureReason.RATE_LIMITED
 
     def on_answer(self, now: float, call_id: str, answer: A) -> list[Action[R]]:
         """Record a leaf's answer if the call is still pending and the answer belongs to it."""
@@ -142,7 +141,7 @@
             return []
         progress = self.progress[leaf]
         call = progress.pending.pop(call_id)
-        self.router.on_result(now, call.server, _call_result(failure), now - call.sent_at)
+        self.router.on_result(now, call.server, result_of(failure), now - call.sent_at)
         progress.failure = failure.reason
         progress.ended_attempts += failure.outcome is not Outcome.NOT_RUN
         actions: list[Action[R]] = []
@@ -165,7 +164,8 @@
 
         This applies to a leaf that has no pending call after a failure.
         """
-        at = now + RESEND_DELAY_S
+        opens_at = min(map(self.limits.opens_at, progress.refused_by), default=now)
+        at = max(now + RESEND_DELAY_S, opens_at)
         rerun_forbidden = progress.ended_attempts and not self.idempotent
         if (
             progress.refused_by
@@ -173,8 +173,7 @@
             and self.attempts_left(progress)
             and at < self.deadline
         ):
-            progress.resend_at = at
-            heappush(self.resend_heap, (at, progress.position))
+            self.timers.set_resend(progress, at)
 
     def resend(self, now: float, leaf: str, actions: list[Action[R]]) -> None:
         """Send a leaf's call again, also to the servers that did not run it before."""
@@ -195,7 +194,7 @@
         progress = self.progress[leaf]
         if not self.idempotent and progress.ended_attempts:
             return False
-        if not self.attempts_left(progress) or not self.untried(now, leaf):
+        if not self.attempts_left(progress) or not self.untried(now, leaf, open_by=self.deadline):
             return False
         return failure.reason in NEVER_SENT_REASONS or self.retries.try_spend(now, leaf)
 
@@ -210,10 +209,10 @@
             return []
         actions: list[Action[R]] = []
         if now < self.deadline:
-            for leaf in self.take_due_hedges(now):
-                self.send_hedge(now, leaf, self.progress[leaf], actions)
-            while self.resend_heap and self.resend_heap[0][0] <= now:
-                self.resend(now, self.leafs[heappop(self.resend_heap)[1]], actions)
+            for position in self.timers.take_due_hedges(now):
+                self.send_hedge(now, self.leafs[position], actions)
+            for position in self.timers.take_due_resends(now):
+                self.resend(now, self.leafs[position], actions)
         return self.finish_or_schedule_wake(now, actions)
 
     def cancel(self, now: float) -> list[Action[R]]:
@@ -231,43 +230,28 @@
             return None
         return leaf
 
-    def take_due_hedges(self, now: float) -> list[str]:
-        """Remove the due hedges from the heap and return their leafs in shard-map order."""
-        due = []
-        while self.hedge_heap and self.hedge_heap[0][0] <= now:
-            at, position = heappop(self.hedge_heap)
-            if self.is_current_hedge(at, position):
-                due.append(position)
-        return [self.leafs[position] for position in sorted(due)]
-
-    def is_current_hedge(self, at: float, position: int) -> bool:
-        """Whether a heap entry is the current hedge of a leaf that has not settled."""
-        leaf = self.leafs[position]
-        return leaf in self.open_leafs and self.progress[leaf].hedge_at == at
-
     def next_wake(self) -> float:
         """Return the earliest time of the next hedge, repeated call, early result and deadline."""
-        while self.hedge_heap and not self.is_current_hedge(*self.hedge_heap[0]):
-            heappop(self.hedge_heap)
         at = self.deadline
         if self.answer_by is not None and self.enough():
             at = min(at, self.answer_by)
-        due = [heap[0][0] for heap in (self.hedge_heap, self.resend_heap) if heap]
-        return min([at, *due])
+        return min(at, self.timers.next_due())
 
     def enough(self) -> bool:
         """Whether the leafs that have answered are enough for a result."""
         return self.merge.enough(answered=self.answered, asked=len(self.leafs))
 
-    def send_hedge(
-        self, now: float, leaf: str, progress: LeafProgress[A], actions: list[Action[R]]
-    ) -> None:
-        """Send a second call for a leaf whose only call exceeded the hedge delay."""
+    def send_hedge(self, now: float, leaf: str, actions: list[Action[R]]) -> None:
+        """Send a second call for a leaf whose only call exceeded the hedge delay.
+
+        It never waits for quota.
+        """
+        progress = self.progress[leaf]
         if len(progress.pending) != 1 or not self.idempotent:
             return
         if (
             self.attempts_left(progress)
-            and self.untried(now, leaf)
+            and self.untried(now, leaf, open_by=now)
             and self.hedging.try_spend(now, leaf)
         ):
             self.send(now, leaf, actions)
@@ -278,11 +262,9 @@
         possible = self.answered + len(self.open_leafs)
         return self.merge.enough(answered=possible, asked=len(self.leafs))
 
-    def untried(self, now: float, leaf: str) -> tuple[str, ...]:
-        """List the holders of a leaf that this query has not tried yet."""
-        tried = self.progress[leaf].tried
-        holders = self.holders.holders(now, self.holding(leaf))
-        return tuple(server for server in holders if server not in tried)
+    def untried(self, now: float, leaf: str, *, open_by: float) -> tuple[str, ...]:
+        """List the holders of a leaf that this query has not tried yet and that are open then."""
+        return self.choice.untried(now, leaf, self.progress[leaf].tried, open_by=open_by)
 
     def send(self, now: float, leaf: str, actions: list[Action[R]]) -> bool:
         """Send one call for a leaf to a backend server that was not tried yet.
@@ -290,8 +272,7 @@
         :return: whether a server could be chosen
         """
         progress = self.progress[leaf]
-        holders = self.holders.holders(now, self.holding(leaf))
-        server = self.router.choose(now, holders, progress.tried)
+        server = self.choice.choose(now, leaf, progress.tried, open_by=self.deadline)
         if server is None:
             return False
         if progress.first_sent_at is None:
@@ -302,21 +283,29 @@
         progress.tried.add(server)
         progress.pending[call_id] = PendingCall(server=server, sent_at=now)
         delay_s = self.hedging.delay_s(leaf)
-        progress.hedge_at = None if delay_s is None else now + delay_s
-        if progress.hedge_at is not None:
-            heappush(self.hedge_heap, (progress.hedge_at, progress.position))
+        self.timers.set_hedge(progress, None if delay_s is None else now + delay_s)
         self.router.on_dispatch(now, server)
+        deadline = self.call_deadline(now, leaf, progress)
         actions.append(
             SendLeafCall(
                 call_id=call_id,
                 leaf=leaf,
                 server=server,
                 snapshot=self.snapshot,
-                deadline=self.call_deadline(now, leaf, progress),
+                deadline=deadline,
+                start_by=self.start_by(now, leaf, deadline),
             )
         )
         return True
 
+    def start_by(self, now: float, leaf: str, deadline: float) -> float:
+        """Return until when a call may wait for quota: not at all if another server is open."""
+        if len(self.progress[leaf].pending) > 1 or self.untried(now, leaf, open_by=now):
+            return now
+        if self.answer_by is not None and now < self.answer_by:
+            deadline = min(deadline, self.answer_by)
+        return now + QUOTA_WAIT_FRACTION * (deadline - now)
+
     def call_deadline(self, now: float, leaf: str, progress: LeafProgress[A]) -> float:
         """Return the deadline of a call that is sent now."""
         if self.first_deadline is None or self.answer_by is None or now >= self.answer_by:
@@ -370,12 +359,12 @@
                 self.record_leaf_latency(now, leaf, progress)
             self.cancel_pending(now, progress, CallResult.TIMED_OUT, actions)
         self.finished = True
-        actions.append(Finished(result=self.result()))
+        actions.append(Finished(result=self.result(now)))
         return actions
 
-    def result(self) -> Result[R, RequestFailure]:
+    def result(self, now: float) -> Result[R, RequestFailure]:
         """Build the result, or the failure if too few leafs answered."""
-        return self.merge.result(
+        result = self.merge.result(
             leafs=self.leafs,
             snapshot=self.snapshot,
             answers={
@@ -390,6 +379,20 @@
             },
             outcome=self.outcome(),
         )
+        opens_at = self.opens_at(now)
+        if isinstance(result, Ok) or opens_at is None:
+            return result
+        return Err(replace(result.err_value, retry_after_s=opens_at - now))
+
+    def opens_at(self, now: float) -> float | None:
+        """Return when all leafs without quota may get a token; None if no leaf lacks it."""
+        opens = [
+            self.choice.opens_at(now, leaf)
+            for leaf, progress in self.progress.items()
+            if progress.answer is None and progress.failure is LeafFailureReason.RATE_LIMITED
+        ]
+        known = [at for at in opens if at < inf]
+        return max(now + RETRY_AFTER_MIN_S, *known) if known else None
 
     def outcome(self) -> Outcome:
         """Return whether any call of the query may have run."""
@@ -397,11 +400,3 @@
             entry.ended_attempts or entry.answer is not None for entry in self.progress.values()
         )
         return Outcome.MAY_HAVE_RUN if may_have_run else Outcome.NOT_RUN
-
-
-def _call_result(failure: LeafFailure) -> CallResult:
-    if failure.reason in REFUSAL_REASONS:
-        return CallResult.REFUSED
-    if failure.reason is LeafFailureReason.TIMEOUT:
-        return CallResult.TIMED_OUT
-    return CallResult.FAILED
--- a/packages/azurefield/src/azurefield/query_actions.py
+++ b/packages/azurefield/src/azurefield/query_actions.py
@@ -15,13 +15,17 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SendLeafCall:
-    """Send one call; its answer or failure must be passed back with the same ``call_id``."""
+    """Send one call; its answer or failure must be passed back with the same ``call_id``.
+
+    :param start_by: latest time until which the call may wait for quota of a server with a limit
+    """
 
     call_id: str
     leaf: str
     server: str
     snapshot: Snapshot
     deadline: float
+    start_by: float = float("inf")
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -8,6 +8,8 @@
 from statistics import median
 from typing import TYPE_CHECKING, Protocol
 
+from azurefield.failures import LeafFailure, LeafFailureReason
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -42,16 +44,31 @@
 
 
 class CallResult(StrEnum):
-    """How a leaf call ended, as far as routing is concerned."""
+    """How a leaf call ended, as far as routing is concerned.
+
+    ``NOT_SENT`` says nothing about the server.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
 
 
 FAILURE_RESULTS = frozenset({CallResult.REFUSED, CallResult.FAILED, CallResult.TIMED_OUT})
+# The server did not run the call.
+REFUSAL_REASONS = frozenset(
+    {
+        LeafFailureReason.DRAINING,
+        LeafFailureReason.SHEDDING,
+        LeafFailureReason.VERSION_MISSING,
+        LeafFailureReason.WRONG_LEAF,
+        LeafFailureReason.WRONG_SERVER,
+        LeafFailureReason.NO_CAPACITY,
+    }
+)
 
 
 class Router(Protocol):
@@ -361,3 +378,14 @@
         view.latency_s = None
         view.calls = 0
         view.consecutive_failures = 0
+
+
+def result_of(failure: LeafFailure) -> CallResult:
+    """Return how a failed call ended."""
+    if failure.reason is LeafFailureReason.RATE_LIMITED:
+        return CallResult.NOT_SENT
+    if failure.reason in REFUSAL_REASONS:
+        return CallResult.REFUSED
+    if failure.reason is LeafFailureReason.TIMEOUT:
+        return CallResult.TIMED_OUT
+    return CallResult.FAILED
--- a/packages/azurefield/src/azurefield/server_limits.py
+++ b/packages/azurefield/src/azurefield/server_limits.py
@@ -7,6 +7,8 @@
 
 # Value of a limit, in requests per second, of a server that names none.
 NO_LIMIT = inf
+# Shortest time for which a server is passed over after its quota was denied.
+DENIED_MIN_S = 0.02
 # A changed limit is logged only if it differs by at least this fraction.
 LOGGED_CHANGE_FRACTION = 0.25
 
@@ -28,10 +30,12 @@
 class ServerLimits:
     """The servers that have a limit; it holds as long as their answers name it.
 
+    :param denied_until: when a token is expected, by server and priority of the denied call
     :param logged: the limits in the last log lines, by server
     """
 
     known: dict[str, NamedLimit] = field(default_factory=dict)
+    denied_until: dict[str, dict[int, float]] = field(default_factory=dict)
     logged: dict[str, float] = field(default_factory=dict)
 
     def on_answer(self, now: float, server: str, limit_per_s: float, sent_at: float) -> bool:
@@ -51,8 +55,24 @@
             return False
         else:
             del self.known[server]
+            self.denied_until.pop(server, None)
         return self.is_worth_logging(server, limit_per_s)
 
+    def on_denied(self, now: float, server: str, priority: int, wait_s: float) -> None:
+        """Record that a call of a priority got no token; one is expected after ``wait_s``."""
+        until = now + max(DENIED_MIN_S, wait_s)
+        self.denied_until.setdefault(server, {})[priority] = until
+
+    def opens_at(self, server: str, priority: int) -> float:
+        """Return when a call may get a token; minus infinity if nothing speaks against it.
+
+        A denied call says nothing about calls of a higher priority, which overtake it.
+        """
+        denied = self.denied_until.get(server)
+        if not denied:
+            return -inf
+        return max((until for other, until in denied.items() if other <= priority), default=-inf)
+
     def is_worth_logging(self, server: str, limit_per_s: float) -> bool:
         """Whether a limit differs enough from the one in the last log line."""
         logged = self.logged.get(server, NO_LIMIT)
@@ -67,4 +87,28 @@
     def forget(self, server: str) -> None:
         """Drop a server that is gone or was started again."""
         self.known.pop(server, None)
+        self.denied_until.pop(server, None)
         self.logged.pop(server, None)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RouteServerLimits:
+    """The servers' limits as they concern the calls of one route.
+
+    :param priority: priority of the calls, 0 first
+    """
+
+    limits: ServerLimits
+    priority: int
+
+    def opens_at(self, server: str) -> float:
+        """Return when a call may get a token; minus infinity if nothing speaks against it."""
+        return self.limits.opens_at(server, self.priority)
+
+
+class NoServerLimits:
+    """No server has a limit."""
+
+    def opens_at(self, server: str) -> float:  # noqa: ARG002
+        """Return that a server may be called at any time."""
+        return -inf
