--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -17,6 +17,16 @@
 JSON = "application/json"
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreCopy:
+    """What a store held at a moment."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    events: list[dict[str, Any]]
+    leases: int
+
+
 @dataclass(slots=True, kw_only=True)
 class StoreStandIn:
     """A store of keys with revisions, watches, leases and transactions.
@@ -24,6 +34,7 @@
     :param down: whether every call is refused with 503
     :param oldest: watches from before this revision are answered with 410
     :param page: how many items one page of a listing holds at most
+    :param era: rises with each restore; sent in each answer
     """
 
     revision: int = 1
@@ -33,6 +44,7 @@
     leases: int = 0
     down: bool = False
     page: int = 500
+    era: int = 1
     address: str = ""
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -68,8 +80,29 @@
         self.oldest = self.revision
         self.events.clear()
 
+    def copy(self) -> StoreCopy:
+        """Copy what the store holds."""
+        return StoreCopy(
+            revision=self.revision,
+            items={**self.items},
+            events=[*self.events],
+            leases=self.leases,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace what the store holds by a copy; it loses what it has acknowledged since."""
+        self.revision, self.leases = copy.revision, copy.leases
+        self.items, self.events = {**copy.items}, [*copy.events]
+        self.era += 1
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        answer = await self.answer(request)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Build the answer to one call."""
         self.calls.append(request.path)
         if self.down:
             return web.Response(status=503)
@@ -104,7 +137,7 @@
     async def watch(self, query: Any) -> web.Response:
         """Answer at the first event, or without events after the wait."""
         after = int(query["after"])
-        if after < self.oldest:
+        if after < self.oldest or after > self.revision:
             return web.Response(status=410)
         deadline = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
         while True:
