Hold back a server's entry that a restored store lists again

A store that goes back some seconds lists servers that have left meanwhile. The directory ignored entries that were older than the removed one, but took one with the same number for a new start, so that a server which had left without announcing it was called again (the new test fails on the code before for the same number: it was used at once).

Such an entry, and an older one, is now held and used only if it is still listed after 6 s: the store drops it by then unless its server keeps it alive. Older entries were ignored for good before, which would lose a live server whose entry the store gives back unchanged.

--- a/packages/azurefield/src/azurefield/directory.py
+++ b/packages/azurefield/src/azurefield/directory.py
@@ -17,6 +17,8 @@
 # How long a removed entry is remembered, so that a delayed earlier entry does not bring its server
 # back.
 REMOVED_ENTRY_MEMORY_S = 60.0
+# A restored store may list a server that has left, until the entry expires there.
+RETURNED_ENTRY_HOLD_S = 6.0
 
 
 class RegisteredState(StrEnum):
@@ -54,6 +56,10 @@
             return False
         return (self.started_ms, self.entry_number) < (other.started_ms, other.entry_number)
 
+    def may_follow(self, other: RegisteredServer) -> bool:
+        """Whether this entry may have been written after another one of the same server."""
+        return self.started_ms is None or other.started_ms is None or other.is_older_than(self)
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RemovedEntry:
@@ -63,6 +69,17 @@
     at: float
 
 
+@dataclass(slots=True, kw_only=True)
+class HeldEntry:
+    """An entry that is back after its removal but is not newer than the removed one.
+
+    :param since: when it was first seen by ``Directory.expire``; None before
+    """
+
+    entry: RegisteredServer
+    since: float | None = None
+
+
 class DirectoryChangeKind(StrEnum):
     """Kind of a change of the directory.
 
@@ -93,7 +110,9 @@
     A server whose entry is removed is dropped at once, except shortly after an outage of the store.
     Then the entry may only have expired during the outage, so a live server is kept until
     ``REREGISTRATION_GRACE_S`` after the outage ended (``unconfirmed``). A server is unusable until
-    its entry changes if another server answers at its address (``misdirected``).
+    its entry changes if another server answers at its address (``misdirected``). An entry that is
+    back after its removal without being newer is from a restored store; it is used only if it is
+    still listed after ``RETURNED_ENTRY_HOLD_S`` (``held``).
     """
 
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
@@ -101,6 +120,7 @@
     unconfirmed: set[str] = field(default_factory=set)
     misdirected: set[str] = field(default_factory=set)
     removed: dict[str, RemovedEntry] = field(default_factory=dict)
+    held: dict[str, HeldEntry] = field(default_factory=dict)
     confirmation_deadline: float = float("-inf")
 
     def holders(self, now: float, holding: Holding) -> tuple[str, ...]:  # noqa: ARG002
@@ -114,11 +134,19 @@
     def on_entry(self, entry: RegisteredServer) -> list[DirectoryChange]:
         """Apply a new or changed entry; one that was written before a known one is ignored."""
         known = self.servers.get(entry.server)
+        if known is not None and entry.is_older_than(known):
+            return []
         removed = self.removed.get(entry.server)
-        latest = known or (removed.entry if removed is not None else None)
-        if latest is not None and entry.is_older_than(latest):
+        if removed is not None and not entry.may_follow(removed.entry):
+            self.held.setdefault(entry.server, HeldEntry(entry=entry))
             return []
+        return self.accept(entry)
+
+    def accept(self, entry: RegisteredServer) -> list[DirectoryChange]:
+        """Use an entry from now on."""
+        known = self.servers.get(entry.server)
         self.removed.pop(entry.server, None)
+        self.held.pop(entry.server, None)
         self.unconfirmed.discard(entry.server)
         if known == entry:
             self.servers[entry.server] = entry
@@ -139,6 +167,7 @@
 
     def on_removed(self, now: float, server: str) -> list[DirectoryChange]:
         """Apply the removal of an entry."""
+        self.held.pop(server, None)
         known = self.servers.get(server)
         if known is None:
             return []
@@ -158,6 +187,7 @@
             changes += self.on_entry(entry)
         for server in [name for name in self.servers if name not in entries]:
             changes += self.on_removed(now, server)
+        self.held = {name: held for name, held in self.held.items() if name in entries}
         return changes
 
     def on_misdirected(self, server: str) -> bool:
@@ -175,16 +205,28 @@
     def expire(self, now: float) -> list[DirectoryChange]:
         """Drop the unconfirmed servers that did not register again in time.
 
-        Entries that were removed long ago are forgotten.
+        Entries that were removed long ago are forgotten, and held ones that stay listed are used.
         """
         self.removed = {
             server: removed
             for server, removed in self.removed.items()
             if now - removed.at < REMOVED_ENTRY_MEMORY_S
         }
-        if not self.unconfirmed or now < self.confirmation_deadline:
-            return []
-        return [change for server in sorted(self.unconfirmed) for change in self.drop(now, server)]
+        changes = self.accept_held(now)
+        if self.unconfirmed and now >= self.confirmation_deadline:
+            for server in sorted(self.unconfirmed):
+                changes += self.drop(now, server)
+        return changes
+
+    def accept_held(self, now: float) -> list[DirectoryChange]:
+        """Use the entries that were held long enough and are still listed."""
+        changes = []
+        for held in [*self.held.values()]:
+            if held.since is None:
+                held.since = now
+            elif now - held.since >= RETURNED_ENTRY_HOLD_S:
+                changes += self.accept(held.entry)
+        return changes
 
     def drop(self, now: float, server: str) -> list[DirectoryChange]:
         """Drop a server and remember its last entry."""
--- a/packages/azurefield/tests/test_directory.py
+++ b/packages/azurefield/tests/test_directory.py
@@ -7,6 +7,7 @@
 from azurefield.directory import (
     REMOVED_ENTRY_MEMORY_S,
     REREGISTRATION_GRACE_S,
+    RETURNED_ENTRY_HOLD_S,
     Directory,
     DirectoryChangeKind,
     RegisteredServer,
@@ -167,3 +168,22 @@
     directory.on_removed(1.0, "s1")
     directory.expire(1.0 + REMOVED_ENTRY_MEMORY_S)
     assert directory.removed == {}
+
+
+@pytest.mark.parametrize("entry_number", [7, 8], ids=["older", "same"])
+@pytest.mark.parametrize("stays", [True, False])
+def test_an_entry_from_a_restored_store_is_used_only_if_it_stays_listed(
+    entry_number: int, stays: bool
+) -> None:
+    """Guards against a server that has left and is used again because the store went back."""
+    directory = Directory()
+    directory.on_entry(replace(SERVER, started_ms=5, entry_number=8))
+    directory.on_removed(1.0, "s1")
+    returned = replace(SERVER, started_ms=5, entry_number=entry_number)
+    assert directory.on_listing(2.0, {"s1": returned}) == []
+    assert directory.expire(2.1) == []
+    assert usable(directory) == ()
+    if not stays:
+        directory.on_removed(5.0, "s1")
+    directory.expire(2.1 + RETURNED_ENTRY_HOLD_S)
+    assert usable(directory) == (("s1",) if stays else ())
