Read everything again when the store was restored from an older copy

Cause: revisions were compared across a restore. An instance watched from the last revision it knew; by then the store had given that revision out again, so it answered without an error and without what had been written at lower revisions. Class: a number that is unique only within one history, used without naming the history. The same held for the number of the instance's lease, the frames of relays, the follower's first frame, pages of a listing, and a long watch as the first call after an outage.

Change: the adapter passes on the era that the store names in each answer. StorePosition, in the library, compares eras: a newer era is a loss, an older one a stale sender, none says nothing. On a loss an instance lists again, treats missing servers as after an outage, and writes its entry and its crash reports again (OwnEntries, split from metadata.py); versions, servers' newer entries and the count of instances never go back. A lease ends with its era. Relays disconnect followers of another era.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -13,7 +13,8 @@
 class MetadataListed:
     """From ``metadata``: a complete listing of the store.
 
-    :param after_outage: whether this is the first answer after an outage of the store
+    :param after_outage: whether this is the first answer after an outage of the store, or after it
+        has lost changes, so that entries may be missing for now
     """
 
     listing: Listing
@@ -40,12 +41,14 @@
     :param after: the revision that was known before
     :param encoded: the reply as the store sent it; empty if it holds no change
     :param age_s: time since the store sent it; 0 unless another relay forwarded it
+    :param era: the store's era; None if it names none
     """
 
     after: int
     revision: int
     encoded: bytes = b""
     age_s: float = 0.0
+    era: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from azurefield.relay_tree import RelayTree
+from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
@@ -20,13 +21,13 @@
     StoreWatchEnded,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.own_entries import OwnEntries
 from azurefield_entry.gateway.ports import (
     Changes,
-    CrashReportEntry,
     HistoryLost,
     InstanceEntry,
     InstanceKey,
-    LeaseEnded,
+    Listing,
     MetadataStore,
     Removed,
 )
@@ -50,10 +51,6 @@
 FOLLOWER_CHANGE_BATCH_S = 1.0
 RETRY_BACKOFF_MIN_S = 0.1
 RETRY_BACKOFF_MAX_S = 0.8
-# An instance that stopped without notice stays listed, and counts in the division of connections,
-# until its lease ends.
-INSTANCE_LEASE_S = 15.0
-LEASE_RENEW_INTERVAL_S = 5.0
 # Longest wait of one watch of an instance that others follow. With the heartbeats of two levels of
 # relays it bounds the age of the store's last reply at an instance.
 RELAY_WATCH_WAIT_S = 0.9
@@ -79,6 +76,9 @@
     :param entry: this instance's entry in the store
     :param relay_addresses: ``host:port`` of the instances that can relay changes, by name
     :param avoided_until: when each lost relay may be used again
+    :param position: up to where the store's changes are known; kept while they are read again
+    :param history_unconfirmed: whether the next watch must return at once, since the store may have
+        been restored meanwhile
     """
 
     entry: InstanceEntry
@@ -87,56 +87,62 @@
     metrics: GatewayMetrics
     store_available: bool = True
     backoff_s: float = RETRY_BACKOFF_MIN_S
-    write_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     tree: RelayTree = field(init=False)
     relay_addresses: dict[str, str] = field(default_factory=dict)
     avoided_until: dict[str, float] = field(default_factory=dict)
+    position: StorePosition | None = None
+    history_unconfirmed: bool = False
+    own_entries: OwnEntries = field(init=False)
 
     def __post_init__(self) -> None:
+        self.own_entries = OwnEntries(
+            entry=self.entry, store=self.store, random=self.random, metrics=self.metrics
+        )
         self.tree = RelayTree(own=self.entry.instance, own_zone=self.entry.availability_zone)
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Run the calls to the store until ``Stop``."""
         tasks = [
             asyncio.create_task(self.follow_store(kernel)),
-            asyncio.create_task(self.keep_registered()),
+            asyncio.create_task(self.own_entries.keep_registered()),
         ]
         while True:
             match await mailbox.receive():
                 case ReportCrash(request=request, ttl_s=ttl_s):
-                    task = asyncio.create_task(self.report_crash(request, ttl_s))
-                    self.write_tasks.add(task)
-                    task.add_done_callback(self.write_tasks.discard)
+                    self.own_entries.report_crash(request, ttl_s)
                 case SettingsChanged(settings=settings):
                     self.store.use_address(settings.store_address)
                 case Stop():
                     break
-        for task in [*tasks, *self.write_tasks]:
+        tasks += self.own_entries.tasks
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, *self.write_tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def follow_store(self, kernel: Kernel) -> None:
         """Read everything, then follow the changes; read again if changes are missing."""
-        revision: int | None = None
+        position: StorePosition | None = None
         while True:
-            if revision is None:
-                revision = await self.list_all(kernel)
+            if position is None:
+                position = await self.list_all(kernel)
                 continue
             relay = self.choose_relay()
             if relay is not None:
                 if not self.tree.is_relay:
                     notify(kernel, "relay", StoreWatchEnded())
-                revision = await self.follow_relay(kernel, relay, revision)
-            revision = await self.watch(kernel, revision)
+                position = await self.follow_relay(kernel, relay, position)
+            if position is not None:
+                position = await self.watch(kernel, position)
 
-    async def list_all(self, kernel: Kernel) -> int | None:
+    async def list_all(self, kernel: Kernel) -> StorePosition | None:
         """Read everything.
 
-        :return: the revision of the listing; None if the store failed
+        :return: the position of the listing; None if the store failed
         """
         match await self.store.list_all():
             case Ok(listing):
-                after_outage = self.record_success()
+                restored = self.record_listing(listing)
+                after_outage = self.record_success() or restored
                 kernel.lookup("gateway").send(
                     MetadataListed(listing=listing, after_outage=after_outage)
                 )
@@ -144,31 +150,64 @@
                 self.relay_addresses.clear()
                 self.update_tree(listing.items)
                 revision = listing.revision
-                notify(kernel, "relay", StoreReplyReceived(after=revision, revision=revision))
-                return revision
+                reply = StoreReplyReceived(after=revision, revision=revision, era=listing.era)
+                notify(kernel, "relay", reply)
+                return self.position
             case Err(failure):
                 await self.record_failure(failure)
         return None
 
-    async def watch(self, kernel: Kernel, revision: int) -> int | None:
-        """Wait for changes of the store after a revision and forward them.
+    def record_listing(self, listing: Listing) -> bool:
+        """Record the position of a listing.
+
+        Versions, servers' entries and the count of instances never go back with the store; what
+        this instance wrote is written again.
+
+        :return: whether the store was restored since the last known position
+        """
+        known = self.position
+        self.position = StorePosition(revision=listing.revision, era=listing.era)
+        if known is None or known.relation_of(listing.era) is HistoryRelation.CONTINUES:
+            return False
+        log.warning(
+            "The store was restored: era {} after {}, revision {} after {}; writing this instance's"
+            " entries again.",
+            listing.era,
+            known.era,
+            listing.revision,
+            known.revision,
+        )
+        self.metrics.store_restores.inc()
+        self.own_entries.write_again(listing.era)
+        return True
+
+    async def watch(self, kernel: Kernel, position: StorePosition) -> StorePosition | None:
+        """Wait for changes of the store after a position and forward them.
 
-        :return: the revision up to which changes are known; None if everything must be read again
+        :return: the position up to which changes are known; None if everything must be read again
         """
-        wait_s = RELAY_WATCH_WAIT_S if self.tree.is_relay else WATCH_WAIT_S
-        match await self.store.watch(revision, wait_s):
+        revision = position.revision
+        match await self.store.watch(revision, self.watch_wait_s):
+            case Ok(changes) if position.relation_of(changes.era) is not HistoryRelation.CONTINUES:
+                notify(kernel, "relay", StoreWatchEnded())
+                return None
             case Ok(changes):
+                self.history_unconfirmed = False
                 self.forward_changes(kernel, changes, age_s=0.0)
                 notify(
                     kernel,
                     "relay",
                     StoreReplyReceived(
-                        after=revision, revision=changes.revision, encoded=changes.encoded
+                        after=revision,
+                        revision=changes.revision,
+                        encoded=changes.encoded,
+                        era=changes.era,
                     ),
                 )
+                self.position = position.advance(changes.revision, changes.era)
                 if changes.items:
                     await asyncio.sleep(self.change_batch_s)
-                return changes.revision
+                return self.position
             case Err(HistoryLost()):
                 log.info(
                     "The store no longer has the changes after revision {}; listing again.",
@@ -179,7 +218,14 @@
             case Err(problem):
                 notify(kernel, "relay", StoreWatchEnded())
                 await self.record_failure(problem)
-        return revision
+        return position
+
+    @property
+    def watch_wait_s(self) -> float:
+        """Return how long the next watch may wait for changes."""
+        if self.history_unconfirmed:
+            return 0.0
+        return RELAY_WATCH_WAIT_S if self.tree.is_relay else WATCH_WAIT_S
 
     @property
     def change_batch_s(self) -> float:
@@ -214,12 +260,14 @@
         usable = [name for name in upstreams if self.avoided_until.get(name, now) <= now]
         return self.random.choice(usable) if usable else None
 
-    async def follow_relay(self, kernel: Kernel, relay: str, revision: int) -> int:
+    async def follow_relay(
+        self, kernel: Kernel, relay: str, position: StorePosition
+    ) -> StorePosition | None:
         """Follow a relay until it is lost.
 
-        :return: the revision up to which changes are known
+        :return: the position up to which changes are known; None if everything must be read again
         """
-        revision, lost = await self.receive_frames(kernel, relay, revision)
+        self.position, lost = await self.receive_frames(kernel, relay, position)
         log.info(
             "The relay of instance {} is unusable: {}; using another relay or the store.",
             relay,
@@ -227,48 +275,53 @@
         )
         now = asyncio.get_running_loop().time()
         self.avoided_until[relay] = now + RELAY_RETRY_DELAY_S
-        return revision
+        self.history_unconfirmed = True
+        return None if lost.store_restored else self.position
 
     async def receive_frames(
-        self, kernel: Kernel, relay: str, revision: int
-    ) -> tuple[int, RelayLost]:
-        """Receive frames from a relay; each must continue from the known revision.
+        self, kernel: Kernel, relay: str, position: StorePosition
+    ) -> tuple[StorePosition, RelayLost]:
+        """Receive frames from a relay; each must continue from the known position.
 
         A relay passes them on to its own followers.
         """
-        match await open_relay(self.relay_addresses.get(relay, ""), revision):
+        match await open_relay(self.relay_addresses.get(relay, ""), position):
             case Err(lost):
-                return revision, lost
+                return position, lost
             case Ok(link):
                 log.info("Following instance {} for store changes.", relay)
         try:
             while True:
                 match await link.receive():
                     case Err(lost):
-                        return revision, lost
+                        return position, lost
                     case Ok(frame):
                         pass
-                if frame.age_s > RELAYED_AGE_MAX_S or frame.after > revision:
-                    return revision, RelayLost(
-                        detail=f"frame is {frame.age_s:.1f} s old or skips changes"
-                    )
-                if frame.encoded and frame.revision <= revision:
+                problem = check_frame(frame, position)
+                if problem is not None:
+                    return position, problem
+                if frame.encoded and frame.revision <= position.revision:
                     continue
                 match self.decode_frame(frame):
                     case Err(malformed):
-                        return revision, RelayLost(detail=malformed.detail)
+                        return position, RelayLost(detail=malformed.detail)
                     case Ok(changes):
                         self.forward_changes(kernel, changes, age_s=frame.age_s)
-                        self.relay_frame(kernel, frame, revision)
-                        revision = max(revision, changes.revision)
+                        self.relay_frame(kernel, frame, position)
+                        revision = max(position.revision, changes.revision)
+                        position = position.advance(revision, frame.era)
         finally:
             link.close()
 
-    def relay_frame(self, kernel: Kernel, frame: RelayFrame, revision: int) -> None:
+    def relay_frame(self, kernel: Kernel, frame: RelayFrame, position: StorePosition) -> None:
         """Pass a frame on to the followers of this instance, if it is a relay."""
         if self.tree.is_relay:
             reply = StoreReplyReceived(
-                after=revision, revision=frame.revision, encoded=frame.encoded, age_s=frame.age_s
+                after=position.revision,
+                revision=frame.revision,
+                encoded=frame.encoded,
+                age_s=frame.age_s,
+                era=frame.era,
             )
             notify(kernel, "relay", reply)
 
@@ -297,60 +350,18 @@
         if self.store_available:
             log.warning("A call to the store failed: {}; retrying until it answers.", failure)
         self.store_available = False
+        self.history_unconfirmed = True
         await asyncio.sleep(self.backoff_s * (0.5 + self.random.random()))
         longest_s = FOLLOWER_BACKOFF_MAX_S if self.tree.upstreams() else RETRY_BACKOFF_MAX_S
         self.backoff_s = min(longest_s, 2 * self.backoff_s)
 
-    async def keep_registered(self) -> None:
-        """Keep this instance's entry in the store, under a lease that ends if it is not renewed."""
-        lease: int | None = None
-        while True:
-            if lease is None:
-                lease = await self.register_instance()
-            else:
-                match await self.store.renew_lease(lease):
-                    case Err(LeaseEnded()):
-                        log.info(
-                            "The lease of this instance's entry has ended; writing the entry again."
-                        )
-                        lease = None
-                        continue
-                    case Err(failure):
-                        self.metrics.store_failures.inc()
-                        log.warning(
-                            "The lease of this instance's entry was not renewed: {}; trying again.",
-                            failure,
-                        )
-            await asyncio.sleep(LEASE_RENEW_INTERVAL_S * (0.9 + 0.2 * self.random.random()))
-
-    async def register_instance(self) -> int | None:
-        """Write this instance's entry.
-
-        :return: the entry's lease; None if the store did not confirm the write
-        """
-        return await self.put(self.entry, INSTANCE_LEASE_S)
-
-    async def report_crash(self, request: str, ttl_s: float) -> None:
-        """Write a report, for all instances, that a request crashed servers here."""
-        await self.put(CrashReportEntry(instance=self.entry.instance, request=request), ttl_s)
 
-    async def put(self, entry: InstanceEntry | CrashReportEntry, ttl_s: float) -> int | None:
-        """Write an entry under a new lease.
-
-        :return: the lease; None if the store did not confirm the lease and the write
-        """
-        match await self.store.new_lease(ttl_s):
-            case Ok(lease):
-                pass
-            case Err(failure):
-                self.metrics.store_failures.inc()
-                log.warning(
-                    "Could not get a lease for the entry {}: {}; it is not written.", entry, failure
-                )
-                return None
-        match await self.store.put(entry, lease):
-            case Err(problem):
-                self.metrics.store_failures.inc()
-                log.warning("Could not write the entry {}: {}.", entry, problem)
-                return None
-        return lease
+def check_frame(frame: RelayFrame, position: StorePosition) -> RelayLost | None:
+    """Return why a frame can't be used after a position; None if it can."""
+    relation = position.relation_of(frame.era)
+    if relation is not HistoryRelation.CONTINUES:
+        restored = relation is HistoryRelation.RESTORED
+        return RelayLost(detail=f"frame of era {frame.era}", store_restored=restored)
+    if frame.age_s > RELAYED_AGE_MAX_S or frame.after > position.revision:
+        return RelayLost(detail=f"frame is {frame.age_s:.1f} s old or skips changes")
+    return None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -25,6 +25,7 @@
     version_in_force: Gauge = field(init=False)
     store_failures: Counter = field(init=False)
     store_contact_at: Gauge = field(init=False)
+    store_restores: Counter = field(init=False)
     log_lines_dropped: Counter = field(init=False)
 
     def __post_init__(self) -> None:
@@ -88,6 +89,11 @@
             "Time of the last answer of the store, on the process's monotonic clock.",
             registry=registry,
         )
+        self.store_restores = Counter(
+            "azurefield_gateway_store_restores",
+            "Restores of the platform's store from an older copy that this process has noticed.",
+            registry=registry,
+        )
         self.log_lines_dropped = Counter(
             "azurefield_gateway_log_lines_dropped",
             "Log lines dropped because there were too many or their reader was too slow.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -193,10 +193,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Listing:
-    """All items of the store that concern the gateway, as of ``revision`` or later."""
+    """All items of the store that concern the gateway, as of ``revision`` or later.
+
+    :param era: rises when the store is restored from a copy; None if the store names none
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -204,11 +208,13 @@
     """What changed in the store, in order, up to ``revision``.
 
     :param encoded: the store's reply, for ``decode_changes``; empty if it holds no change
+    :param era: rises when the store is restored from a copy; None if the store names none
     """
 
     items: tuple[Item | Removed, ...]
     revision: int
     encoded: bytes = b""
+    era: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -216,9 +222,20 @@
     """The store no longer has all changes after the requested revision."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Lease:
+    """A lease of the store; its number means another lease in another era.
+
+    :param era: the store's era when it was granted; None if the store names none
+    """
+
+    number: int
+    era: int | None = None
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LeaseEnded:
-    """The lease of an entry has ended."""
+    """The lease of an entry has ended, or the store has lost it."""
 
 
 class MetadataStore(Protocol):
@@ -242,15 +259,15 @@
 
     async def new_lease(
         self, ttl_s: float
-    ) -> Result[int, PlatformUnavailable | ReplyLost | InvalidCall]:
+    ) -> Result[Lease, PlatformUnavailable | ReplyLost | InvalidCall]:
         """Create a lease."""
 
     async def renew_lease(
-        self, lease: int
+        self, lease: Lease
     ) -> Result[None, LeaseEnded | PlatformUnavailable | ReplyLost | InvalidCall]:
         """Renew a lease."""
 
     async def put(
-        self, entry: InstanceEntry | CrashReportEntry, lease: int
+        self, entry: InstanceEntry | CrashReportEntry, lease: Lease
     ) -> Result[None, LeaseEnded | PlatformUnavailable | ReplyLost | InvalidCall]:
         """Write an entry; the store removes it when its lease ends."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
@@ -16,6 +16,7 @@
 from logbook import Logger
 from result import Err, Ok, Result
 
+from azurefield.store_position import StorePosition
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.messages import StoreReplyReceived, StoreWatchEnded, Tick
@@ -39,9 +40,10 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class FollowRequest:
-    """First frame of a follower: it has all changes up to the revision ``after``."""
+    """First frame of a follower: it has all changes up to the revision ``after`` of an era."""
 
     after: int
+    era: int | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -49,12 +51,14 @@
     """The store's reply with the changes between two revisions; a heartbeat if these are equal.
 
     :param age_s: time since the store confirmed the later revision
+    :param era: the store's era; None if it names none
     """
 
     after: int
     revision: int
     encoded: bytes = b""
     age_s: float = 0.0
+    era: int | None = None
 
 
 FOLLOW_REQUEST = msgspec.msgpack.Decoder(FollowRequest)
@@ -63,9 +67,13 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RelayLost:
-    """The relay can't be reached, is silent, does not watch the store or sent a bad frame."""
+    """The relay can't be reached, is silent, does not watch the store or sent a bad frame.
+
+    :param store_restored: whether the relay knows of a restore of the store that is new here
+    """
 
     detail: str
+    store_restored: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -73,12 +81,12 @@
     """Sends the store's replies to followers while this instance receives them itself.
 
     :param address: ``host:port`` on which followers connect
-    :param revision: the last known revision; None while this instance receives no replies
+    :param position: the last known revision; None while this instance receives no replies
     :param confirmed_at: when the store confirmed that revision
     """
 
     address: str
-    revision: int | None = None
+    position: StorePosition | None = None
     confirmed_at: float = 0.0
     history: deque[RelayFrame] = field(default_factory=lambda: deque(maxlen=HISTORY_FRAMES_MAX))
     followers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -98,8 +106,8 @@
                     self.forward_reply(reply)
                 case StoreWatchEnded():
                     self.disconnect_followers()
-                case Tick() if self.revision is not None:
-                    self.send_to_all(self.heartbeat(self.revision))
+                case Tick() if self.position is not None:
+                    self.send_to_all(self.heartbeat(self.position))
                 case Stop():
                     break
         ticking.cancel()
@@ -110,16 +118,20 @@
     def forward_reply(self, reply: StoreReplyReceived) -> None:
         """Record a reply of the store and send it to all followers."""
         self.confirmed_at = now() - reply.age_s
-        if self.revision != reply.after:
+        if self.position is not None and self.position.era != reply.era:
+            # The followers know revisions of another era.
+            self.disconnect_followers()
+        if self.position is None or self.position.revision != reply.after:
             # Changes may be missing in between, and followers need a history without gaps.
             self.history.clear()
-        self.revision = reply.revision
+        self.position = StorePosition(revision=reply.revision, era=reply.era)
         if reply.encoded:
             frame = RelayFrame(
                 after=reply.after,
                 revision=reply.revision,
                 encoded=reply.encoded,
                 age_s=reply.age_s,
+                era=reply.era,
             )
             self.history.append(frame)
             self.send_to_all(frame)
@@ -130,15 +142,20 @@
             log.info(
                 "Disconnecting {} followers; the store is not watched here.", len(self.followers)
             )
-        self.revision = None
+        self.position = None
         self.history.clear()
         for writer in self.followers:
             writer.close()
         self.followers.clear()
 
-    def heartbeat(self, revision: int) -> RelayFrame:
+    def heartbeat(self, position: StorePosition) -> RelayFrame:
         """Build a frame without changes, with the age of the last reply."""
-        return RelayFrame(after=revision, revision=revision, age_s=now() - self.confirmed_at)
+        return RelayFrame(
+            after=position.revision,
+            revision=position.revision,
+            age_s=now() - self.confirmed_at,
+            era=position.era,
+        )
 
     def send_to_all(self, frame: RelayFrame) -> None:
         """Send a frame to all followers."""
@@ -158,7 +175,7 @@
         try:
             async with asyncio.timeout(FOLLOW_REQUEST_TIMEOUT_S):
                 request = await read_frame(reader, FOLLOW_REQUEST)
-            if self.add_follower(request.after, writer):
+            if self.add_follower(request, writer):
                 await reader.read()
         except (OSError, EOFError, msgspec.DecodeError) as error:
             log.info("The connection to a follower has failed: {!r}.", error)
@@ -166,20 +183,20 @@
             self.followers.discard(writer)
             writer.close()
 
-    def add_follower(self, after: int, writer: asyncio.StreamWriter) -> bool:
+    def add_follower(self, request: FollowRequest, writer: asyncio.StreamWriter) -> bool:
         """Register a new follower and send it the changes that it lacks.
 
         :return: whether the history has all these changes; otherwise it is not registered
         """
-        if self.revision is None:
+        if self.position is None or self.position.era != request.era:
             return False
-        oldest = self.history[0].after if self.history else self.revision
-        if after < oldest:
+        oldest = self.history[0].after if self.history else self.position.revision
+        if request.after < oldest:
             return False
         for frame in self.history:
-            if frame.revision > after:
+            if frame.revision > request.after:
                 writer.write(encode(frame))
-        writer.write(encode(self.heartbeat(self.revision)))
+        writer.write(encode(self.heartbeat(self.position)))
         self.followers.add(writer)
         return True
 
@@ -204,13 +221,13 @@
         self.writer.close()
 
 
-async def open_relay(address: str, after: int) -> Result[RelayLink, RelayLost]:
-    """Connect to ``host:port`` and request the changes after a revision."""
+async def open_relay(address: str, position: StorePosition) -> Result[RelayLink, RelayLost]:
+    """Connect to ``host:port`` and request the changes after a position."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, int(port))
     except (OSError, ValueError) as error:
         return Err(RelayLost(detail=repr(error)))
-    writer.write(encode(FollowRequest(after=after)))
+    writer.write(encode(FollowRequest(after=position.revision, era=position.era)))
     return Ok(RelayLink(reader=reader, writer=writer))
--- a/packages/azurefield-entry/tests/gateway/test_relay.py
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -8,6 +8,7 @@
 import pytest
 from result import Err, Ok, Result
 
+from azurefield.store_position import StorePosition
 from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
@@ -17,12 +18,14 @@
 )
 from azurefield_entry.gateway.metadata import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.own_entries import OwnEntries
 from azurefield_entry.gateway.ports import (
     Changes,
     CrashReportEntry,
     HistoryLost,
     InstanceEntry,
     Item,
+    Lease,
     LeaseEnded,
     Listing,
     Removed,
@@ -64,11 +67,11 @@
         await kernel.stop("relay")
 
 
-async def connect(address: str, after: int) -> RelayLink:
+async def connect(address: str, after: int, era: int | None = None) -> RelayLink:
     """Connect to a relay, retrying until it listens."""
     async with asyncio.timeout(5):
         while True:
-            match await open_relay(address, after):
+            match await open_relay(address, StorePosition(revision=after, era=era)):
                 case Ok(link):
                     return link
                 case Err(_):
@@ -163,16 +166,16 @@
             return Err(MalformedReply(detail="rubbish"))
         return Ok(Changes(items=(InstanceEntry(instance="new"),), revision=int(encoded)))
 
-    async def new_lease(self, ttl_s: float) -> Result[int, PlatformUnavailable]:  # noqa: ARG002
-        return Ok(1)
+    async def new_lease(self, ttl_s: float) -> Result[Lease, PlatformUnavailable]:  # noqa: ARG002
+        return Ok(Lease(number=1))
 
     async def renew_lease(
-        self, lease: int  # noqa: ARG002
+        self, lease: Lease  # noqa: ARG002
     ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         return Ok(None)
 
     async def put(
-        self, entry: InstanceEntry | CrashReportEntry, lease: int  # noqa: ARG002
+        self, entry: InstanceEntry | CrashReportEntry, lease: Lease  # noqa: ARG002
     ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         return Ok(None)
 
@@ -333,7 +336,7 @@
 
 
 async def test_a_port_without_a_listener_is_no_relay() -> None:
-    result = await open_relay(f"{HOST}:1", after=1)
+    result = await open_relay(f"{HOST}:1", StorePosition(revision=1))
     assert isinstance(result, Err)
     assert isinstance(result.err_value, RelayLost)
 
@@ -364,3 +367,141 @@
         await wait_until(lambda: store.watches > 0, "the instance watches the store")
         ages = [m.age_s for m in recorder.messages if isinstance(m, MetadataChanged)]
     assert max(ages) + HEARTBEAT_INTERVAL_S < CONFIGURATION_DUE_S
+
+
+@pytest.mark.parametrize(
+    ("reply", "follower_era"),
+    [
+        pytest.param(StoreReplyReceived(after=5, revision=5, era=2), 1, id="relay-ahead"),
+        pytest.param(StoreReplyReceived(after=5, revision=5, era=1), 2, id="follower-ahead"),
+    ],
+)
+async def test_a_follower_of_another_era_is_not_served(
+    reply: StoreReplyReceived, follower_era: int
+) -> None:
+    """Guards against a follower that compares revisions of two histories of the store."""
+    async with relay() as (kernel, address):
+        kernel.lookup("relay").send(reply)
+        link = await connect(address, after=5, era=follower_era)
+        assert isinstance(await link.receive(), Err)
+        link.close()
+
+
+async def test_a_relay_disconnects_its_followers_when_the_store_was_restored() -> None:
+    """Guards against followers that ignore new changes because their revisions are lower."""
+    async with relay() as (kernel, address):
+        mailbox = kernel.lookup("relay")
+        mailbox.send(StoreReplyReceived(after=61, revision=61, era=1))
+        link = await connect(address, after=61, era=1)
+        assert isinstance(await link.receive(), Ok)
+        mailbox.send(StoreReplyReceived(after=40, revision=40, era=2))
+        async with asyncio.timeout(5):
+            while isinstance(await link.receive(), Ok):
+                pass
+        link.close()
+
+
+class EraRelay:
+    """A relay whose frames are of one era."""
+
+    def __init__(self, era: int) -> None:
+        self.era = era
+        self.followers = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Send heartbeats until the follower disconnects."""
+        await read_frame(reader, FOLLOW_REQUEST)
+        self.followers += 1
+        while not reader.at_eof():
+            writer.write(encode(RelayFrame(after=5, revision=5, era=self.era)))
+            await asyncio.sleep(0.01)
+        writer.close()
+
+
+class RestoredStore(FakeStore):
+    """Counts the listings; the store is in era 2 from the second listing on."""
+
+    def __init__(self, items: tuple[Item, ...]) -> None:
+        super().__init__(items)
+        self.listings = 0
+        self.waits_s: list[float] = []
+
+    async def list_all(self) -> Result[Listing, PlatformUnavailable]:
+        self.listings += 1
+        return Ok(Listing(items=self.items, revision=5, era=min(2, self.listings)))
+
+    async def watch(
+        self, after: int, wait_s: float
+    ) -> Result[Changes, HistoryLost | PlatformUnavailable]:
+        self.watches += 1
+        self.waits_s.append(wait_s)
+        await asyncio.sleep(min(0.05, wait_s))
+        return Ok(Changes(items=(), revision=after, era=min(2, self.listings)))
+
+
+@pytest.mark.parametrize(
+    ("relay_era", "lists_again"), [(2, True), (0, False)], ids=["newer-era", "older-era"]
+)
+async def test_a_follower_reads_everything_again_only_if_its_relay_knows_a_newer_era(
+    relay_era: int, lists_again: bool
+) -> None:
+    """Guards against a stale relay that looks like a loss, and a loss that looks like one."""
+    relay = EraRelay(relay_era)
+    server = await asyncio.start_server(relay.serve, HOST, 0)
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    store, recorder, kernel = RestoredStore(zone_entries(address)), Recorder(), Kernel()
+    entry = InstanceEntry(instance="c", availability_zone="z", relay_address=address)
+    kernel.register("gateway", recorder)
+    kernel.register(
+        "metadata",
+        MetadataService(entry=entry, store=store, random=Random(1), metrics=GatewayMetrics()),
+    )
+    async with server:
+        kernel.start()
+        await wait_until(lambda: relay.followers > 0, "the relay is followed")
+        if lists_again:
+            await wait_until(lambda: store.listings == 2, "everything is read again")
+            listed = [m for m in recorder.messages if isinstance(m, MetadataListed)]
+            assert listed[-1].after_outage, "missing entries are kept for now"
+        else:
+            await wait_until(lambda: store.watches > 0, "the instance watches the store")
+            assert store.waits_s[0] == 0.0, "it asks for the era at once"
+            assert store.listings == 1
+        await kernel.stop("metadata")
+        await kernel.stop("gateway")
+
+
+class WritingStore(FakeStore):
+    """Records what is written, and under which lease; ``era`` is the current one."""
+
+    def __init__(self) -> None:
+        super().__init__(())
+        self.era = 1
+        self.written: list[tuple[InstanceEntry | CrashReportEntry, int | None]] = []
+
+    async def new_lease(self, ttl_s: float) -> Result[Lease, PlatformUnavailable]:  # noqa: ARG002
+        return Ok(Lease(number=len(self.written), era=self.era))
+
+    async def put(
+        self, entry: InstanceEntry | CrashReportEntry, lease: Lease
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
+        self.written.append((entry, lease.era))
+        return Ok(None)
+
+
+async def test_an_instance_writes_what_still_holds_again_after_a_loss_of_the_store() -> None:
+    """Guards against instances that are not counted, and crash reports that end, after a loss."""
+    store, entry = WritingStore(), InstanceEntry(instance="c")
+    own = OwnEntries(entry=entry, store=store, random=Random(1), metrics=GatewayMetrics())
+    keeping = asyncio.create_task(own.keep_registered())
+    own.report_crash("ended", 0.0)
+    own.report_crash("holds", 60.0)
+    await wait_until(lambda: len(store.written) == 3, "all entries are written")
+    store.written.clear()
+    store.era = 2
+    own.write_again(2)
+    await wait_until(lambda: len(store.written) == 2, "they are written again")
+    holds = CrashReportEntry(instance="c", request="holds")
+    assert {entry for entry, _ in store.written} == {entry, holds}
+    assert {era for _, era in store.written} == {2}
+    keeping.cancel()
--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
@@ -14,7 +15,7 @@
 from azurefield_platform.failures import MalformedReply, PlatformUnavailable, ReplyLost
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import AsyncIterator
 
 CONNECT_TIMEOUT_S = 1.0
 REPLY_TIMEOUT_S = 3.0
@@ -30,6 +31,7 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -64,7 +66,7 @@
             return Err(MalformedReply(detail=f"reply of more than {REPLY_BYTES_MAX} bytes"))
         if response.status >= 500 or response.status == 429:
             return Err(PlatformUnavailable(detail=f"status {response.status}"))
-        return Ok(Reply(status=response.status, body=body))
+        return Ok(Reply(status=response.status, body=body, headers=response.headers))
 
     async def write(
         self, path: str, body: bytes, headers: Mapping[str, str], *, method: str = "PUT"
@@ -89,7 +91,8 @@
                 timeout=self.timeout(0.0),
                 allow_redirects=False,
             ) as response:
-                reply = Reply(status=response.status, body=await read_bounded(response))
+                body_read = await read_bounded(response)
+                reply = Reply(status=response.status, body=body_read, headers=response.headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(PlatformUnavailable(detail=describe(error)))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -35,6 +35,7 @@
     :param oldest: watches from before this revision are answered with 410
     :param page: how many items one page of a listing holds at most
     :param era: rises with each restore; sent in each answer
+    :param restored_before: the store is restored before it answers with the page after this key
     """
 
     revision: int = 1
@@ -45,6 +46,7 @@
     down: bool = False
     page: int = 500
     era: int = 1
+    restored_before: str | None = None
     address: str = ""
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -125,6 +127,8 @@
 
     def range(self, query: Any) -> web.Response:
         """Answer with one page of items."""
+        if query.get("after") == self.restored_before is not None:
+            self.restore(self.copy())
         keys = sorted(
             key
             for key in self.items
--- a/tests/fleet/test_names.py
+++ b/tests/fleet/test_names.py
@@ -18,6 +18,7 @@
     "Instance-Id",
     "Deadline-Ms",
     "Server-Limit",
+    "Store-Era",
     "kv-key",
     "kv-range",
     "kv-watch",
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -10,9 +11,11 @@
 
 from azurefield.directory import RegisteredServer
 from azurefield.routes import RouteTable
+from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.gateway.ports import (
     HistoryLost,
     InstanceEntry,
+    Lease,
     LeaseEnded,
     Removed,
     ServerKey,
@@ -63,7 +66,8 @@
         assert isinstance(written, RegisteredServer)
         assert removed == Removed(key=ServerKey(server="i-1"))
         assert changes.ok_value.revision == stand_in.revision
-        assert store.decode_changes(changes.ok_value.encoded) == changes
+        again = store.decode_changes(changes.ok_value.encoded).unwrap()
+        assert replace(again, era=stand_in.era) == changes.ok_value
 
 
 async def test_a_watch_wakes_when_something_changes_and_ends_when_nothing_does() -> None:
@@ -97,7 +101,7 @@
             await store.list_all(),
             await store.watch(1, 0.1),
             await store.new_lease(5.0),
-            await store.renew_lease(1),
+            await store.renew_lease(Lease(number=1)),
         ):
             assert isinstance(result, Err)
             assert isinstance(result.err_value, PlatformUnavailable)
@@ -109,6 +113,39 @@
         lease = (await store.new_lease(5.0)).ok()
         assert lease is not None
         assert await store.put(InstanceEntry(instance="n1"), lease) == Ok(None)
-        assert stand_in.items["azurefield/instances/n1"]["lease"] == lease
+        assert stand_in.items["azurefield/instances/n1"]["lease"] == lease.number
         assert await store.renew_lease(lease) == Ok(None)
-        assert await store.renew_lease(lease + 1) == Err(LeaseEnded())
+        assert await store.renew_lease(replace(lease, number=lease.number + 1)) == Err(LeaseEnded())
+
+
+async def test_a_listing_whose_pages_are_of_two_eras_is_no_listing() -> None:
+    """Guards against a listing that mixes what the store held before and after a loss."""
+    async with opened() as (stand_in, store):
+        stand_in.page = 1
+        for name in ("i-1", "i-2", "i-3"):
+            stand_in.put(f"servers/{name}", LEAF.entry())
+        listing = await store.list_all()
+        assert listing.unwrap().era == stand_in.era
+        stand_in.restored_before = "servers/i-2"
+        assert isinstance((await store.list_all()).err(), PlatformUnavailable)
+
+
+async def test_a_lease_ends_with_the_era_in_which_it_was_granted() -> None:
+    """Guards against an entry that is kept by the lease of another client."""
+    async with opened() as (stand_in, store):
+        lease = (await store.new_lease(5.0)).unwrap()
+        stand_in.restore(stand_in.copy())
+        assert await store.renew_lease(lease) == Err(LeaseEnded())
+        assert await store.put(InstanceEntry(instance="n1"), lease) == Err(LeaseEnded())
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "9" * 40])
+async def test_an_unreadable_era_is_no_loss_of_the_store(era: str) -> None:
+    """Guards against instances that read everything again because of a malformed answer."""
+    async with opened() as (stand_in, store):
+        before = await store.list_all()
+        stand_in.era = era  # type: ignore[assignment]
+        changes = await store.watch(stand_in.revision, 0.0)
+        assert changes.unwrap().era is None
+        known = StorePosition(revision=1, era=before.unwrap().era)
+        assert known.relation_of(None) is HistoryRelation.CONTINUES
