--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas.py
@@ -40,7 +40,7 @@
 REPLY_TIMEOUT_S = 0.15
 # An unreachable issuer is passed over for this time.
 UNREACHABLE_S = 2.0
-# An issuer other than the first and its deputy issues so little that only this instance uses it.
+# Number of other instances that are asked; a further one issues too little to be worth a call.
 REMOTE_ISSUERS = 2
 log = Logger("quotas")
 
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -364,19 +364,13 @@
 
     def result(self, now: float) -> Result[R, RequestFailure]:
         """Build the result, or the failure if too few leafs answered."""
+        entries = self.progress.items()
+        unanswered = [(leaf, entry.failure) for leaf, entry in entries if entry.answer is None]
         result = self.merge.result(
             leafs=self.leafs,
             snapshot=self.snapshot,
-            answers={
-                leaf: entry.answer
-                for leaf, entry in self.progress.items()
-                if entry.answer is not None
-            },
-            failures={
-                leaf: entry.failure
-                for leaf, entry in self.progress.items()
-                if entry.answer is None and entry.failure is not None
-            },
+            answers={leaf: entry.answer for leaf, entry in entries if entry.answer is not None},
+            failures={leaf: failure for leaf, failure in unanswered if failure is not None},
             outcome=self.outcome(),
         )
         opens_at = self.opens_at(now)
@@ -387,12 +381,13 @@
     def opens_at(self, now: float) -> float | None:
         """Return when all leafs without quota may get a token; None if no leaf lacks it."""
         opens = [
-            self.choice.opens_at(now, leaf)
+            at
             for leaf, progress in self.progress.items()
-            if progress.answer is None and progress.failure is LeafFailureReason.RATE_LIMITED
+            if progress.answer is None
+            and progress.failure is LeafFailureReason.RATE_LIMITED
+            and (at := self.choice.opens_at(now, leaf)) < inf
         ]
-        known = [at for at in opens if at < inf]
-        return max(now + RETRY_AFTER_MIN_S, *known) if known else None
+        return max(now + RETRY_AFTER_MIN_S, *opens) if opens else None
 
     def outcome(self) -> Outcome:
         """Return whether any call of the query may have run."""
