Play limits of leafs and restores of the store in the soak

Two new faults: the leafs of a service name 0.5, 3 or 20 requests/s for a while, and the store returns from a copy up to 2.5 s old, after which the operator's and the leafs' entries are written again. After the faults, each run checks that a new version is in force at all gateways within 3 s and that three leafs which name 2 requests/s get no more than tolerated in 4 s. The gateways get two ports, so that they issue quota to each other.

--- a/tests/soak/soak/faults.py
+++ b/tests/soak/soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from base64 import b64decode
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 MEAN_PAUSE_S = 0.3
 FAULT_MAX_S = 2.5
 SUSPENSION_MAX_S = 2.5
+RESTORE_MAX_S = 1.0
+LIMITS_PER_S = (0.5, 3.0, 20.0)
 # The entry of a crashed leaf is removed after this time; a drained leaf stops this long after its
 # removal.
 REMOVAL_DELAY_S = 1.0
@@ -45,6 +48,8 @@
             self.make_store_unavailable,
             self.drop_store_history,
             self.expire_leases,
+            self.restore_store,
+            self.limit_leafs,
             self.suspend,
             self.terminate,
             self.kill,
@@ -125,6 +130,30 @@
             if key.startswith("azurefield/"):
                 self.site.store.remove(key)
 
+    async def restore_store(self) -> None:
+        """Let the store return from a copy; what the operator and the leafs wrote is back."""
+        store = self.site.store
+        copy = store.copy()
+        await self.wait(FAULT_MAX_S)
+        store.down = True
+        written = {
+            key: item for key, item in store.items.items() if not key.startswith("azurefield/")
+        }
+        store.restore(copy)
+        for key in [key for key in store.items if key.startswith("servers/")]:
+            if key not in written:
+                store.remove(key)
+        for key, item in written.items():
+            if store.items.get(key, {}).get("value") != item["value"]:
+                store.put(key, b64decode(item["value"]))
+        await self.wait(RESTORE_MAX_S)
+        store.down = False
+
+    async def limit_leafs(self) -> None:
+        """Let the leafs of one active service name a limit of requests per second."""
+        service = self.site.random.choice(self.site.services_in_force)
+        await self.site.limit(service, self.site.random.choice(LIMITS_PER_S), FAULT_MAX_S)
+
     async def suspend(self) -> None:
         """Suspend a gateway process for a while."""
         gateway = self.choose_gateway()
--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -18,7 +18,8 @@
 class Leaf:
     """One leaf; its ``behaviour`` applies to ``faulty_fraction`` of its requests.
 
-    ``duplicate_answers`` holds the answers to be sent a second time, by connection.
+    ``duplicate_answers`` holds the answers to be sent a second time, by connection. While
+    ``limit_per_s`` is set, its answers name this limit, and ``arrivals`` holds when requests came.
     """
 
     name: str
@@ -29,6 +30,8 @@
     behaviour: str = "answer"
     faulty_fraction: float = 0.3
     down: bool = False
+    limit_per_s: float | None = None
+    arrivals: list[float] = field(default_factory=list)
     duplicate_answers: dict[asyncio.Transport, bytes] = field(default_factory=dict)
 
     def registry_entry(self, address: str, state: str = "ready") -> dict[str, object]:
@@ -57,6 +60,9 @@
         if request.headers.get("Expected-Instance") != self.name:
             return web.Response(status=421, headers=id_header | {"Not-Executed": "1"})
         body = await request.read()
+        if self.limit_per_s is not None:
+            id_header["Server-Limit"] = str(self.limit_per_s)
+            self.arrivals.append(asyncio.get_running_loop().time())
         # A duplicate of the last answer is sent where the answer to this request is expected.
         transport.write(self.duplicate_answers.pop(transport, b""))
         behaviour = self.behaviour if self.random.random() < self.faulty_fraction else "answer"
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -17,7 +17,7 @@
 from soak.faults import FaultInjector
 from soak.history import History
 from soak.proxy import ConnectionFault
-from soak.site import GATEWAYS, Site
+from soak.site import DESKS, GATEWAYS, Site
 
 from azurefield_testkit.waiting import ConditionNotMetError, wait_until
 
@@ -27,6 +27,10 @@
 SETTLE_TIME_S = 6.0
 RECOVERY_LIMIT_S = 12.0
 CHECKS_PER_GATEWAY = 10
+CONFIGURATION_DUE_S = 3.0
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_DURATION_S = 5.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -70,6 +74,7 @@
         proxy.fault = ConnectionFault.NONE
     for leaf in site.leafs.values():
         leaf.behaviour = "answer"
+        leaf.limit_per_s = None
         if leaf.down:
             site.unregister(leaf.name)
     for gateway in site.gateways.values():
@@ -86,6 +91,28 @@
         history.add_violation("RECOVER", "-", str(error))
 
 
+async def check_limit(site: Site, history: History) -> None:
+    """Check that all gateways together keep to a limit when there are no faults."""
+    began = asyncio.get_running_loop().time()
+    leafs = await site.limit(DESKS[site.desk_index], LIMIT_PER_S, LIMIT_DURATION_S)
+    bound = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
+    for leaf in leafs:
+        settled = [at for at in leaf.arrivals if at - began > LIMIT_DURATION_S - LIMIT_WINDOW_S]
+        if len(settled) > bound:
+            history.add_violation("LIMIT", leaf.name, f"{len(settled)} requests, allowed {bound}")
+
+
+async def check_configuration(site: Site, history: History) -> None:
+    """Check that a new version is in force at all gateways in time."""
+    site.put_config()
+    line = f"Configuration version {site.version} is in force"
+    await asyncio.sleep(CONFIGURATION_DUE_S)
+    for gateway in site.gateways.values():
+        output = gateway.process.output if gateway.process is not None else []
+        if not any(line in entry for entry in output):
+            history.add_violation("CONFIG", gateway.name, f"version {site.version} is missing")
+
+
 async def rolling_restart(site: Site, callers: Callers) -> None:
     """Restart all gateways one after another; no request that ran may stay unanswered."""
     callers.planned_restarts_only = True
@@ -135,6 +162,8 @@
             clear_faults(site)
             await check_recovery(site, history)
             await asyncio.sleep(SETTLE_TIME_S)
+            await check_configuration(site, history)
+            await check_limit(site, history)
             await rolling_restart(site, callers)
             await check_service(site, callers, history)
         finally:
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -50,7 +50,7 @@
         self.caller_address, self.readiness_address = (
             f"{HOST}:{PORT_ALLOCATOR.free_port()}" for _ in range(2)
         )
-        self.relay_port = PORT_ALLOCATOR.free_port()
+        self.relay_port = PORT_ALLOCATOR.free_port_pair()
 
     @property
     def settings(self) -> Path:
@@ -61,7 +61,7 @@
         """Write the settings file."""
         self.settings.write_text(
             f'node_name = "{self.name}"\nzone = "one"\nip = "{HOST}"\n'
-            f"port_range = [{self.relay_port}, {self.relay_port}]\n"
+            f"port_range = [{self.relay_port}, {self.relay_port + 1}]\n"
             f'[listen]\nfrontend = "{self.caller_address}"\n'
             f'readiness = "{self.readiness_address}"\n'
             f"[bounds]\ngrace_s = {GATEWAY_GRACE_S}\nbudget_slack = 50\n"
@@ -201,6 +201,17 @@
             ),
         )
 
+    async def limit(self, service: str, limit_per_s: float, duration_s: float) -> list[Leaf]:
+        """Let the leafs of a service name a limit for a while; return these leafs."""
+        leafs = [leaf for leaf in self.leafs.values() if leaf.service == service]
+        for leaf in leafs:
+            leaf.limit_per_s = limit_per_s
+            leaf.arrivals.clear()
+        await asyncio.sleep(duration_s)
+        for leaf in leafs:
+            leaf.limit_per_s = None
+        return leafs
+
     async def restart_on_exit(self, gateway: Gateway) -> None:
         """Restart a gateway whenever it exits; exits that the test did not cause are violations."""
         while self.supervising:
