--- a/packages/azurefield-entry/src/azurefield_entry/front/service_queue.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/service_queue.py
@@ -12,10 +12,10 @@
     AdmissionQueue,
     AdmissionRequest,
     Admitted,
-    ConcurrencyLimit,
     Decision,
     Queued,
 )
+from azurefield.concurrency_limit import ConcurrencyLimit
 from azurefield.failures import RequestFailure
 from azurefield.fairness import ShareExchange
 from azurefield.model import ServiceConfig
--- a/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
@@ -13,11 +13,11 @@
     AdmissionQueue,
     AdmissionRequest,
     Admitted,
-    ConcurrencyLimit,
     Decision,
     Queued,
     Refused,
 )
+from azurefield.concurrency_limit import ConcurrencyLimit
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.fairness import ShareExchange, UseMeter
 from azurefield.hedging import BudgetedHedging, HedgePolicy, NoHedging
--- a/packages/azurefield-testkit/src/azurefield_testkit/cost/pure.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/cost/pure.py
@@ -7,7 +7,8 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from azurefield.admission import AdmissionQueue, AdmissionRequest, ConcurrencyLimit
+from azurefield.admission import AdmissionQueue, AdmissionRequest
+from azurefield.concurrency_limit import ConcurrencyLimit
 from azurefield.hedging import BudgetedHedging
 from azurefield.limits import ConnectionShares
 from azurefield.membership import Heartbeat, InstanceState, KnownInstance
--- a/packages/azurefield/tests/test_admission.py
+++ b/packages/azurefield/tests/test_admission.py
@@ -10,11 +10,11 @@
     AdmissionQueue,
     AdmissionRequest,
     Admitted,
-    ConcurrencyLimit,
     Decision,
     Queued,
     Refused,
 )
+from azurefield.concurrency_limit import ConcurrencyLimit
 from azurefield.failures import FailureKind
 from azurefield.model import Outcome, RequestKind
 
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -1,8 +1,9 @@
-"""Limits of a fan-out: attempts, non-idempotent requests and early answers."""
+"""Limits of a fan-out: attempts, non-idempotent requests, early answers and rate limits."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -25,6 +26,8 @@
 LOST = LeafFailure(reason=LeafFailureReason.CONNECTION_LOST, outcome=Outcome.MAY_HAVE_RUN)
 SHED = LeafFailure(reason=LeafFailureReason.SHEDDING, outcome=Outcome.NOT_RUN)
 UNREACHABLE = LeafFailure(reason=LeafFailureReason.CONNECT_FAILED, outcome=Outcome.NOT_RUN)
+DENIED = LeafFailure(reason=LeafFailureReason.RATE_LIMITED, outcome=Outcome.NOT_RUN)
+LIMITED = ("s1", "s2", "s3")
 TOP = TopRecordsMerge(top=3, coverage_min=0.5, record_bytes=2)
 
 
@@ -259,3 +262,103 @@
     result = result_of(actions)
     assert result.err_value.outcome is Outcome.NOT_RUN
     assert result.err_value.retry_after_s
+
+
+@dataclass(slots=True, kw_only=True)
+class Limits:
+    """When each server opens; the others are open."""
+
+    opens: dict[str, float] = field(default_factory=dict)
+
+    def opens_at(self, server: str) -> float:
+        return self.opens.get(server, -inf)
+
+
+def limited(limits: Limits, leafs: tuple[str, ...] = ("a",), **options: Any) -> FanOut[Any, Any]:
+    """Build a fan-out over servers with rate limits; it may not send any retry."""
+    fields: dict[str, Any] = {"merge": SingleAnswer(), "holders": SameHolders(names=LIMITED)}
+    retries = WindowedBudget(ratio=0.0, window_s=10.0)
+    return fan_out(leafs=leafs, limits=limits, retries=retries, **(fields | options))
+
+
+def calls(actions: list[Action[Any]]) -> list[SendLeafCall]:
+    """Return the calls that the actions send."""
+    return [action for action in actions if isinstance(action, SendLeafCall)]
+
+
+@pytest.mark.parametrize(
+    ("opens", "server", "start_by"),
+    [
+        pytest.param({}, None, 0.0, id="all-open"),
+        pytest.param({"s1": 0.3, "s2": 0.2}, "s3", 0.75, id="one-open"),
+        pytest.param({"s1": 0.3, "s2": 0.2, "s3": 0.4}, "s2", 0.75, id="none-open"),
+    ],
+)
+def test_a_call_waits_for_quota_only_if_no_other_server_is_open(
+    opens: dict[str, float], server: str | None, start_by: float
+) -> None:
+    """Guards against calls that queue for a limited server beside one that could run them."""
+    [call] = calls(limited(Limits(opens=opens)).start(0.0))
+    assert server in (None, call.server)
+    assert call.start_by == pytest.approx(start_by)
+
+
+def test_a_denied_call_goes_to_another_server_without_spending_the_budget() -> None:
+    """Guards against a limit on one server that uses up the retries of its service."""
+    limits = Limits()
+    query = limited(limits)
+    [first] = calls(query.start(0.0))
+    limits.opens[first.server] = 0.5
+    actions = query.on_failure(0.01, first.call_id, DENIED)
+    [second] = calls(actions)
+    assert second.server != first.server
+    assert result_of(query.on_answer(0.1, second.call_id, "answer")) == Ok("answer")
+
+
+def test_a_call_that_was_denied_everywhere_is_sent_when_a_server_opens() -> None:
+    """Guards against polling of servers whose quota is used up."""
+    limits = Limits(opens={"s2": 0.4, "s3": 0.6})
+    query = limited(limits)
+    actions = query.start(0.0)
+    for opens_at in (0.5, 0.4, 0.6):
+        [call] = calls(actions)
+        limits.opens[call.server] = opens_at
+        actions = query.on_failure(0.01, call.call_id, DENIED)
+    assert not calls(actions)
+    [wake] = [action.at for action in actions if isinstance(action, WakeAt)]
+    assert wake == pytest.approx(0.4)
+    [resent] = calls(query.on_tick(0.4))
+    assert resent.server == "s2"
+
+
+@pytest.mark.parametrize(
+    ("opens", "retry_after_s"),
+    [({"s1": 3.0, "s2": 2.5, "s3": 4.0}, 2.5), ({"s1": 1.01, "s2": 1.2, "s3": 1.02}, 1.01)],
+)
+def test_a_request_without_quota_in_time_is_rejected_at_once_with_the_time_to_come_back(
+    opens: dict[str, float], retry_after_s: float
+) -> None:
+    """Guards against requests that are held until their deadline, or told nothing useful."""
+    result = result_of(limited(Limits(opens=opens)).start(0.0))
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.NOT_RUN
+    assert result.err_value.retry_after_s == pytest.approx(retry_after_s)
+
+
+def test_a_hedge_never_waits_for_quota() -> None:
+    """Guards against hedges that take tokens from first calls."""
+    query = limited(Limits(opens={"s2": 0.5, "s3": 0.5}), hedging=EarlyHedge())
+    assert len(calls(query.start(0.0))) == 1
+    assert not calls(query.on_tick(0.05))
+
+
+def test_a_limited_shard_does_not_hold_up_a_query_that_is_complete_enough() -> None:
+    """Guards against a whole listing that waits for one shard whose servers are all limited."""
+    merge = TopRecordsMerge(top=2, coverage_min=0.5, record_bytes=2)
+    limits = Limits()
+    query = limited(limits, ("a", "b"), merge=merge, answer_by=0.2)
+    first, second = calls(query.start(0.0))
+    query.on_answer(0.05, first.call_id, Part(proof="p", body=b"xx"))
+    limits.opens = dict.fromkeys(LIMITED, 5.0)
+    result = result_of(query.on_failure(0.06, second.call_id, DENIED))
+    assert result == Ok(MergedParts(proofs=("p",), missing=1, body=b"xx"))
