Let expired leases of the store stand-in fail their renewal

The fault expire_leases removed the instances' keys but their leases could still be renewed, so that the instances were never listed again. After the 12 s for which a missing instance counts, each took itself for the only issuer.

A real store answers 404 to such a renewal, and the instance writes its entry again, which a new test of the process shows. The violation now says how many instances are listed.

--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -34,6 +34,7 @@
     :param down: whether every call is refused with 503
     :param oldest: watches from before this revision are answered with 410
     :param page: how many items one page of a listing holds at most
+    :param ended_leases: the leases that have expired; their renewal fails
     :param era: rises with each restore; sent in each answer
     :param restored_before: the store is restored before it answers with the page after this key
     """
@@ -43,6 +44,7 @@
     events: list[dict[str, Any]] = field(default_factory=list)
     oldest: int = 0
     leases: int = 0
+    ended_leases: set[int] = field(default_factory=set)
     down: bool = False
     page: int = 500
     era: int = 1
@@ -71,6 +73,12 @@
         del self.items[key]
         self.append_event({"key": key, "revision": self.revision, "removed": True})
 
+    def expire_leases(self, prefix: str) -> None:
+        """Let the leases of all keys with a prefix expire."""
+        for key in [key for key in self.items if key.startswith(prefix)]:
+            self.ended_leases.add(self.items[key]["lease"])
+            self.remove(key)
+
     def append_event(self, event: dict[str, Any]) -> None:
         """Append an event and wake the watches."""
         self.events.append(event)
@@ -116,9 +124,11 @@
                 return await self.watch(request.query)
             case ["kv-lease"]:
                 self.leases += 1
+                self.ended_leases.discard(self.leases)
                 return web.json_response({"lease": self.leases, "ttl_ms": body["ttl_ms"]})
             case ["kv-keep", lease]:
-                return web.json_response({}, status=200 if int(lease) <= self.leases else 404)
+                exists = int(lease) <= self.leases and int(lease) not in self.ended_leases
+                return web.json_response({}, status=200 if exists else 404)
             case ["kv-txn"]:
                 for entry in body["set_keys"]:
                     self.put(entry["key"], b64decode(entry["value"]), entry["lease"])
--- a/tests/fleet/test_store_loss.py
+++ b/tests/fleet/test_store_loss.py
@@ -109,3 +109,11 @@
         await site.wait_for_log("The store answers again")
         await site.call("/s/x", "q1")
         assert "version=5" in await site.wait_for_line_of("q1")
+
+
+async def test_an_instance_is_registered_again_after_its_lease_has_expired(tmp_path: Path) -> None:
+    """Guards against an instance that is no longer counted although it runs."""
+    async with serving(tmp_path) as site:
+        await wait_until(lambda: OWN_KEY in site.store.items, "the instance is registered")
+        site.store.expire_leases(OWN_KEY)
+        await wait_until(lambda: OWN_KEY in site.store.items, "again", limit_s=LIMIT_S)
--- a/tests/soak/soak/faults.py
+++ b/tests/soak/soak/faults.py
@@ -125,10 +125,8 @@
         self.site.store.forget_history()
 
     async def expire_leases(self) -> None:
-        """Remove all keys of the instances from the store, as if their leases had expired."""
-        for key in [*self.site.store.items]:
-            if key.startswith("azurefield/"):
-                self.site.store.remove(key)
+        """Let the leases of all entries of the instances expire."""
+        self.site.store.expire_leases("azurefield/")
 
     async def restore_store(self) -> None:
         """Let the store return from a copy; what the operator and the leafs wrote is back."""
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -96,10 +96,12 @@
     began = asyncio.get_running_loop().time()
     leafs = await site.limit(DESKS[site.desk_index], LIMIT_PER_S, LIMIT_DURATION_S)
     bound = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
+    listed = sum(key.startswith("azurefield/instances/") for key in site.store.items)
     for leaf in leafs:
         settled = [at for at in leaf.arrivals if at - began > LIMIT_DURATION_S - LIMIT_WINDOW_S]
         if len(settled) > bound:
-            history.add_violation("LIMIT", leaf.name, f"{len(settled)} requests, allowed {bound}")
+            detail = f"{len(settled)} requests, allowed {bound}; {listed} instances are listed"
+            history.add_violation("LIMIT", leaf.name, detail)
 
 
 async def check_configuration(site: Site, history: History) -> None:
