--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -338,7 +338,7 @@
 def test_a_request_without_quota_in_time_is_rejected_at_once_with_the_time_to_come_back(
     opens: dict[str, float], retry_after_s: float
 ) -> None:
-    """Guards against requests that are held until their deadline, or get no useful time to retry."""
+    """Guards against requests that are held until their deadline, or get no time to retry."""
     result = result_of(limited(Limits(opens=opens)).start(0.0))
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.NOT_RUN
