--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -115,6 +115,7 @@
 
     async def start(self) -> None:
         """Start the store and the leafs, then the gateways."""
+        PORT_ALLOCATOR.used_ports.clear()
         self.store.address = await self.serve(self.store.handle)
         self.history.services = {"listing": set(), "single": set(DESKS), "order": set(DESKS)}
         for shards in SHARD_SETS:
