Count only calls that were sent as possibly run at the deadline

Callers saw: 504, which promises nothing, for a request none of whose calls had been sent.

A call that still waits for quota or for a connection is pending too, but has sent nothing; its task is cancelled before it can send.

Change: the runner marks calls that wait (FanOut.set_waiting). Only the others count as possibly run, and a waiting call no longer counts against its server in the router.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -98,6 +98,7 @@
                 case SendLeafCall():
                     task = asyncio.create_task(self.run_leaf_call(running, action))
                     self.active_calls[action.call_id] = ActiveCall(task=task)
+                    running.fan_out.set_waiting(action.call_id, waiting=True)
                 case CancelLeafCall(call_id=call_id):
                     self.cancel_call(call_id)
                 case WakeAt(at=at):
@@ -178,6 +179,7 @@
             case Ok(connection):
                 pass
         self.active_calls[action.call_id].sent_at = now()
+        running.fan_out.set_waiting(action.call_id, waiting=False)
         call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
         try:
             return await connection.exchange(call)
--- a/packages/azurefield/src/azurefield/leaf_progress.py
+++ b/packages/azurefield/src/azurefield/leaf_progress.py
@@ -12,10 +12,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class PendingCall:
-    """A call that was sent and has not ended."""
+    """A call that has not ended.
+
+    :param sent_at: when it was sent, or began to wait
+    :param waiting: whether it still waits for quota or a connection, so that it has not run
+    """
 
     server: str
     sent_at: float
+    waiting: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -159,6 +159,12 @@
             self.open_leafs.discard(leaf)
         return self.finish_or_schedule_wake(now, actions)
 
+    def set_waiting(self, call_id: str, *, waiting: bool) -> None:
+        """Record whether a pending call waits for quota or a connection before it is sent."""
+        leaf = self.leaf_of_pending_call(call_id)
+        if leaf is not None:
+            self.progress[leaf].pending[call_id].waiting = waiting
+
     def schedule_resend(self, now: float, progress: LeafProgress[A]) -> None:
         """Schedule a repeated call to the servers that did not run a leaf's call.
 
@@ -338,7 +344,8 @@
     ) -> None:
         """Cancel all pending calls of a leaf."""
         for call_id, call in progress.pending.items():
-            self.router.on_result(now, call.server, result, now - call.sent_at)
+            ended = CallResult.NOT_SENT if call.waiting else result
+            self.router.on_result(now, call.server, ended, now - call.sent_at)
             actions.append(CancelLeafCall(call_id=call_id, server=call.server))
         progress.pending.clear()
 
@@ -354,8 +361,10 @@
             return actions
         for leaf, progress in self.progress.items():
             if progress.pending:
-                progress.failure = LeafFailureReason.TIMEOUT
-                progress.ended_attempts += len(progress.pending)
+                sent = sum(not call.waiting for call in progress.pending.values())
+                if sent or progress.failure is None:
+                    progress.failure = LeafFailureReason.TIMEOUT
+                progress.ended_attempts += sent
                 self.record_leaf_latency(now, leaf, progress)
             self.cancel_pending(now, progress, CallResult.TIMED_OUT, actions)
         self.finished = True
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -223,6 +223,37 @@
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize(
+    ("failures", "retry_after_s"),
+    [([], 1.0), ([DENIED], 0.1)],
+    ids=["first-call", "after-a-denied-call"],
+)
+def test_a_call_that_still_waits_at_the_deadline_has_not_run(
+    failures: list[LeafFailure], retry_after_s: float
+) -> None:
+    """Guards against a request that counts as run although none of its calls was sent."""
+    query = fan_out(SingleAnswer(), ("a",))
+    [call_id] = sent(query.start(0.0))
+    for failure in failures:
+        [call_id] = sent(query.on_failure(0.1, call_id, failure))
+    query.set_waiting(call_id, waiting=True)
+    result = result_of(query.on_tick(1.0))
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.NOT_RUN
+    assert result.err_value.retry_after_s == pytest.approx(retry_after_s)
+
+
+def test_a_call_that_was_sent_after_a_wait_may_have_run() -> None:
+    """Guards against the outcome 'not run' for a call whose wait has ended."""
+    query = fan_out(SingleAnswer(), ("a",))
+    [call_id] = sent(query.start(0.0))
+    query.set_waiting(call_id, waiting=True)
+    query.set_waiting(call_id, waiting=False)
+    result = result_of(query.on_tick(1.0))
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 def test_a_query_whose_deadline_has_passed_sends_nothing() -> None:
     """Guards against calls whose answers nobody waits for, and a false "may have run"."""
     query = fan_out(SingleAnswer(), ("leaf",))
