--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -178,11 +178,16 @@
 
 @asynccontextmanager
 async def serving_fleet(
-    directory: Path, cores: Mapping[str, float], *, connections_max: int = 30
+    directory: Path,
+    cores: Mapping[str, float],
+    *,
+    connections_max: int = 30,
+    leafs: Mapping[str, LeafStandIn] | None = None,
 ) -> AsyncIterator[dict[str, Site]]:
     """Run several gateway processes with the same store and leafs.
 
     :param cores: the processor capacity of each process, by its name
+    :param leafs: leafs that are served already, in place of the usual ones
     """
     sites: dict[str, Site] = {}
     for name, capacity in cores.items():
@@ -193,6 +198,7 @@
             cores=capacity,
             first_port=PORTS.free_port_pair(),
             connections_max=connections_max,
+            leafs=dict(leafs or {}),
         )
         if sites:
             first = next(iter(sites.values()))
@@ -200,7 +206,8 @@
         sites[name] = site
     first = next(iter(sites.values()))
     async with AsyncExitStack() as stack:
-        await stack.enter_async_context(running(first.store, *first.leafs.values()))
+        to_serve = [leaf for leaf in first.leafs.values() if not leaf.address]
+        await stack.enter_async_context(running(first.store, *to_serve))
         session = await stack.enter_async_context(aiohttp.ClientSession())
         first.put_config()
         for name, leaf in first.leafs.items():
