Log which calls a run lost and whether it was answered

With it: share of lost calls counted against repeated calls, reports that the store did not take, silent servers that lose no connection, and partial answers that clear what was known.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -85,6 +85,16 @@
 
     def record_run(self, running: RunningRequest, *, answered: bool) -> None:
         """Record whether a run that ended suggests that the request crashes servers."""
+        if running.lost_servers:
+            log.info(
+                "Request id={} (digest {}) lost its calls to {}; {} of its calls were sent,"
+                " it was {}.",
+                running.request.request_id,
+                running.digest,
+                ",".join(sorted(running.lost_servers)),
+                running.fan_out.calls_sent,
+                "answered" if answered else "not answered",
+            )
         if answered:
             self.crash_reports.on_answered(running.digest)
         elif running.lost_servers:
