--- a/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
@@ -105,6 +105,15 @@
             return self.connect()
         return None
 
+    def open_fresh(self) -> C:
+        """Open a connection for one call, even above the ceiling.
+
+        It is for the few calls that must not use a connection whose server may be gone by now.
+        """
+        self.open_count += 1
+        self.on_change()
+        return self.connect()
+
     def remove_waiter(self, waiter: Waiter[C]) -> None:
         """Remove a call from the queue; a connection that it was just given is released."""
         if waiter.granted.done():
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -21,6 +21,8 @@
 
 if TYPE_CHECKING:
 
+    from collections.abc import Callable
+
     from azurefield_entry.gateway.ports import LeafDialect
 
 # Connecting takes one round trip, at most to another zone. A server that takes longer counts as
@@ -68,14 +70,18 @@
         "dialect",
         "idle_since",
         "idle_until",
+        "on_open",
         "parser",
         "parses_bodies",
     )
 
-    def __init__(self, *, address: str, dialect: LeafDialect) -> None:
+    def __init__(
+        self, *, address: str, dialect: LeafDialect, on_open: Callable[[], None] = lambda: None
+    ) -> None:
         super().__init__(loop=asyncio.get_running_loop())
         self.address = address
         self.dialect = dialect
+        self.on_open = on_open
         self.current_exchange: Exchange | None = None
         self.closed = False
         self.calls_sent = 0
@@ -151,6 +157,7 @@
         if self.closed:
             self.abort()
             return
+        self.on_open()
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
@@ -269,10 +276,10 @@
         """Fail the waiting call; its request may have run."""
         super().connection_lost(exc)
         self.closed = True
-        self.finish_exchange(
-            Err(failure(LeafFailureReason.CONNECTION_LOST, detail=str(exc or "closed"))),
-            reusable=False,
-        )
+        # ETIMEDOUT is not from the server, which may have been silent before the call.
+        silent = isinstance(exc, TimeoutError)
+        reason = LeafFailureReason.TIMEOUT if silent else LeafFailureReason.CONNECTION_LOST
+        self.finish_exchange(Err(failure(reason, detail=str(exc or "closed"))), reusable=False)
 
     def finish_exchange(self, result: Result[OpaqueAnswer, LeafFailure], *, reusable: bool) -> None:
         """Set the result of the waiting call, if there is one.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING
 
 from azurefield.directory import Directory
+from azurefield.reachability import ServerContacts
 from azurefield.routes import ServiceLimits
 from azurefield_entry.backends.pool import ConnectionPool
+from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -36,6 +38,7 @@
     instances: int | None = None
     shares: Mapping[str, int] = field(default_factory=dict)
     pools: dict[str, ConnectionPool[LeafConnection]] = field(default_factory=dict)
+    contacts: ServerContacts = field(default_factory=ServerContacts)
 
     def set_limits(
         self,
@@ -67,20 +70,25 @@
         pool = self.pools.get(entry.server)
         if pool is None:
             pool = ConnectionPool(
-                connect=partial(self.connect, entry.address),
+                connect=partial(self.connect, entry.server, entry.address),
                 ceiling=self.ceiling(entry.server),
                 idle_max_s=policies.CONNECTION_IDLE_MAX_S,
             )
             self.pools[entry.server] = pool
         return pool
 
-    def connect(self, address: str) -> LeafConnection:
+    def connect(self, server: str, address: str) -> LeafConnection:
         """Make a connection object, which is opened by its first call."""
         self.metrics.connections_opened.inc()
-        return HttpLeafConnection(address=address, dialect=self.dialect)
+        return HttpLeafConnection(
+            address=address,
+            dialect=self.dialect,
+            on_open=lambda: self.contacts.on_opened(now(), server),
+        )
 
     def retire(self, server: str) -> None:
         """Close the connections to a server; those in use are closed when their calls end."""
+        self.contacts.forget(server)
         pool = self.pools.pop(server, None)
         if pool is not None:
             pool.retire()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -14,6 +14,11 @@
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield_entry.clock import now
 from azurefield_entry.front.activity import Activity
+from azurefield_entry.gateway.crash_frames import (
+    CrashReportFrame,
+    RequestAnsweredFrame,
+    ServerEndedFrame,
+)
 from azurefield_entry.gateway.forward_frames import (
     CancelRequest,
     ForwardedRequest,
@@ -71,6 +76,7 @@
     :param version: returns the version of the route table in force; None if there is none
     :param run_request: runs a request; cancelling it cancels its calls
     :param quota_issuer: issues the quota of limited servers
+    :param on_crash_report: called with each crash report of another instance
     :param finish_timeout_s: how long a planned stop waits for running requests
     """
 
@@ -78,6 +84,7 @@
     version: Callable[[], int | None]
     run_request: Callable[[GatewayRequest], Awaitable[RequestResult]]
     quota_issuer: QuotaIssuer
+    on_crash_report: Callable[[CrashReportFrame], None]
     finish_timeout_s: float
     draining: bool = False
     request_count: int = 0
@@ -135,6 +142,8 @@
                         self.withdraw_quota(link, number)
                     case LimitEnded(server=server):
                         self.quota_issuer.on_limit_ended(server)
+                    case ServerEndedFrame() | RequestAnsweredFrame() as frame:
+                        self.on_crash_report(frame)
         except (OSError, EOFError, msgspec.DecodeError) as error:
             log.debug("The connection of a forwarding instance has ended: {!r}.", error)
         finally:
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crash_broadcast.py
@@ -0,0 +1,65 @@
+"""Sends crash reports to all other instances, so that they hold while the store is away."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from azurefield.dissemination import broadcast_groups
+from azurefield_entry.gateway.crash_frames import CrashReportFrame, encode_report
+from azurefield_entry.gateway.peer_links import PeerLinks
+
+if TYPE_CHECKING:
+    from azurefield.crash_evidence import CrashReport
+
+# Broadcasts that run at the same time; further reports reach the others through the store only.
+BROADCASTS_MAX = 100
+
+
+@dataclass(slots=True, kw_only=True)
+class CrashBroadcast:
+    """Sends reports over the links to other instances.
+
+    :param instances: returns the names of the running instances
+    """
+
+    own: str
+    peers: PeerLinks
+    instances: Callable[[], frozenset[str]]
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def send(self, report: CrashReport) -> None:
+        """Send a report to all other instances in the background."""
+        for group in broadcast_groups(self.own, self.instances()):
+            self.start(report, group)
+
+    def forward(self, frame: CrashReportFrame) -> None:
+        """Forward a report to the instances that its sender has named."""
+        for name in frame.forward_to:
+            self.start(frame.report, (name,))
+
+    def start(self, report: CrashReport, group: tuple[str, ...]) -> None:
+        """Start the sending to one group."""
+        if len(self.tasks) >= BROADCASTS_MAX:
+            return
+        task = asyncio.create_task(self.send_to(report, group))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def send_to(self, report: CrashReport, group: tuple[str, ...]) -> None:
+        """Send a report to the first member of a group that can be reached."""
+        for name in group:
+            match await self.peers.link(name):
+                case Ok(link):
+                    others = tuple(other for other in group if other != name)
+                    link.send(encode_report(report, others))
+                    return
+
+    def close(self) -> None:
+        """Stop sending."""
+        for task in self.tasks:
+            task.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from azurefield.crash_evidence import CrashReport
 from azurefield.routes import RouteTable
 from azurefield_entry.gateway.ports import Changes, Listing
 from azurefield_entry.gateway.settings import GatewaySettings
@@ -64,14 +65,10 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class ReportCrash:
-    """From ``gateway``: report to all instances that a request crashed servers here.
+class WriteCrashReport:
+    """From ``gateway``: write a crash report to the store."""
 
-    :param request: the digest of the request
-    """
-
-    request: str
-    ttl_s: float
+    report: CrashReport
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
@@ -15,10 +15,10 @@
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
-    ReportCrash,
     SettingsChanged,
     StoreReplyReceived,
     StoreWatchEnded,
+    WriteCrashReport,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.own_entries import OwnEntries
@@ -105,16 +105,16 @@
         tasks = [
             asyncio.create_task(self.follow_store(kernel)),
             asyncio.create_task(self.own_entries.keep_registered()),
+            asyncio.create_task(self.own_entries.reports.run()),
         ]
         while True:
             match await mailbox.receive():
-                case ReportCrash(request=request, ttl_s=ttl_s):
-                    self.own_entries.report_crash(request, ttl_s)
+                case WriteCrashReport(report=report):
+                    self.own_entries.reports.add(report)
                 case SettingsChanged(settings=settings):
                     self.store.use_address(settings.store_address)
                 case Stop():
                     break
-        tasks += self.own_entries.tasks
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -20,8 +20,10 @@
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     servers: Gauge = field(init=False)
+    instances: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
     quota_requests: Counter = field(init=False)
+    servers_ended: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
     store_failures: Counter = field(init=False)
     store_contact_at: Gauge = field(init=False)
@@ -63,6 +65,11 @@
         self.servers = Gauge(
             "azurefield_gateway_servers", "Backend servers known.", registry=registry
         )
+        self.instances = Gauge(
+            "azurefield_gateway_instances",
+            "Running instances known, including this one.",
+            registry=registry,
+        )
         self.limited_servers = Gauge(
             "azurefield_gateway_limited_servers",
             "Backend servers that name a limit of requests per second.",
@@ -74,6 +81,11 @@
             ("result",),
             registry=registry,
         )
+        self.servers_ended = Counter(
+            "azurefield_gateway_servers_ended",
+            "Reports of all instances that a server ended while it ran a request.",
+            registry=registry,
+        )
         self.version_in_force = Gauge(
             "azurefield_gateway_configuration_version",
             "Configuration version in force.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/outcomes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/outcomes.py
@@ -15,8 +15,6 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from azurefield.crash_reports import CrashReports
-
 
 def refusal(kind: FailureKind, detail: str) -> RequestFailure:
     """Build the failure of a request that was not run and may be sent again."""
@@ -25,12 +23,12 @@
     )
 
 
-def crashing_request_failure(reports: CrashReports) -> RequestFailure:
-    """Build the failure of a request whose earlier runs crashed servers."""
+def crashing_request_failure() -> RequestFailure:
+    """Build the failure of a request under which servers ended."""
     return RequestFailure(
         kind=FailureKind.REQUEST_CRASHES_SERVERS,
         outcome=Outcome.MAY_HAVE_RUN,
-        detail=f"earlier runs of this request crashed servers, according to {reports.instance}",
+        detail="servers ended each time while they ran this request",
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/own_entries.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/own_entries.py
@@ -10,10 +10,9 @@
 from logbook import Logger
 from result import Err, Ok
 
-from azurefield_entry.clock import now
+from azurefield_entry.gateway.crash_report_writer import CrashReportWriter
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
-    CrashReportEntry,
     InstanceEntry,
     Lease,
     LeaseEnded,
@@ -33,7 +32,6 @@
 
     :param entry: the entry of the instance itself
     :param era: the store's era after its last restore
-    :param reported: until when the crash reports of this instance hold, by request
     :param restored: set when the store was restored and the entry has to be written again
     """
 
@@ -42,9 +40,11 @@
     random: Random
     metrics: GatewayMetrics
     era: int | None = None
-    reported: dict[str, float] = field(default_factory=dict)
     restored: asyncio.Event = field(default_factory=asyncio.Event)
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    reports: CrashReportWriter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.reports = CrashReportWriter(store=self.store, random=self.random, metrics=self.metrics)
 
     async def keep_registered(self) -> None:
         """Keep this instance's entry in the store, under a lease that ends if it is not renewed."""
@@ -74,55 +74,31 @@
                 async with asyncio.timeout(interval_s):
                     await self.restored.wait()
 
-    async def register_instance(self) -> Lease | None:
-        """Write this instance's entry.
-
-        :return: the entry's lease; None if the store did not confirm the write
-        """
-        return await self.put(self.entry, INSTANCE_LEASE_S)
-
     def write_again(self, era: int | None) -> None:
         """Write the entries again after the store was restored from a copy of another era."""
         self.era = era
         self.restored.set()
-        at = now()
-        self.reported = {name: until for name, until in self.reported.items() if until > at}
-        for request, until in self.reported.items():
-            self.start_report(request, until - at)
+        self.reports.write_again()
 
-    def report_crash(self, request: str, ttl_s: float) -> None:
-        """Report, for all instances, that a request crashed servers here."""
-        self.reported[request] = now() + ttl_s
-        self.start_report(request, ttl_s)
-
-    def start_report(self, request: str, ttl_s: float) -> None:
-        """Write a crash report in the background."""
-        report = CrashReportEntry(instance=self.entry.instance, request=request)
-        task = asyncio.create_task(self.write_report(report, ttl_s))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def write_report(self, report: CrashReportEntry, ttl_s: float) -> None:
-        """Write a crash report."""
-        await self.put(report, ttl_s)
-
-    async def put(self, entry: InstanceEntry | CrashReportEntry, ttl_s: float) -> Lease | None:
-        """Write an entry under a new lease.
+    async def register_instance(self) -> Lease | None:
+        """Write this instance's entry under a new lease.
 
         :return: the lease; None if the store did not confirm the lease and the write
         """
-        match await self.store.new_lease(ttl_s):
+        match await self.store.new_lease(INSTANCE_LEASE_S):
             case Ok(lease):
                 pass
             case Err(failure):
                 self.metrics.store_failures.inc()
                 log.warning(
-                    "Could not get a lease for the entry {}: {}; it is not written.", entry, failure
+                    "Could not get a lease for the entry {}: {}; it is not written.",
+                    self.entry,
+                    failure,
                 )
                 return None
-        match await self.store.put(entry, lease):
+        match await self.store.put(self.entry, lease):
             case Err(problem):
                 self.metrics.store_failures.inc()
-                log.warning("Could not write the entry {}: {}.", entry, problem)
+                log.warning("Could not write the entry {}: {}.", self.entry, problem)
                 return None
         return lease
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peer_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peer_frames.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from azurefield_entry.gateway.crash_frames import CrashReportFrame
 from azurefield_entry.gateway.forward_frames import FromCoordinator, ToCoordinator
 from azurefield_entry.gateway.quota_frames import FromIssuer, ToIssuer
 
@@ -13,6 +14,6 @@
 
 
 FromPeer = FromCoordinator | FromIssuer | Heartbeat
-ToPeer = ToCoordinator | ToIssuer
+ToPeer = ToCoordinator | ToIssuer | CrashReportFrame
 FROM_PEER = msgspec.msgpack.Decoder[FromPeer](FromPeer)
 TO_PEER = msgspec.msgpack.Decoder[ToPeer](ToPeer)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from azurefield.hedging import LeafLatencies, SharedDelayHedging
+from azurefield.hedging import LeafLatencies, NoHedging, SharedDelayHedging
 from azurefield.merge import TopRecordsMerge
 from azurefield.model import Snapshot
 from azurefield.query import FanOut
@@ -56,9 +56,18 @@
         return max(policies.HEDGE_QUANTILE_MIN, 1.0 - share)
 
     def fan_out(
-        self, now: float, request: GatewayRequest, route: Route, version: int
+        self,
+        now: float,
+        request: GatewayRequest,
+        route: Route,
+        version: int,
+        *,
+        suspect: bool = False,
     ) -> FanOut[Any, Any]:
-        """Build the fan-out of a request."""
+        """Build the fan-out of a request.
+
+        :param suspect: whether servers may end under it, so that it gets one attempt and no hedges
+        """
         self.request_count += 1
         deadline = request.arrived_at + route.timeout_s
         if request.deadline is not None:
@@ -72,11 +81,11 @@
             "deadline": deadline,
             "holders": self.holders,
             "router": self.router,
-            "hedging": self.route_hedging(now, route),
+            "hedging": NoHedging() if suspect else self.route_hedging(now, route),
             "retries": self.budget,
             "idempotent": route.idempotent,
             "limits": RouteServerLimits(limits=self.limits, priority=route.priority),
-            "attempts_max": route.attempts_max,
+            "attempts_max": 1 if suspect else route.attempts_max,
             "answer_by": answer_by,
         }
         if answer_by is not None and isinstance(route.target, ShardSet):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from azurefield.coordinators import InstanceProfile
+from azurefield.crash_evidence import CrashReport
 from azurefield.directory import RegisteredServer
 from azurefield.routes import RouteTable
 from azurefield.server_limits import NO_LIMIT
@@ -153,10 +154,9 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CrashReportEntry:
-    """An instance's report that a request, named by its digest, crashed servers."""
+    """A crash report of any instance."""
 
-    instance: str
-    request: str
+    report: CrashReport
 
 
 Item = RouteTable | RegisteredServer | InstanceEntry | CrashReportEntry
@@ -166,7 +166,7 @@
 class Removed:
     """A removed key of the store; ``key`` is None if it does not concern the gateway."""
 
-    key: ServerKey | InstanceKey | CrashReportKey | None
+    key: ServerKey | InstanceKey | None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -183,14 +183,6 @@
     instance: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CrashReportKey:
-    """Key of an instance's report that a request crashed servers."""
-
-    instance: str
-    request: str
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Listing:
     """All items of the store that concern the gateway, as of ``revision`` or later.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 from result import Err, Ok, Result
 
-from azurefield.crash_reports import CrashReports, digest_of
+from azurefield.crash_evidence import Standing, digest_of
 from azurefield.directory import Directory
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
@@ -18,18 +18,29 @@
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.connections import ServerConnections
+from azurefield_entry.gateway.crash_watch import CrashWatch
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.outcomes import crashing_request_failure, describe
 from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, OpaqueAnswer
 from azurefield_entry.gateway.quotas import ServerQuotas
-from azurefield_entry.gateway.running import ActiveCall, RequestResult, RunningRequest
+from azurefield_entry.gateway.running import (
+    ActiveCall,
+    RequestResult,
+    RunningRequest,
+    SentCall,
+)
 from azurefield_entry.logs import describe_error
 
 if TYPE_CHECKING:
+    from azurefield.failures import RequestFailure
     from azurefield.query_actions import Action
     from azurefield.routes import Route
 
+# After these failures, the server may have ended while it ran the call.
+UNANSWERED_REASONS = frozenset(
+    {LeafFailureReason.CONNECTION_LOST, LeafFailureReason.TRUNCATED, LeafFailureReason.TIMEOUT}
+)
 log = Logger("gateway")
 
 
@@ -37,69 +48,90 @@
 class RequestRunner:
     """Owns the running requests and their calls.
 
-    :param report_crash: called with the digest of a request that may have crashed servers here
+    :param running: the running requests, by their digest
     :param store_age_s: returns the time since the store last answered, for the log
     """
 
     directory: Directory
     connections: ServerConnections
     planner: RequestPlanner
-    crash_reports: CrashReports
+    crash_watch: CrashWatch
     metrics: GatewayMetrics
-    report_crash: Callable[[str], None]
     store_age_s: Callable[[], float]
     quotas: ServerQuotas
     active_calls: dict[str, ActiveCall] = field(default_factory=dict)
+    running: dict[str, list[RunningRequest]] = field(default_factory=dict)
 
     async def run(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
         """Run a request on the backend servers; cancelling this cancels the request's calls."""
         started_at = now()
         digest = digest_of(request.method, request.host, request.target, request.body)
-        if self.crash_reports.refused(started_at, digest):
-            log.warning(
-                "Request id={} is refused: earlier runs of it (digest {}) crashed servers.",
-                request.request_id,
-                digest,
-            )
-            return Err(crashing_request_failure(self.crash_reports))
+        standing = self.crash_watch.standing(digest)
+        if standing is Standing.REFUSED:
+            return Err(self.refusal(request, digest))
         running = RunningRequest(
             request=request,
             digest=digest,
             route=route,
             version=version,
-            fan_out=self.planner.fan_out(started_at, request, route, version),
+            fan_out=self.planner.fan_out(
+                started_at, request, route, version, suspect=standing is Standing.SUSPECT
+            ),
             result_future=asyncio.get_running_loop().create_future(),
+            standing=standing,
         )
+        self.running.setdefault(digest, []).append(running)
         self.execute_actions(running, running.fan_out.start(started_at))
         try:
             result = await running.result_future
         except asyncio.CancelledError:
             self.execute_actions(running, running.fan_out.cancel(now()))
-            self.record_result(running, "cancelled")
+            self.record_run(running, "cancelled", cancelled=True)
             raise
         finally:
             running.clear_wake_up()
-        self.record_run(running, answered=isinstance(result, Ok))
-        self.record_result(running, describe(result))
+            self.remove(running)
+        self.record_run(running, describe(result), cancelled=False)
         return result
 
-    def record_run(self, running: RunningRequest, *, answered: bool) -> None:
-        """Record whether a run that ended suggests that the request crashes servers."""
-        if running.lost_servers:
+    def remove(self, running: RunningRequest) -> None:
+        """Remove a request that no longer runs."""
+        same = self.running[running.digest]
+        same.remove(running)
+        if not same:
+            del self.running[running.digest]
+
+    def refusal(self, request: GatewayRequest, digest: str) -> RequestFailure:
+        """Log and build the failure of a request that ends servers."""
+        log.warning(
+            "Request id={} is refused: servers ended under its content (digest {}): {}.",
+            request.request_id,
+            digest,
+            ", ".join(self.crash_watch.evidence.servers(digest)),
+        )
+        return crashing_request_failure()
+
+    def refuse(self, digest: str) -> None:
+        """End all runs of a request that is refused from now on."""
+        for running in [*self.running.get(digest, ())]:
+            if not running.result_future.done():
+                failure = self.refusal(running.request, digest)
+                self.execute_actions(running, running.fan_out.cancel(now()))
+                running.result_future.set_result(Err(failure))
+
+    def record_run(self, running: RunningRequest, result: str, *, cancelled: bool) -> None:
+        """Log how a request ended, and look for servers that ended under it."""
+        lost = sorted({call.server for call in running.sent_calls.values() if call.lost})
+        if lost:
             log.info(
-                "Request id={} (digest {}) lost its calls to {}; {} of its calls were sent,"
-                " it was {}.",
+                "Request id={} (digest {}) lost its calls to {}; these services answered: {}.",
                 running.request.request_id,
                 running.digest,
-                ",".join(sorted(running.lost_servers)),
-                running.fan_out.calls_sent,
-                "answered" if answered else "not answered",
+                ",".join(lost),
+                ",".join(sorted(running.survivors)) or "none",
             )
-        if answered:
-            self.crash_reports.on_answered(running.digest)
-        elif running.lost_servers:
-            lost = frozenset(running.lost_servers)
-            self.crash_reports.on_run_ended(now(), running.digest, lost, running.fan_out.calls_sent)
+        self.crash_watch.on_run_ended(running, cancelled=cancelled)
+        self.record_result(running, result)
 
     def execute_actions(self, running: RunningRequest, actions: list[Action[Any]]) -> None:
         """Execute the actions that a fan-out returned."""
@@ -157,16 +189,19 @@
             )
         finally:
             call = self.active_calls.pop(action.call_id)
+            call.stop_watching()
         ended_at = now()
         if call.sent_at is not None:
             self.record_limit(action.server, result, call.sent_at)
+            record_reply(running, action.call_id, result)
         match result:
             case Ok(answer):
                 label = str(answer.status)
+                self.connections.contacts.on_answered(ended_at, action.server)
                 actions = running.fan_out.on_answer(ended_at, action.call_id, answer)
             case Err(failure):
                 label = failure.reason
-                self.record_call_failure(running, action.server, failure)
+                self.record_call_failure(action.server, failure)
                 actions = running.fan_out.on_failure(ended_at, action.call_id, failure)
         self.metrics.leaf_calls.labels(label).inc()
         running.record_call(action.server, label, ended_at - began)
@@ -182,14 +217,21 @@
         if not await self.quotas.acquire(entry, running.route.priority, action.start_by):
             return Err(LeafFailure(reason=LeafFailureReason.RATE_LIMITED, outcome=Outcome.NOT_RUN))
         pool = self.connections.pool(entry)
-        wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
-        match await pool.acquire(priority=running.route.priority, deadline=wait_until):
-            case Err(failure):
-                return Err(failure)
-            case Ok(connection):
-                pass
-        self.active_calls[action.call_id].sent_at = now()
+        if running.standing is Standing.SUSPECT:
+            connection = pool.open_fresh()
+        else:
+            wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
+            match await pool.acquire(priority=running.route.priority, deadline=wait_until):
+                case Err(failure):
+                    return Err(failure)
+                case Ok(connection):
+                    pass
+        active = self.active_calls[action.call_id]
+        active.sent_at, active.connection = now(), connection
         running.fan_out.set_waiting(action.call_id, waiting=False)
+        sent = SentCall(server=action.server, service=action.leaf, sent_at=active.sent_at)
+        running.sent_calls[action.call_id] = sent
+        self.crash_watch.on_call_sent(running, sent, active)
         call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
         try:
             return await connection.exchange(call)
@@ -222,27 +264,17 @@
             return policies.CONNECTION_WAIT_S
         return policies.CONNECTION_WAIT_FRACTION * route.goal_s
 
-    def record_call_failure(
-        self, running: RunningRequest, server: str, failure: LeafFailure
-    ) -> None:
-        """Update the directory and the crash reports after a failed call."""
-        match failure.reason:
-            case LeafFailureReason.WRONG_SERVER:
-                if self.directory.on_misdirected(server):
-                    log.info(
-                        "Another server answers at the address of server {};"
-                        " it gets no calls until its entry changes.",
-                        server,
-                    )
-                    self.connections.retire(server)
-            case LeafFailureReason.CONNECTION_LOST:
-                running.lost_servers.add(server)
-            case LeafFailureReason.CONNECT_FAILED:
-                for request in self.crash_reports.on_connection_refused(now(), server):
-                    log.warning(
-                        "Request {} may have crashed server {}; reporting it.", request, server
-                    )
-                    self.report_crash(request)
+    def record_call_failure(self, server: str, failure: LeafFailure) -> None:
+        """Update the directory after a failed call."""
+        if failure.reason is not LeafFailureReason.WRONG_SERVER:
+            return
+        if self.directory.on_misdirected(server):
+            log.info(
+                "Another server answers at the address of server {};"
+                " it gets no calls until its entry changes.",
+                server,
+            )
+            self.connections.retire(server)
 
     def record_result(self, running: RunningRequest, result: str) -> None:
         """Log the result of a request and count it in the metrics."""
@@ -259,3 +291,19 @@
             result,
             ",".join(running.logged_calls),
         )
+
+
+def record_reply(
+    running: RunningRequest, call_id: str, result: Result[OpaqueAnswer, LeafFailure]
+) -> None:
+    """Record whether the server of a call has survived it."""
+    call = running.sent_calls.get(call_id)
+    if call is None:
+        return
+    match result:
+        case Ok(_):
+            running.survivors.add(call.service)
+        case Err(LeafFailure(reason=reason)) if reason in UNANSWERED_REASONS:
+            call.lost = reason is not LeafFailureReason.TIMEOUT
+            return
+    del running.sent_calls[call_id]
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -8,11 +8,12 @@
 
 from result import Result
 
+from azurefield.crash_evidence import Standing
 from azurefield.failures import RequestFailure
 from azurefield.merge import MergedParts
 from azurefield.query import FanOut
 from azurefield.routes import Route
-from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
+from azurefield_entry.gateway.ports import GatewayRequest, LeafConnection, OpaqueAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,10 +26,37 @@
 
 @dataclass(slots=True, kw_only=True)
 class ActiveCall:
-    """A running call; ``sent_at`` is set once it has a connection."""
+    """A running call.
+
+    :param sent_at: when it was sent; None while it waits for quota or a connection
+    :param silence_timer: the next check whether its server is silent
+    """
 
     task: asyncio.Task[None]
     sent_at: float | None = None
+    connection: LeafConnection | None = None
+    silence_timer: asyncio.TimerHandle | None = None
+
+    def stop_watching(self) -> None:
+        """Cancel the check for silence."""
+        if self.silence_timer is not None:
+            self.silence_timer.cancel()
+            self.silence_timer = None
+
+
+@dataclass(slots=True, kw_only=True)
+class SentCall:
+    """A call that was sent and may have run without an answer.
+
+    :param lost: whether the server broke the connection off
+    :param checked: whether the server was found down after it
+    """
+
+    server: str
+    service: str
+    sent_at: float
+    lost: bool = False
+    checked: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -38,7 +66,9 @@
     :param digest: identifies the content of the request, whatever its request id
     :param fan_out: one over opaque answers or one over parts; both are used in the same way
     :param logged_calls: the calls that ended, for the log line
-    :param lost_servers: the servers whose connections were lost during a call
+    :param standing: how the request may run
+    :param sent_calls: its calls that were sent and not answered, by call id
+    :param survivors: the services of which a server has run it and answered
     """
 
     request: GatewayRequest
@@ -48,7 +78,9 @@
     fan_out: FanOut[Any, Any]
     result_future: asyncio.Future[RequestResult]
     logged_calls: list[str] = field(default_factory=list)
-    lost_servers: set[str] = field(default_factory=set)
+    standing: Standing = Standing.USUAL
+    sent_calls: dict[str, SentCall] = field(default_factory=dict)
+    survivors: set[str] = field(default_factory=set)
     wake_at: float | None = None
     wake_up: asyncio.TimerHandle | None = None
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from azurefield.coordinators import CoordinatorView
-from azurefield.crash_reports import CRASH_REPORT_LIFETIME_S, CrashReports
+from azurefield.crash_evidence import CrashEvidence, CrashReport, Standing, digest_of
 from azurefield.directory import Directory, DirectoryChange, DirectoryChangeKind, RegisteredServer
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.instances import RunningInstances
@@ -22,21 +22,22 @@
 from azurefield.server_limits import ServerLimits
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.connections import ServerConnections
+from azurefield_entry.gateway.crash_broadcast import CrashBroadcast
+from azurefield_entry.gateway.crash_watch import CrashWatch
 from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, lost_failure
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
-    ReportCrash,
     RouteTableChanged,
     SettingsChanged,
     Tick,
+    WriteCrashReport,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.outcomes import describe, refusal
 from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
-    CrashReportKey,
     GatewayRequest,
     InstanceEntry,
     InstanceKey,
@@ -47,11 +48,13 @@
 )
 from azurefield_entry.gateway.quotas import ServerQuotas
 from azurefield_entry.gateway.request_runner import RequestRunner
+from azurefield_entry.gateway.server_checker import ServerChecker
 from azurefield_entry.kernel import Kernel, Stop, send_every
 from azurefield_entry.notify import notify, notify_all
 
 if TYPE_CHECKING:
     from azurefield.routes import Route
+    from azurefield_entry.gateway.crash_frames import CrashReportFrame
     from azurefield_entry.gateway.running import RequestResult
     from azurefield_entry.kernel import Mailbox
 
@@ -84,7 +87,8 @@
     listing_received: bool = False
     ready_event: asyncio.Event = field(default_factory=asyncio.Event)
     instances: RunningInstances = field(init=False)
-    crash_reports: CrashReports = field(init=False)
+    crash_watch: CrashWatch = field(init=False)
+    crash_broadcast: CrashBroadcast = field(init=False)
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
     quotas: ServerQuotas = field(init=False)
@@ -94,7 +98,6 @@
     store_contact_at: float = float("-inf")
 
     def __post_init__(self) -> None:
-        self.crash_reports = CrashReports(instance=self.instance)
         self.instances = RunningInstances(own=self.instance, grace_s=policies.INSTANCE_GRACE_S)
         self.connections = ServerConnections(
             dialect=self.leaf_dialect, directory=self.directory, metrics=self.metrics
@@ -112,6 +115,22 @@
             instances=lambda: self.instances.names,
             metrics=self.metrics,
         )
+        self.crash_broadcast = CrashBroadcast(
+            own=self.instance,
+            peers=self.forwarding.peers,
+            instances=lambda: self.instances.names,
+        )
+        self.crash_watch = CrashWatch(
+            evidence=CrashEvidence(),
+            checker=ServerChecker(
+                directory=self.directory,
+                contacts=self.connections.contacts,
+                random=self.router.random,
+            ),
+            metrics=self.metrics,
+            publish=self.publish_crash_report,
+            refuse_running=lambda request: self.runner.refuse(request),
+        )
         self.planner = RequestPlanner(
             holders=self.directory,
             router=self.router,
@@ -122,9 +141,8 @@
             directory=self.directory,
             connections=self.connections,
             planner=self.planner,
-            crash_reports=self.crash_reports,
+            crash_watch=self.crash_watch,
             metrics=self.metrics,
-            report_crash=self.report_crash,
             store_age_s=self.store_age_s,
             quotas=self.quotas,
         )
@@ -156,6 +174,8 @@
                     break
         ticking.cancel()
         self.quotas.close()
+        self.crash_watch.close()
+        self.crash_broadcast.close()
         self.forwarding.peers.close()
         self.connections.retire_all()
 
@@ -184,10 +204,9 @@
         for item in items:
             if isinstance(item, InstanceEntry):
                 self.forwarding.view.on_profile(item.profile)
-        self.crash_reports.reports.clear()
         for item in items:
             if isinstance(item, CrashReportEntry):
-                self.crash_reports.on_report(item.instance, item.request)
+                self.crash_watch.on_report(item.report)
         for item in items:
             if isinstance(item, RouteTable):
                 self.apply_route_table(item)
@@ -207,15 +226,12 @@
                 self.instances.on_listed(instance)
                 self.forwarding.view.on_profile(item.profile)
                 self.divide_limits()
-            case CrashReportEntry(instance=instance, request=request):
-                self.crash_reports.on_report(instance, request)
-                log.info("Instance {} reports that request {} crashes servers.", instance, request)
+            case CrashReportEntry(report=report):
+                self.crash_watch.on_report(report)
             case Removed(key=ServerKey(server=server)):
                 self.apply_directory_changes(now, self.directory.on_removed(now, server))
             case Removed(key=InstanceKey(instance=instance)):
                 self.instances.on_removed(now, instance)
-            case Removed(key=CrashReportKey(instance=instance, request=request)):
-                self.crash_reports.on_report_ended(instance, request)
 
     def apply_route_table(self, table: RouteTable) -> None:
         """Switch to a route table with a higher version; others are ignored."""
@@ -253,6 +269,7 @@
                 DirectoryChangeKind.LEAVING,
             ):
                 self.connections.retire(change.server)
+                self.crash_watch.checker.forget(change.server)
                 self.quotas.limits.forget(change.server)
         self.metrics.servers.set(len(self.directory.servers))
         self.metrics.limited_servers.set(len(self.quotas.limits.known))
@@ -260,6 +277,7 @@
     def tick(self, now: float) -> None:
         """Expire old entries and adjust the hedge delays; runs every ``TICK_INTERVAL_S``."""
         self.apply_directory_changes(now, self.directory.expire(now))
+        self.crash_watch.evidence.expire(now)
         if self.instances.expire(now):
             self.forwarding.retain_only(self.instances.names)
             self.divide_limits()
@@ -278,6 +296,7 @@
 
     def divide_limits(self) -> None:
         """Set this instance's share of the connection limits and of the further calls."""
+        self.metrics.instances.set(len(self.instances))
         allowance = 0.0
         if self.instances.known:
             allowance = policies.FURTHER_CALLS_ALLOWANCE_FRACTION * self.further_calls_allowance
@@ -312,12 +331,19 @@
                 )
             )
         coordinator = self.forwarding.choose(route)
-        if coordinator is not None:
+        if coordinator is not None and not self.is_refused(request):
             result = await self.forward(coordinator, request, route, table.version)
             if result is not None:
                 return result
         return await self.runner.run(request, route, table.version)
 
+    def is_refused(self, request: GatewayRequest) -> bool:
+        """Whether a request is refused because servers ended under it."""
+        if not self.crash_watch.evidence.requests:
+            return False
+        digest = digest_of(request.method, request.host, request.target, request.body)
+        return self.crash_watch.standing(digest) is Standing.REFUSED
+
     async def forward(
         self, coordinator: str, request: GatewayRequest, route: Route, version: int
     ) -> RequestResult | None:
@@ -362,14 +388,16 @@
             async with asyncio.timeout(wait_s):
                 await self.ready_event.wait()
 
-    def report_crash(self, request: str) -> None:
-        """Report to all instances that a request may have crashed servers here."""
+    def publish_crash_report(self, report: CrashReport) -> None:
+        """Send a crash report to all instances, directly and through the store."""
+        self.crash_broadcast.send(report)
         if self.kernel is not None:
-            notify(
-                self.kernel,
-                "metadata",
-                ReportCrash(request=request, ttl_s=CRASH_REPORT_LIFETIME_S),
-            )
+            notify(self.kernel, "metadata", WriteCrashReport(report=report))
+
+    def on_crash_report_frame(self, frame: CrashReportFrame) -> None:
+        """Apply a crash report that another instance has sent, and forward it if asked to."""
+        self.crash_watch.on_report(frame.report)
+        self.crash_broadcast.forward(frame)
 
     def store_age_s(self) -> float:
         """Return the time since the store last answered."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -104,6 +104,7 @@
             version=lambda: None if gateway.table is None else gateway.table.version,
             run_request=gateway.run_forwarded,
             quota_issuer=gateway.quotas.issuer,
+            on_crash_report=gateway.on_crash_report_frame,
             finish_timeout_s=finish_timeout_s,
         )
     if settings.relay_address is not None:
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -82,6 +82,7 @@
         version=lambda: 1,
         run_request=refuse,  # type: ignore[arg-type]
         quota_issuer=quotas.issuer,
+        on_crash_report=lambda _: None,
         finish_timeout_s=0.1,
     )
     mailbox = Mailbox(name="coordinator")
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
+from typing import TYPE_CHECKING
 
 import pytest
 from result import Err, Ok
 
+from azurefield.crash_evidence import ServerEnded
 from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.failures import FailureKind
 from azurefield.model import Outcome
 from azurefield.retry import WindowedBudget
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
 from azurefield.routing import OwnObservationRouter
-from azurefield_entry.gateway.messages import MetadataListed, ReportCrash
+from azurefield_entry.gateway.messages import MetadataListed, WriteCrashReport
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
@@ -34,6 +38,9 @@
     listening,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 
 def table(version: int, *, connections_max: int = 30) -> RouteTable:
     route = Route(
@@ -170,31 +177,87 @@
     assert isinstance(result, Ok)
 
 
-async def crash_once(service: GatewayService, target: str) -> None:
+@asynccontextmanager
+async def other_server(service: GatewayService) -> AsyncIterator[None]:
+    """Run a server of another service, which is up."""
+    async with listening(ScriptedServer(script=[])) as address:
+        entry = replace(server(address, "other"), service="other")
+        service.apply_change(0.0, entry)
+        yield
+
+
+async def end_server(service: GatewayService, target: str) -> None:
     """Run a request whose server closes the connection and then refuses connections."""
     async with listening(ScriptedServer(script=[[b""]])) as address:
         service.apply_change(0.0, server(address))
         assert isinstance(await service.handle(request(target)), Err)
-    assert isinstance(await service.handle(request("/other")), Err)
+    await asyncio.gather(*service.crash_watch.tasks)
     service.apply_change(0.0, Removed(key=ServerKey(server="s1")))
 
 
-async def test_a_request_that_crashed_servers_twice_is_refused_everywhere() -> None:
-    """Guards against a request that crashes one server after the other."""
+def mailbox_of_metadata(service: GatewayService) -> Mailbox:
+    """Register a mailbox in place of the service ``metadata``."""
+    service.kernel = Kernel()
+    mailbox = service.kernel.mailboxes["metadata"] = Mailbox(name="metadata")
+    return mailbox
+
+
+async def test_a_request_under_which_servers_end_is_refused_everywhere() -> None:
+    """Guards against a request that ends one server after the other."""
     service = gateway(table(1))
-    kernel = Kernel()
-    kernel.mailboxes["metadata"] = Mailbox(name="metadata")
-    service.kernel = kernel
-    await crash_once(service, "/bad")
-    report = await kernel.mailboxes["metadata"].receive()
-    assert isinstance(report, ReportCrash)
-    service.apply_change(0.0, CrashReportEntry(instance="i2", request=report.request))
+    mailbox = mailbox_of_metadata(service)
+    async with other_server(service):
+        await end_server(service, "/bad")
+    written = await mailbox.receive()
+    assert isinstance(written, WriteCrashReport)
+    report = written.report
+    assert isinstance(report, ServerEnded)
+    assert (report.server, report.suspect) == ("s1", False)
+    for name in ("s2", "s3"):
+        elsewhere = replace(report, server=name, run=name, suspect=True)
+        service.apply_change(0.0, CrashReportEntry(report=elsewhere))
     result = await service.handle(request("/bad"))
     assert isinstance(result, Err)
     assert result.err_value.kind is FailureKind.REQUEST_CRASHES_SERVERS
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+async def test_an_instance_that_reaches_no_server_reports_nothing() -> None:
+    """Guards against an own partition that is reported as crashes of servers."""
+    service = gateway(table(1))
+    mailbox = mailbox_of_metadata(service)
+    async with other_server(service):
+        pass
+    await end_server(service, "/harmless")
+    assert not service.crash_watch.evidence.requests
+    assert mailbox.queue.empty()
+
+
+async def test_a_run_is_ended_when_its_request_is_refused() -> None:
+    """Guards against calls that go on to further servers after the last report has arrived."""
+    service = gateway(table(1))
+    async with listening(ScriptedServer(script=[SLOW_ANSWER * 50])) as address:
+        service.apply_change(0.0, server(address))
+        running = asyncio.create_task(service.handle(request("/bad")))
+        await asyncio.sleep(0.05)
+        (digest,) = service.runner.running
+        for name in ("s1", "s2", "s3"):
+            report = ServerEnded(
+                request=digest,
+                service="desk",
+                server=name,
+                incarnation="",
+                run=name,
+                suspect=True,
+            )
+            service.apply_change(0.0, CrashReportEntry(report=report))
+        async with asyncio.timeout(0.2):
+            result = await running
+    assert isinstance(result, Err)
+    assert result.err_value.kind is FailureKind.REQUEST_CRASHES_SERVERS
+    assert not service.runner.running
+
+
 async def test_an_instance_is_ready_once_it_has_a_listing() -> None:
     """Guards against an instance that reports readiness before it knows the servers."""
     service = gateway()
--- /dev/null
+++ b/packages/azurefield/src/azurefield/crash_evidence.py
@@ -0,0 +1,193 @@
+"""Containment of requests that end the backend servers that run them, over all instances.
+
+``CrashSuspects`` confirms such a request by running it alone. The gateway can't afford that: a
+query over shards would end one server after the other before each of its calls has run alone. Here
+each end of a server under a request is reported to all instances. From the first report on, the
+request is a suspect: it gets one attempt for each shard, on a connection that is opened for it, so
+that its server is known to have been up. A request is refused once enough servers have ended under
+it, some of them while it was a suspect. A harmless request is in flight when a server ends by
+chance, but hardly ever again when it is sent as a suspect, and it is cleared by its first answer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from hashlib import sha256
+
+# Servers that have to end under a request before it is refused.
+SERVERS_ENDED_MIN = 3
+# Of these, as many have to end while the request is already a suspect.
+SUSPECT_ENDS_MIN = 2
+# A refused request is a suspect again after this time, so that it is run once on one server.
+REFUSAL_S = 300.0
+EVIDENCE_LIFETIME_S = 600.0
+# Reports of suspect runs on one server within this time are about the same end.
+SAME_END_S = 2.0
+# Reports that were under way when a request was answered are ignored for this time.
+ANSWER_PRECEDENCE_S = 10.0
+# Requests for which evidence is kept at the same time, and reports that are kept of each.
+REQUESTS_MAX = 1000
+REPORTS_MAX = 100
+
+
+def digest_of(*parts: str | bytes) -> str:
+    """Hash the content of a request, so that a retry under another request id is recognized.
+
+    >>> digest_of("GET", "/x", b"") == digest_of("GET", "/x", b"")
+    True
+    >>> digest_of("ab", "c") == digest_of("a", "bc")
+    False
+    """
+    digest = sha256()
+    for part in parts:
+        data = part.encode(errors="surrogateescape") if isinstance(part, str) else part
+        digest.update(len(data).to_bytes(8, "big") + data)
+    return digest.hexdigest()[:32]
+
+
+class Standing(StrEnum):
+    """How a request may run: as usual, with care as a suspect, or not at all."""
+
+    USUAL = "usual"
+    SUSPECT = "suspect"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ServerEnded:
+    """Report that a server ended while it ran a request.
+
+    :param request: the digest of the request
+    :param incarnation: tells apart the starts of the server
+    :param run: identifies the run of the request
+    :param suspect: whether the request ran as a suspect, on a server that was up just before
+    """
+
+    request: str
+    service: str
+    server: str
+    incarnation: str
+    run: str
+    suspect: bool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RequestAnswered:
+    """Report that a server of a service has run a request and did not end."""
+
+    request: str
+    service: str
+
+
+CrashReport = ServerEnded | RequestAnswered
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestEvidence:
+    """What is known of one request.
+
+    :param reports: the reports that are known
+    :param ends: one report of each end of a server under it, and when it was counted
+    :param answered_at: when it was answered, by service
+    """
+
+    reports: set[ServerEnded] = field(default_factory=set)
+    ends: list[tuple[ServerEnded, float]] = field(default_factory=list)
+    answered_at: dict[str, float] = field(default_factory=dict)
+    changed_at: float = 0.0
+
+    def counted(self, now: float, report: ServerEnded) -> bool:
+        """Whether the end of a server that a report is about was counted before.
+
+        Usual runs that are in flight together report the same end. A suspect finds its server up,
+        so a later suspect run means another end.
+        """
+        return any(
+            (known.server, known.incarnation, known.suspect)
+            == (report.server, report.incarnation, report.suspect)
+            and (not report.suspect or now - counted_at < SAME_END_S)
+            for known, counted_at in self.ends
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class CrashEvidence:
+    """Decides from the reports of all instances which requests are suspects and which are refused.
+
+    It does not matter which instance a report is from: an instance counts its own earlier reports,
+    which it may have written before a restart.
+    """
+
+    requests: dict[str, RequestEvidence] = field(default_factory=dict)
+
+    def on_report(self, now: float, report: CrashReport) -> bool:
+        """Apply a report.
+
+        :return: whether it adds something to what is known
+        """
+        match report:
+            case ServerEnded():
+                return self.on_server_ended(now, report)
+            case RequestAnswered(request=request, service=service):
+                return self.on_answered(now, request, service)
+
+    def on_server_ended(self, now: float, report: ServerEnded) -> bool:
+        """Count the end of a server, unless it is known or the request has just been answered."""
+        known = self.requests.get(report.request)
+        if known is None:
+            self.make_room()
+            known = self.requests[report.request] = RequestEvidence()
+        answered_at = known.answered_at.get(report.service)
+        if answered_at is not None and now - answered_at < ANSWER_PRECEDENCE_S:
+            return False
+        if report in known.reports or len(known.reports) >= REPORTS_MAX:
+            return False
+        known.reports.add(report)
+        known.changed_at = now
+        if not known.counted(now, report):
+            known.ends.append((report, now))
+        return True
+
+    def on_answered(self, now: float, request: str, service: str) -> bool:
+        """Drop the ends of a service's servers under a request that one of them has answered.
+
+        :return: whether there were any
+        """
+        known = self.requests.get(request)
+        if known is None:
+            return False
+        known.answered_at[service] = now
+        ends = [(report, at) for report, at in known.ends if report.service != service]
+        dropped = len(ends) < len(known.ends)
+        known.ends = ends
+        return dropped
+
+    def standing(self, now: float, request: str) -> Standing:
+        """Return how a request may run now."""
+        known = self.requests.get(request)
+        if known is None or not known.ends or now - known.changed_at >= EVIDENCE_LIFETIME_S:
+            return Standing.USUAL
+        suspect_ends = sum(report.suspect for report, _ in known.ends)
+        proven = len(known.ends) >= SERVERS_ENDED_MIN and suspect_ends >= SUSPECT_ENDS_MIN
+        if proven and now - known.changed_at < REFUSAL_S:
+            return Standing.REFUSED
+        return Standing.SUSPECT
+
+    def servers(self, request: str) -> list[str]:
+        """List the servers that ended under a request."""
+        known = self.requests.get(request)
+        return [] if known is None else sorted({end.server for end, _ in known.ends})
+
+    def make_room(self) -> None:
+        """Drop the oldest evidence if there is too much."""
+        while len(self.requests) >= REQUESTS_MAX:
+            del self.requests[min(self.requests, key=lambda key: self.requests[key].changed_at)]
+
+    def expire(self, now: float) -> None:
+        """Drop what no longer counts."""
+        self.requests = {
+            request: known
+            for request, known in self.requests.items()
+            if now - known.changed_at < EVIDENCE_LIFETIME_S
+        }
--- /dev/null
+++ b/packages/azurefield/src/azurefield/reachability.py
@@ -0,0 +1,42 @@
+"""What one instance has observed of its connections to backend servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerContacts:
+    """When servers last accepted a connection, and when they last showed that they were up.
+
+    :param opened_at: when a server last accepted a connection
+    :param up_at: when it last accepted a connection or answered a call
+    """
+
+    opened_at: dict[str, float] = field(default_factory=dict)
+    up_at: dict[str, float] = field(default_factory=dict)
+
+    def on_opened(self, now: float, server: str) -> None:
+        """Record that a server has accepted a connection."""
+        self.opened_at[server] = now
+        self.up_at[server] = now
+
+    def on_answered(self, now: float, server: str) -> None:
+        """Record that a server has answered a call, whatever the answer."""
+        self.up_at[server] = now
+
+    def silent_s(self, now: float, server: str, since: float) -> float:
+        """Return for how long a server has been silent, at most since a time."""
+        return now - max(since, self.up_at.get(server, since))
+
+    def opened_since(self, at: float, *, without: frozenset[str]) -> bool:
+        """Whether any server but these has accepted a connection since a time."""
+        return any(
+            opened_at >= at and server not in without
+            for server, opened_at in self.opened_at.items()
+        )
+
+    def forget(self, server: str) -> None:
+        """Remove a server that is gone."""
+        self.opened_at.pop(server, None)
+        self.up_at.pop(server, None)
--- a/tests/fleet/crashing_leafs.py
+++ b/tests/fleet/crashing_leafs.py
@@ -174,9 +174,7 @@
             status, _, body = await site.call(target, request_id)
         except aiohttp.ClientError:
             status, body = 0, b""
-        return Send(
-            request_id=request_id, sent_at=sent_at, status=status, refused=REFUSAL in body
-        )
+        return Send(request_id=request_id, sent_at=sent_at, status=status, refused=REFUSAL in body)
 
     async def send_crashing(self, target: str, until: float) -> None:
         """Send the crashing request again and again, also while an earlier one waits."""
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -128,6 +128,14 @@
         except aiohttp.ClientError:
             return False
 
+    async def metric(self, name: str) -> float | None:
+        """Return a metric without labels; None if it has no value."""
+        assert self.session is not None
+        async with self.session.get(f"http://{self.admin}/metrics") as answer:
+            lines = (await answer.text()).splitlines()
+        values = [line.split()[1] for line in lines if line.startswith(f"{name} ")]
+        return float(values[0]) if values else None
+
     async def call(
         self, path: str, request_id: str, method: str = "GET", deadline_ms: int = 900
     ) -> tuple[int, CIMultiDictProxy[str], bytes]:
@@ -142,6 +150,14 @@
         ) as answer:
             return answer.status, answer.headers, await answer.read()
 
+    async def wait_for_instances(self, count: int) -> None:
+        """Wait until this instance knows a number of running instances."""
+
+        async def known() -> bool:
+            return await self.metric("azurefield_gateway_instances") == count
+
+        await wait_until(known, f"{self.name} knows {count} instances")
+
     def line_of(self, request_id: str) -> str:
         """Return the log line of a request."""
         assert self.process is not None
@@ -218,4 +234,6 @@
             stack.push_async_callback(site.kill)
         for site in sites.values():
             await wait_until(site.ready, f"{site.name} is ready")
+        for site in sites.values():
+            await site.wait_for_instances(len(sites))
         yield sites
--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -7,11 +7,11 @@
 import pytest
 from result import Err, Ok
 
+from azurefield.crash_evidence import RequestAnswered, ServerEnded
 from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.routes import RouteTable, ShardSet, SingleService, WeightedServices
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
-    CrashReportKey,
     InstanceEntry,
     InstanceKey,
     Removed,
@@ -139,14 +139,24 @@
             InstanceKey(instance="n1"),
             InstanceEntry(instance="n1", availability_zone="z", relay_address="192.0.2.1:7740"),
         ),
+        (None, CrashReportEntry(report=RequestAnswered(request="f", service="s"))),
         (
-            CrashReportKey(instance="n1", request="f"),
-            CrashReportEntry(instance="n1", request="f"),
+            None,
+            CrashReportEntry(
+                report=ServerEnded(
+                    request="f",
+                    service="s",
+                    server="i-1",
+                    incarnation="9",
+                    run="q1",
+                    suspect=True,
+                )
+            ),
         ),
     ],
 )
 def test_own_entries_come_back_as_they_were_written(
-    key: InstanceKey | CrashReportKey, item: InstanceEntry | CrashReportEntry
+    key: InstanceKey | None, item: InstanceEntry | CrashReportEntry
 ) -> None:
     """Guards against an entry that other instances of the gateway can't read."""
     path, value = encode_entry(item)
