--- a/packages/azurefield-entry/tests/gateway/test_relay.py
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -526,7 +526,7 @@
     for report in reports:
         own.reports.add(report)
     failures = own.metrics.store_failures
-    await wait_until(lambda: [*failures.collect()][0].samples[0].value >= 1, "a write fails")
+    await wait_until(lambda: next(iter(failures.collect())).samples[0].value >= 1, "a write fails")
     assert not store.written
     store.down = False
     await wait_until(lambda: len(store.written) == 3, "all are written")
