Hold back the retries of a query that has lost calls on several servers

Callers saw: a listing that ends the servers of all its shards ended a second one of each with its retries, twice as many as shards in one send, before any report could reach another instance.

Cause: a fan-out retries each lost call at once, whatever happened to its other calls.

Change: LossContainment. Once three servers have broken off calls of a query and no server has answered it, one retry goes first, and no hedge; the first answer releases the others, two lost trials give them up.

Result: a query over six shards that ends each server made 12 calls and makes 10; the number beyond the first calls no longer grows with the shards.

--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -17,6 +17,7 @@
 )
 from azurefield.hedging import HedgePolicy
 from azurefield.leaf_progress import LeafProgress, PendingCall
+from azurefield.loss_containment import LossContainment, RetryDecision
 from azurefield.merge import MergePolicy
 from azurefield.model import Outcome, Snapshot
 from azurefield.query_actions import Action, CancelLeafCall, Finished, SendLeafCall, WakeAt
@@ -74,6 +75,7 @@
     open_leafs: set[str] = field(default_factory=set)
     answered: int = 0
     timers: QueryTimers = field(default_factory=QueryTimers)
+    containment: LossContainment = field(default_factory=LossContainment)
     choice: ServerChoice = field(init=False)
     calls_sent: int = 0
     finished: bool = False
@@ -132,6 +134,8 @@
         self.open_leafs.discard(leaf)
         actions: list[Action[R]] = []
         self.cancel_pending(now, progress, CallResult.CANCELLED, actions)
+        for held in self.containment.on_answered():
+            self.resend(now, held, actions)
         return self.finish_or_schedule_wake(now, actions)
 
     def on_failure(self, now: float, call_id: str, failure: LeafFailure) -> list[Action[R]]:
@@ -145,20 +149,40 @@
         progress.failure = failure.reason
         progress.ended_attempts += failure.outcome is not Outcome.NOT_RUN
         actions: list[Action[R]] = []
-        if (
-            not progress.pending
-            and now < self.deadline
-            and self.try_spend_retry(now, leaf, failure)
-        ):
-            self.send(now, leaf, actions)
+        if failure.reason is LeafFailureReason.CONNECTION_LOST:
+            for given_up in self.containment.on_lost(leaf, call.server):
+                self.give_up(given_up)
+        if not progress.pending and now < self.deadline:
+            self.retry(now, leaf, failure, actions)
         if failure.outcome is Outcome.NOT_RUN:
             progress.refused_by.add(call.server)
-        if not progress.pending:
+        if not progress.pending and progress.resend_at is None:
             self.schedule_resend(now, progress)
         if progress.settled:
-            self.open_leafs.discard(leaf)
+            self.give_up(leaf)
+            for held in self.containment.on_gave_up(leaf):
+                self.resend(now, held, actions)
         return self.finish_or_schedule_wake(now, actions)
 
+    def retry(self, now: float, leaf: str, failure: LeafFailure, actions: list[Action[R]]) -> None:
+        """Send a failed call to another server, or hold it back after many lost calls."""
+        if failure.reason is not LeafFailureReason.CONNECTION_LOST:
+            decision = RetryDecision.SEND
+        elif not self.may_retry(now, leaf):
+            return
+        else:
+            decision = self.containment.decide(leaf)
+        match decision:
+            case RetryDecision.SEND if self.try_spend_retry(now, leaf, failure):
+                self.send(now, leaf, actions)
+            case RetryDecision.HOLD:
+                self.timers.set_resend(self.progress[leaf], self.deadline)
+
+    def give_up(self, leaf: str) -> None:
+        """Stop waiting for a leaf that gets no further call."""
+        self.progress[leaf].resend_at = None
+        self.open_leafs.discard(leaf)
+
     def set_waiting(self, call_id: str, *, waiting: bool) -> None:
         """Record whether a pending call waits for quota or a connection before it is sent."""
         leaf = self.leaf_of_pending_call(call_id)
@@ -197,12 +221,16 @@
 
         A call that never reached a server added no load there, so its retry is free.
         """
+        if not self.may_retry(now, leaf):
+            return False
+        return failure.reason in NEVER_SENT_REASONS or self.retries.try_spend(now, leaf)
+
+    def may_retry(self, now: float, leaf: str) -> bool:
+        """Whether a leaf's call may be sent to another server, apart from the retry budget."""
         progress = self.progress[leaf]
         if not self.idempotent and progress.ended_attempts:
             return False
-        if not self.attempts_left(progress) or not self.untried(now, leaf, open_by=self.deadline):
-            return False
-        return failure.reason in NEVER_SENT_REASONS or self.retries.try_spend(now, leaf)
+        return self.attempts_left(progress) and bool(self.untried(now, leaf, open_by=self.deadline))
 
     def attempts_left(self, progress: LeafProgress[A]) -> bool:
         """Whether the limit of attempts allows another call for a leaf."""
@@ -253,7 +281,7 @@
         It never waits for quota.
         """
         progress = self.progress[leaf]
-        if len(progress.pending) != 1 or not self.idempotent:
+        if len(progress.pending) != 1 or not self.idempotent or self.containment.active:
             return
         if (
             self.attempts_left(progress)
--- a/packages/azurefield/src/azurefield/query_timers.py
+++ b/packages/azurefield/src/azurefield/query_timers.py
@@ -27,7 +27,7 @@
             heappush(self.hedges, (at, progress.position))
 
     def set_resend(self, progress: LeafProgress[Any], at: float) -> None:
-        """Set when a leaf's call is sent again."""
+        """Set when a leaf's call is sent again, in place of an earlier time."""
         progress.resend_at = at
         heappush(self.resends, (at, progress.position))
 
@@ -44,7 +44,9 @@
         """Remove the due repeated calls and return the positions of their leafs."""
         due = []
         while self.resends and self.resends[0][0] <= now:
-            due.append(heappop(self.resends)[1])
+            at, position = heappop(self.resends)
+            if self.progress[position].resend_at == at:
+                due.append(position)
         return due
 
     def is_current_hedge(self, at: float, position: int) -> bool:
@@ -56,6 +58,8 @@
         """Return the earliest due time; infinity if there is none."""
         while self.hedges and not self.is_current_hedge(*self.hedges[0]):
             heappop(self.hedges)
+        while self.resends and self.progress[self.resends[0][1]].resend_at != self.resends[0][0]:
+            heappop(self.resends)
         return min(
             [heap[0][0] for heap in (self.hedges, self.resends) if heap], default=float("inf")
         )
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -393,3 +393,43 @@
     limits.opens = dict.fromkeys(LIMITED, 5.0)
     result = result_of(query.on_failure(0.06, second.call_id, DENIED))
     assert result == Ok(MergedParts(proofs=("p",), missing=1, body=b"xx"))
+
+
+SHARDS = tuple("abcdef")
+MANY = TopRecordsMerge(top=3, coverage_min=0.5, record_bytes=2)
+
+
+def lose(query: FanOut[Any, Any], actions: list[Action[Any]]) -> list[str]:
+    """Lose each call that the actions send; return the calls that are sent in turn."""
+    return [
+        again for call_id in sent(actions) for again in sent(query.on_failure(0.01, call_id, LOST))
+    ]
+
+
+def test_a_query_that_ends_its_servers_does_not_end_as_many_again() -> None:
+    """Guards against the retries of a query under which a server of each shard has ended."""
+    query = fan_out(MANY, SHARDS, retries=RetryBudget(ratio=1.0))
+    retries = lose(query, query.start(0.0))
+    assert len(retries) == 3, "two were sent before enough calls were lost, and one trial"
+    ended = [query.on_failure(0.02, call_id, LOST) for call_id in retries]
+    (second_trial,) = sent(ended[-1])
+    assert isinstance(result_of(query.on_failure(0.03, second_trial, LOST)), Err), "at once"
+    assert query.calls_sent == len(SHARDS) + 4
+
+
+def test_a_query_that_lost_calls_by_chance_is_answered_whole() -> None:
+    """Guards against a listing that stays incomplete after several servers have crashed."""
+    query = fan_out(MANY, SHARDS, retries=RetryBudget(ratio=1.0))
+    retries = lose(query, query.start(0.0))
+    released = [
+        again
+        for call_id in retries
+        for again in sent(query.on_answer(0.03, call_id, Part(proof=call_id, body=b"aa")))
+    ]
+    assert len(released) == 3
+    results = [
+        result_of(query.on_answer(0.05, call_id, Part(proof=call_id, body=b"bb")))
+        for call_id in released
+    ]
+    assert isinstance(results[-1], Ok)
+    assert results[-1].ok_value.missing == 0
