Hold one request to account for each server that ends

Cause: a request that is in flight on the servers that another request ends collects the same reports. As a suspect it waits on a fresh connection to a server that the other request ends again.

Change: CrashEvidence keeps the ends of servers with all requests that were running there. An end counts for a request only if no other one of these has been there at more ends.

--- a/packages/azurefield/src/azurefield/crash_evidence.py
+++ b/packages/azurefield/src/azurefield/crash_evidence.py
@@ -7,6 +7,8 @@
 that its server is known to have been up. A request is refused once enough servers have ended under
 it, some of them while it was a suspect. A harmless request is in flight when a server ends by
 chance, but hardly ever again when it is sent as a suspect, and it is cleared by its first answer.
+Of several requests that a server was running when it ended, only the one under which most servers
+have ended is held to account.
 """
 
 from __future__ import annotations
@@ -22,7 +24,7 @@
 # A refused request is a suspect again after this time, so that it is run once on one server.
 REFUSAL_S = 300.0
 EVIDENCE_LIFETIME_S = 600.0
-# Reports of suspect runs on one server within this time are about the same end.
+# Reports on one server within this time are about the same end.
 SAME_END_S = 2.0
 # Reports that were under way when a request was answered are ignored for this time.
 ANSWER_PRECEDENCE_S = 10.0
@@ -83,33 +85,36 @@
 CrashReport = ServerEnded | RequestAnswered
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class ServerEnd:
+    """One end of a server.
+
+    :param reported_at: when it was first reported
+    :param requests: the requests that the server was running, and whether each was a suspect
+    """
+
+    server: str
+    incarnation: str
+    service: str
+    reported_at: float
+    requests: dict[str, bool] = field(default_factory=dict)
+
+
 @dataclass(slots=True, kw_only=True)
 class RequestEvidence:
     """What is known of one request.
 
     :param reports: the reports that are known
-    :param ends: one report of each end of a server under it, and when it was counted
+    :param ends: the ends of servers that were running it
     :param answered_at: when it was answered, by service
+    :param changed_at: when the last report came
     """
 
     reports: set[ServerEnded] = field(default_factory=set)
-    ends: list[tuple[ServerEnded, float]] = field(default_factory=list)
+    ends: list[ServerEnd] = field(default_factory=list)
     answered_at: dict[str, float] = field(default_factory=dict)
     changed_at: float = 0.0
 
-    def counted(self, now: float, report: ServerEnded) -> bool:
-        """Whether the end of a server that a report is about was counted before.
-
-        Usual runs that are in flight together report the same end. A suspect finds its server up,
-        so a later suspect run means another end.
-        """
-        return any(
-            (known.server, known.incarnation, known.suspect)
-            == (report.server, report.incarnation, report.suspect)
-            and (not report.suspect or now - counted_at < SAME_END_S)
-            for known, counted_at in self.ends
-        )
-
 
 @dataclass(slots=True, kw_only=True)
 class CrashEvidence:
@@ -120,6 +125,7 @@
     """
 
     requests: dict[str, RequestEvidence] = field(default_factory=dict)
+    ends: list[ServerEnd] = field(default_factory=list)
 
     def on_report(self, now: float, report: CrashReport) -> bool:
         """Apply a report.
@@ -145,10 +151,32 @@
             return False
         known.reports.add(report)
         known.changed_at = now
-        if not known.counted(now, report):
-            known.ends.append((report, now))
+        end = self.end_of(now, report, known)
+        if end not in known.ends:
+            known.ends.append(end)
+        end.requests[report.request] = report.suspect or end.requests.get(report.request, False)
         return True
 
+    def end_of(self, now: float, report: ServerEnded, known: RequestEvidence) -> ServerEnd:
+        """Return the end of a server that a report is about.
+
+        A suspect finds its server up, so a later report of a suspect run is about another end. A
+        usual run may find out late that its server has ended.
+        """
+        for end in reversed(self.ends):
+            if (end.server, end.incarnation) != (report.server, report.incarnation):
+                continue
+            if now - end.reported_at < SAME_END_S or (not report.suspect and end in known.ends):
+                return end
+        end = ServerEnd(
+            server=report.server,
+            incarnation=report.incarnation,
+            service=report.service,
+            reported_at=now,
+        )
+        self.ends.append(end)
+        return end
+
     def on_answered(self, now: float, request: str, service: str) -> bool:
         """Drop the ends of a service's servers under a request that one of them has answered.
 
@@ -158,36 +186,47 @@
         if known is None:
             return False
         known.answered_at[service] = now
-        ends = [(report, at) for report, at in known.ends if report.service != service]
-        dropped = len(ends) < len(known.ends)
-        known.ends = ends
-        return dropped
+        cleared = [end for end in known.ends if end.service == service]
+        for end in cleared:
+            del end.requests[request]
+        known.ends = [end for end in known.ends if end.service != service]
+        return bool(cleared)
 
     def standing(self, now: float, request: str) -> Standing:
         """Return how a request may run now."""
         known = self.requests.get(request)
         if known is None or not known.ends or now - known.changed_at >= EVIDENCE_LIFETIME_S:
             return Standing.USUAL
-        suspect_ends = sum(report.suspect for report, _ in known.ends)
-        proven = len(known.ends) >= SERVERS_ENDED_MIN and suspect_ends >= SUSPECT_ENDS_MIN
+        ends = [end for end in known.ends if self.accounts_for(request, end)]
+        suspect_ends = sum(end.requests[request] for end in ends)
+        proven = len(ends) >= SERVERS_ENDED_MIN and suspect_ends >= SUSPECT_ENDS_MIN
         if proven and now - known.changed_at < REFUSAL_S:
             return Standing.REFUSED
         return Standing.SUSPECT
 
+    def accounts_for(self, request: str, end: ServerEnd) -> bool:
+        """Whether no other request of an ended server has been there at more ends."""
+        count = len(self.requests[request].ends)
+        return all(len(self.requests[other].ends) <= count for other in end.requests)
+
     def servers(self, request: str) -> list[str]:
         """List the servers that ended under a request."""
         known = self.requests.get(request)
-        return [] if known is None else sorted({end.server for end, _ in known.ends})
+        return [] if known is None else sorted({end.server for end in known.ends})
 
     def make_room(self) -> None:
         """Drop the oldest evidence if there is too much."""
         while len(self.requests) >= REQUESTS_MAX:
-            del self.requests[min(self.requests, key=lambda key: self.requests[key].changed_at)]
+            self.drop(min(self.requests, key=lambda key: self.requests[key].changed_at))
 
     def expire(self, now: float) -> None:
         """Drop what no longer counts."""
-        self.requests = {
-            request: known
-            for request, known in self.requests.items()
-            if now - known.changed_at < EVIDENCE_LIFETIME_S
-        }
+        for request, known in [*self.requests.items()]:
+            if now - known.changed_at >= EVIDENCE_LIFETIME_S:
+                self.drop(request)
+        self.ends = [end for end in self.ends if end.requests]
+
+    def drop(self, request: str) -> None:
+        """Drop the evidence of a request."""
+        for end in self.requests.pop(request).ends:
+            del end.requests[request]
--- a/packages/azurefield/tests/test_crash_evidence.py
+++ b/packages/azurefield/tests/test_crash_evidence.py
@@ -89,6 +89,31 @@
 REFUSED = (ended("a1"), ended("a2", suspect=True), ended("a3", suspect=True))
 
 
+def test_a_harmless_request_is_not_refused_for_what_another_one_did() -> None:
+    """Guards against a refusal of requests that wait on the servers that another request ends."""
+    evidence = CrashEvidence()
+    for number in range(4):
+        at = number * SAME_END_S
+        evidence.on_report(at, ended(f"a{number}", suspect=number > 0, run=f"run{number}"))
+        if number:
+            beside = ended(f"a{number}", suspect=True, run=f"beside{number}", request="harmless")
+            evidence.on_report(at + 0.5, beside)
+    assert evidence.standing(3 * SAME_END_S + 0.5, "r") is Standing.REFUSED
+    assert evidence.standing(3 * SAME_END_S + 0.5, "harmless") is Standing.SUSPECT
+
+
+def test_two_requests_that_end_servers_are_both_refused() -> None:
+    """Guards against a request that hides behind another one."""
+    evidence = CrashEvidence()
+    for request, count in (("r", 3), ("often", 9)):
+        for number in range(count):
+            run = f"{request}{number}"
+            report = ended(run, suspect=number > 0, run=run, request=request)
+            evidence.on_report(number * SAME_END_S, report)
+    assert evidence.standing(10 * SAME_END_S, "r") is Standing.REFUSED
+    assert evidence.standing(10 * SAME_END_S, "often") is Standing.REFUSED
+
+
 def test_a_report_that_arrives_twice_counts_once() -> None:
     """Guards against a refusal because a report came from the store and from its instance."""
     evidence = CrashEvidence()
@@ -135,6 +160,7 @@
     assert "r0" not in evidence.requests
     evidence.expire(2 * REQUESTS_MAX + EVIDENCE_LIFETIME_S)
     assert not evidence.requests
+    assert not evidence.ends
 
 
 def test_the_servers_that_ended_are_named() -> None:
