--- a/tests/soak/soak/callers.py
+++ b/tests/soak/soak/callers.py
@@ -9,13 +9,14 @@
 from itertools import count
 from random import Random
 
-from soak.history import History, SentRequest
+from soak.history import CRASH_TARGET, History, SentRequest
 
 DEADLINE_MS = 900
 ANSWER_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 MEAN_PAUSE_S = 0.05
 ABANDON_PROBABILITY = 0.03
+CRASH_INTERVAL_S = 0.3
 
 
 @dataclass(slots=True, kw_only=True)
@@ -66,6 +67,35 @@
             writer.transport.abort()
         return sent
 
+    async def send_crashing(self, random: Random, duration_s: float) -> list[SentRequest]:
+        """Send the request that ends leafs again and again; return what was sent."""
+        clock = asyncio.get_running_loop().time
+        until = clock() + duration_s
+        requests = []
+        while clock() < until:
+            gateway = random.choice(sorted(self.addresses))
+            host, _, port = self.addresses[gateway].rpartition(":")
+            sent = SentRequest(
+                request_id=f"{self.seed:x}-{next(self.request_numbers)}",
+                kind="single",
+                method="GET",
+                target=CRASH_TARGET,
+                body=b"",
+                gateway=gateway,
+                sent_at=clock(),
+            )
+            self.history.sent[sent.request_id] = sent
+            requests.append(sent)
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                await self.exchange(sent, reader, writer)
+                writer.transport.abort()
+            except OSError:
+                pass
+            await asyncio.sleep(CRASH_INTERVAL_S)
+        return requests
+
     def next_request(self, random: Random, gateway: str) -> SentRequest:
         """Create a request of a random kind and add it to the history."""
         request_id = f"{self.seed:x}-{next(self.request_numbers)}"
--- a/tests/soak/soak/faults.py
+++ b/tests/soak/soak/faults.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from soak.callers import Callers
 from soak.leafs import BEHAVIOURS
 from soak.proxy import ConnectionFault, Proxy
 from soak.site import Site
@@ -37,6 +38,7 @@
 
     site: Site
     log: list[str]
+    callers: Callers
 
     async def inject(self) -> None:
         """Start faults at random intervals, without waiting for the earlier ones to end."""
@@ -59,6 +61,7 @@
             self.change_config,
             self.replace_leaf,
             self.crash_leaf,
+            self.send_crashing_requests,
         )
         async with asyncio.TaskGroup() as group:
             while True:
@@ -193,6 +196,10 @@
         self.site.shard_set_index, self.site.desk_index = random.randrange(2), random.randrange(2)
         self.site.put_config()
 
+    async def send_crashing_requests(self) -> None:
+        """Send a request that ends each leaf that begins to run it, again and again."""
+        await self.callers.send_crashing(self.site.random, FAULT_MAX_S)
+
     async def replace_leaf(self) -> None:
         """Drain a leaf and replace it by another one at a new address."""
         leaf = self.choose_leaf()
--- a/tests/soak/soak/history.py
+++ b/tests/soak/soak/history.py
@@ -12,6 +12,9 @@
 # Other failures that a caller may get for a valid request.
 FAILURE_STATUSES = frozenset({500, 502, 503, 504})
 ATTEMPTS_MAX = 2
+# The target of a request that ends each leaf that begins to run it.
+CRASH_TARGET = "/s/crash"
+REFUSED_AS_CRASHING = b"request-crashes-servers"
 
 
 def leaf_records(leaf: str, request_id: str) -> bytes:
@@ -37,6 +40,7 @@
     gateway: str
     status: int = 0
     closed: bool = False
+    sent_at: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -98,6 +102,8 @@
     ) -> None:
         """Check a complete answer that a caller received."""
         sent.status = status
+        if REFUSED_AS_CRASHING in body and sent.target != CRASH_TARGET:
+            self.add_violation("DENIED", sent.request_id, f"refused for crashes: {sent.target}")
         if status == 200:
             if sent.kind == "listing":
                 self.check_listing(sent, headers, body)
--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from aiohttp import web
-from soak.history import History, leaf_records, leaf_signature
+from soak.history import CRASH_TARGET, History, leaf_records, leaf_signature
 
 BEHAVIOURS = ("shed", "error", "slow", "hang", "reset", "lost", "truncated", "extra", "unframed")
 SERVICE_TIME_MAX_S = 0.02
@@ -20,6 +21,7 @@
 
     ``duplicate_answers`` holds the answers to be sent a second time, by connection. While
     ``limit_per_s`` is set, its answers name this limit, and ``arrivals`` holds when requests came.
+    ``on_crash`` is called when it begins to run a request that ends it.
     """
 
     name: str
@@ -32,6 +34,7 @@
     down: bool = False
     limit_per_s: float | None = None
     arrivals: list[float] = field(default_factory=list)
+    on_crash: Callable[[Leaf], None] = lambda _: None
     duplicate_answers: dict[asyncio.Transport, bytes] = field(default_factory=dict)
 
     def registry_entry(self, address: str, state: str = "ready") -> dict[str, object]:
@@ -80,6 +83,9 @@
             target=request.raw_path,
             body=body,
         )
+        if request.raw_path == CRASH_TARGET:
+            self.on_crash(self)
+            return web.Response()
         await asyncio.sleep(SERVICE_TIME_MAX_S * self.random.random())
         if behaviour in ("slow", "hang"):
             await asyncio.sleep(SLOW_ANSWER_DELAY_S if behaviour == "slow" else 60.0)
--- a/tests/soak/soak/proxy.py
+++ b/tests/soak/soak/proxy.py
@@ -50,9 +50,10 @@
     server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        """Listen on a free port, or on the same one again."""
+        host, _, port = (self.address or "127.0.0.1:0").rpartition(":")
+        self.server = await asyncio.start_server(self.accept, host, int(port))
+        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -15,7 +15,7 @@
 import aiohttp
 from soak.callers import Callers
 from soak.faults import FaultInjector
-from soak.history import History
+from soak.history import CRASH_TARGET, History
 from soak.proxy import ConnectionFault
 from soak.site import DESKS, GATEWAYS, Site
 
@@ -31,6 +31,12 @@
 LIMIT_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_DURATION_S = 5.5
+# How long a request is sent that ends leafs, and how many of its sends may reach a leaf later than
+# some time after it has ended the third one.
+CRASHING_REQUEST_S = 8.0
+CRASHES_MIN = 3
+CRASH_CONTACT_S = 4.0
+LATE_CRASHING_MAX = 3
 
 
 @dataclass(slots=True, kw_only=True)
@@ -104,6 +110,20 @@
             history.add_violation("LIMIT", leaf.name, detail)
 
 
+async def check_crashing_request(site: Site, callers: Callers, history: History) -> None:
+    """Check that a request that ends leafs soon reaches no leaf, though the store is away."""
+    site.crashes.clear()
+    site.store.down = site.random.random() < 0.5
+    sent = await callers.send_crashing(site.random, CRASHING_REQUEST_S)
+    site.store.down = False
+    if len(site.crashes) < CRASHES_MIN:
+        return
+    late_from = site.crashes[CRASHES_MIN - 1] + CRASH_CONTACT_S
+    late = [s.request_id for s in sent if s.sent_at > late_from and history.runs.get(s.request_id)]
+    if len(late) > LATE_CRASHING_MAX:
+        history.add_violation("BUDGET", CRASH_TARGET, f"{len(late)} late sends reached leafs")
+
+
 async def check_configuration(site: Site, history: History) -> None:
     """Check that a new version is in force at all gateways in time."""
     site.put_config()
@@ -157,7 +177,9 @@
             await wait_until(lambda: all_ready(site), "all gateways are ready")
             tasks = [asyncio.create_task(callers.send_requests(n)) for n in range(CALLERS)]
             await asyncio.sleep(WARM_UP_S)
-            injection = asyncio.create_task(FaultInjector(site=site, log=report.faults).inject())
+            injection = asyncio.create_task(
+                FaultInjector(site=site, log=report.faults, callers=callers).inject()
+            )
             await asyncio.sleep(seconds)
             injection.cancel()
             await asyncio.wait([injection])
@@ -166,6 +188,7 @@
             await asyncio.sleep(SETTLE_TIME_S)
             await check_configuration(site, history)
             await check_limit(site, history)
+            await check_crashing_request(site, callers, history)
             await rolling_restart(site, callers)
             await check_service(site, callers, history)
         finally:
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -21,6 +21,8 @@
 PROGRAM = Path(__file__).parents[3] / "platform" / "run.py"
 HOST = "127.0.0.1"
 GATEWAY_GRACE_S = 6
+# A leaf that a request has ended is back after this time.
+CRASH_DOWN_S = 1.5
 SHARD_SETS = (("a", "b", "c"), ("d", "e"))
 DESKS = ("desk", "annex")
 LEAFS_PER_SERVICE = 3
@@ -96,7 +98,8 @@
 class Site:
     """All gateways, leafs and the store of one run, with a proxy for each leaf.
 
-    ``leaf_count`` counts all leafs that were ever named, so that each name is used only once.
+    ``crashes`` holds when leafs were ended by a request. ``leaf_count`` counts all leafs that were
+    ever named, so that each name is used only once.
     """
 
     directory: Path
@@ -112,6 +115,8 @@
     shard_set_index: int = 0
     desk_index: int = 0
     supervising: bool = True
+    crashes: list[float] = field(default_factory=list)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self) -> None:
         """Start the store and the leafs, then the gateways."""
@@ -142,6 +147,8 @@
             if gateway.process is not None:
                 await gateway.process.wait()
             await gateway.store.stop()
+        for task in self.tasks:
+            task.cancel()
         for proxy in self.proxies.values():
             await proxy.stop()
         for runner in self.runners:
@@ -161,7 +168,13 @@
         """Start a leaf behind a proxy and register it."""
         self.leaf_count += 1
         name = f"i-{self.leaf_count}"
-        leaf = Leaf(name=name, service=service, history=self.history, random=self.random)
+        leaf = Leaf(
+            name=name,
+            service=service,
+            history=self.history,
+            random=self.random,
+            on_crash=self.end_leaf,
+        )
         leaf.address = await self.serve(leaf.handle)
         proxy = Proxy(target=leaf.address)
         await proxy.start()
@@ -169,6 +182,26 @@
         self.register(leaf)
         return leaf
 
+    def end_leaf(self, leaf: Leaf) -> None:
+        """End a leaf; it is back at its address after a while."""
+        if leaf.down or leaf.name not in self.proxies:
+            return
+        self.crashes.append(asyncio.get_running_loop().time())
+        leaf.down = True
+        proxy = self.proxies[leaf.name]
+        if proxy.server is not None:
+            proxy.server.close()
+        proxy.reset_all()
+        task = asyncio.create_task(self.restart_leaf(leaf, proxy))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def restart_leaf(self, leaf: Leaf, proxy: Proxy) -> None:
+        """Start a leaf that has ended."""
+        await asyncio.sleep(CRASH_DOWN_S)
+        await proxy.start()
+        leaf.down = False
+
     def register(self, leaf: Leaf, state: str = "ready") -> None:
         """Write the entry of a leaf to the store."""
         self.history.service_of[leaf.name] = leaf.service
