--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -21,6 +21,7 @@
     connections_opened: Counter = field(init=False)
     servers: Gauge = field(init=False)
     instances: Gauge = field(init=False)
+    partitioned: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
     quota_requests: Counter = field(init=False)
     servers_ended: Counter = field(init=False)
@@ -70,6 +71,11 @@
             "Running instances known, including this one.",
             registry=registry,
         )
+        self.partitioned = Gauge(
+            "azurefield_gateway_partitioned",
+            "1 while this instance can reach no server, else 0.",
+            registry=registry,
+        )
         self.limited_servers = Gauge(
             "azurefield_gateway_limited_servers",
             "Backend servers that name a limit of requests per second.",
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/partition_watch.py
@@ -0,0 +1,89 @@
+"""Detects that this instance is partitioned from all backend servers, and when that ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from logbook import Logger
+
+from azurefield.partition import (
+    PROBE_INTERVAL_S,
+    VERIFICATION_SERVERS,
+    PartitionDetector,
+    choose_probes,
+)
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.server_checker import ServerChecker
+
+log = Logger("partition")
+
+
+@dataclass(slots=True, kw_only=True)
+class PartitionWatch:
+    """Verifies suspicions and probes servers during a partition.
+
+    :param on_begin: called when a partition was detected
+    :param work: the running verification, and the probes of the partition that it finds
+    """
+
+    checker: ServerChecker
+    metrics: GatewayMetrics
+    on_begin: Callable[[], None]
+    detector: PartitionDetector = field(default_factory=PartitionDetector)
+    work: asyncio.Task[None] | None = None
+
+    @property
+    def partitioned(self) -> bool:
+        """Whether this instance is partitioned from all servers."""
+        return self.detector.partitioned
+
+    def on_opened(self) -> None:
+        """Record that a server has accepted a connection."""
+        self.detector.on_opened()
+
+    def on_open_failed(self, server: str) -> None:
+        """Record that a server has not accepted a connection; verify a suspicion."""
+        self.detector.on_open_failed(now(), server)
+        busy = self.work is not None and not self.work.done()
+        servers = len(self.checker.directory.servers)
+        if not busy and self.detector.suspected(now(), servers):
+            self.work = asyncio.create_task(self.verify())
+
+    async def verify(self) -> None:
+        """Verify a suspicion and, in a partition, probe until it ends."""
+        failing = len(self.detector.failing)
+        reached = await self.reach_any(VERIFICATION_SERVERS)
+        if not self.detector.on_verified(now(), reached=reached):
+            return
+        log.warning(
+            "No server can be reached: {} accepted no connection, nor did any of {} others.",
+            failing,
+            VERIFICATION_SERVERS,
+        )
+        self.metrics.partitioned.set(1)
+        self.on_begin()
+        began_at = now()
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            if self.detector.on_probed(now(), reached=await self.reach_any(1)):
+                break
+        self.metrics.partitioned.set(0)
+        log.warning("Servers can be reached again after {:.1f} s.", now() - began_at)
+
+    async def reach_any(self, count: int) -> bool:
+        """Try to connect to one server and, if that fails, to the others at the same time.
+
+        :return: whether one accepted
+        """
+        first, *others = choose_probes(self.checker.random, self.checker.directory, count) or [""]
+        if await self.checker.reach(first):
+            return True
+        return any(await asyncio.gather(*map(self.checker.reach, others)))
+
+    def close(self) -> None:
+        """Stop probing."""
+        if self.work is not None:
+            self.work.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -265,7 +265,9 @@
         return policies.CONNECTION_WAIT_FRACTION * route.goal_s
 
     def record_call_failure(self, server: str, failure: LeafFailure) -> None:
-        """Update the directory after a failed call."""
+        """Update what is known of a server after a failed call."""
+        if failure.reason is LeafFailureReason.CONNECT_FAILED:
+            self.connections.contacts.on_open_failed(server)
         if failure.reason is not LeafFailureReason.WRONG_SERVER:
             return
         if self.directory.on_misdirected(server):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/server_checker.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/server_checker.py
@@ -103,6 +103,7 @@
                     asyncio.Protocol, host, int(port)
                 )
         except (OSError, ValueError, OverflowError):
+            self.contacts.on_open_failed(server)
             return False
         transport.abort()
         self.contacts.on_opened(now(), server)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -35,6 +35,7 @@
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.outcomes import describe, refusal
+from azurefield_entry.gateway.partition_watch import PartitionWatch
 from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
@@ -89,6 +90,7 @@
     instances: RunningInstances = field(init=False)
     crash_watch: CrashWatch = field(init=False)
     crash_broadcast: CrashBroadcast = field(init=False)
+    partition_watch: PartitionWatch = field(init=False)
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
     quotas: ServerQuotas = field(init=False)
@@ -120,13 +122,18 @@
             peers=self.forwarding.peers,
             instances=lambda: self.instances.names,
         )
+        checker = ServerChecker(
+            directory=self.directory,
+            contacts=self.connections.contacts,
+            random=self.router.random,
+        )
+        self.partition_watch = PartitionWatch(
+            checker=checker, metrics=self.metrics, on_begin=lambda: None
+        )
+        self.connections.contacts.observer = self.partition_watch
         self.crash_watch = CrashWatch(
             evidence=CrashEvidence(),
-            checker=ServerChecker(
-                directory=self.directory,
-                contacts=self.connections.contacts,
-                random=self.router.random,
-            ),
+            checker=checker,
             metrics=self.metrics,
             publish=self.publish_crash_report,
             refuse_running=lambda request: self.runner.refuse(request),
@@ -175,6 +182,7 @@
         ticking.cancel()
         self.quotas.close()
         self.crash_watch.close()
+        self.partition_watch.close()
         self.crash_broadcast.close()
         self.forwarding.peers.close()
         self.connections.retire_all()
--- a/packages/azurefield/src/azurefield/reachability.py
+++ b/packages/azurefield/src/azurefield/reachability.py
@@ -3,6 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Protocol
+
+
+class ConnectObserver(Protocol):
+    """Is notified of each attempt to open a connection to a server."""
+
+    def on_opened(self) -> None:
+        """Record that a server has accepted a connection."""
+
+    def on_open_failed(self, server: str) -> None:
+        """Record that a server has not accepted a connection."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -11,15 +22,24 @@
 
     :param opened_at: when a server last accepted a connection
     :param up_at: when it last accepted a connection or answered a call
+    :param observer: is notified of new connections and of failures to open one
     """
 
     opened_at: dict[str, float] = field(default_factory=dict)
     up_at: dict[str, float] = field(default_factory=dict)
+    observer: ConnectObserver | None = None
 
     def on_opened(self, now: float, server: str) -> None:
         """Record that a server has accepted a connection."""
         self.opened_at[server] = now
         self.up_at[server] = now
+        if self.observer is not None:
+            self.observer.on_opened()
+
+    def on_open_failed(self, server: str) -> None:
+        """Record that a server has not accepted a connection."""
+        if self.observer is not None:
+            self.observer.on_open_failed(server)
 
     def on_answered(self, now: float, server: str) -> None:
         """Record that a server has answered a call, whatever the answer."""
