--- a/tests/fleet/crashing_leafs.py
+++ b/tests/fleet/crashing_leafs.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 from aiohttp import web
+from soak.proxy import hold_port
 
 from gateway_process import Site, serving_fleet
 from standins import LeafStandIn
@@ -70,27 +71,13 @@
         self.back.clear()
         self.stop_listening()
         if self.dark:
-            self.hold_port()
+            self.closed_port = hold_port(self.address)
         else:
             self.reset_connections()
         task = asyncio.create_task(self.restart())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def hold_port(self) -> None:
-        """Leave new connections to the address hanging: the queue of the listener is full."""
-        host, _, port = self.address.rpartition(":")
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
-        listener.listen(0)
-        self.closed_port = [listener]
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex((host, int(port)))
-            self.closed_port.append(filler)
-
     def reset_connections(self) -> None:
         """Reset all open connections."""
         assert self.server is not None
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -19,7 +19,7 @@
 from standins import LeafStandIn, StoreStandIn, config, route, running
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
     from multidict import CIMultiDictProxy
 
@@ -37,6 +37,7 @@
     """One gateway process with a store, two shards of two leafs, and a service of one leaf.
 
     :param cores: the processor capacity in the settings
+    :param store_address: where the process reaches the store, if not at its own address
     :param first_port: first of two ports for other instances; None for no range of ports
     :param connections_max: connections that each leaf accepts
     """
@@ -45,6 +46,8 @@
     name: str = "n1"
     cores: float = 1.0
     first_port: int | None = None
+    zone: str = "one"
+    store_address: str = ""
     connections_max: int = 30
     store: StoreStandIn = field(default_factory=StoreStandIn)
     leafs: dict[str, LeafStandIn] = field(default_factory=dict)
@@ -64,10 +67,10 @@
     def settings(self) -> str:
         """The settings file of the process."""
         return (
-            f'node_name = "{self.name}"\nzone = "one"\n{self.port_settings()}'
+            f'node_name = "{self.name}"\nzone = "{self.zone}"\n{self.port_settings()}'
             f'[listen]\nfrontend = "{self.callers}"\nreadiness = "{self.readiness}"\n'
             f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n'
-            f'[platform]\naddress = "{self.store.address}"\n'
+            f'[platform]\naddress = "{self.store_address or self.store.address}"\n'
             f"[limits]\ncpu_quota = 1.0\ncores = {self.cores}\n"
         )
 
@@ -199,11 +202,13 @@
     *,
     connections_max: int = 30,
     leafs: Mapping[str, LeafStandIn] | None = None,
+    before_start: Callable[[Site], Awaitable[None]] | None = None,
 ) -> AsyncIterator[dict[str, Site]]:
     """Run several gateway processes with the same store and leafs.
 
     :param cores: the processor capacity of each process, by its name
     :param leafs: leafs that are served already, in place of the usual ones
+    :param before_start: called with each site before its process starts
     """
     sites: dict[str, Site] = {}
     for name, capacity in cores.items():
@@ -230,6 +235,8 @@
             first.store.put(f"servers/{name}", leaf.entry())
         for site in sites.values():
             site.session = session
+            if before_start is not None:
+                await before_start(site)
             await site.start()
             stack.push_async_callback(site.kill)
         for site in sites.values():
--- a/tests/soak/soak/proxy.py
+++ b/tests/soak/soak/proxy.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 READ_BYTES = 65_536
 FORWARDING_DELAY_S = 0.15
+# More connections than the queue of a listener without backlog takes.
+QUEUE_FILLERS = 3
 
 
 class ConnectionFault(StrEnum):
@@ -48,6 +51,7 @@
     fault: ConnectionFault = ConnectionFault.NONE
     connections: set[ProxiedConnection] = field(default_factory=set)
     server: asyncio.Server | None = None
+    held_port: list[socket.socket] = field(default_factory=list)
 
     async def start(self) -> None:
         """Listen on a free port, or on the same one again."""
@@ -57,9 +61,22 @@
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
+        self.stop_listening()
+        self.reset_all()
+
+    def stop_listening(self, *, hang: bool = False) -> None:
+        """Refuse new connections, or leave them hanging; open ones are kept."""
         if self.server is not None:
             self.server.close()
-        self.reset_all()
+            self.server = None
+        for held in self.held_port:
+            held.close()
+        self.held_port = hold_port(self.address) if hang else []
+
+    async def listen_again(self) -> None:
+        """Accept connections at the same address again."""
+        self.stop_listening()
+        await self.start()
 
     def reset_all(self) -> None:
         """Reset all open connections."""
@@ -119,3 +136,22 @@
                 writer.write(data)
                 await writer.drain()
             await writer.drain()
+
+
+def hold_port(address: str) -> list[socket.socket]:
+    """Listen on an address with a full queue, so that new connections to it hang.
+
+    :return: the sockets, which end this when they are closed
+    """
+    host, _, port = address.rpartition(":")
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(0)
+    held = [listener]
+    for _ in range(QUEUE_FILLERS):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex((host, int(port)))
+        held.append(filler)
+    return held
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -189,8 +189,7 @@
         self.crashes.append(asyncio.get_running_loop().time())
         leaf.down = True
         proxy = self.proxies[leaf.name]
-        if proxy.server is not None:
-            proxy.server.close()
+        proxy.stop_listening()
         proxy.reset_all()
         task = asyncio.create_task(self.restart_leaf(leaf, proxy))
         self.tasks.add(task)
@@ -199,7 +198,7 @@
     async def restart_leaf(self, leaf: Leaf, proxy: Proxy) -> None:
         """Start a leaf that has ended."""
         await asyncio.sleep(CRASH_DOWN_S)
-        await proxy.start()
+        await proxy.listen_again()
         leaf.down = False
 
     def register(self, leaf: Leaf, state: str = "ready") -> None:
