Pass requests on while this instance is partitioned from all servers

Callers saw: 504 after their whole deadline from instances that had lost all links to servers; from 4 s after the cut 20 to 57 of 160 to 440 first tries were served there, all elsewhere.

It tried each server of each shard until the deadline, and answered its readiness check with 200. Class of fault: a failure of the instance's own links that is treated as failures of many servers, one call at a time.

Change: a request of a partitioned instance runs on another one, chosen by PeerSelection (own zone first, by the observed time to a result, none that has just refused), over the links and frames by which queries are forwarded to coordinators. One hop: what is received is run or refused, and an instance that is partitioned itself refuses. Runs that no server has answered when the partition is detected are ended and passed on if they may be repeated. If no instance accepts, requests are rejected at once with a time to come back, and the readiness check fails. RequestDispatcher takes this and the choice of coordinators out of GatewayService, which had two jobs.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -70,13 +70,15 @@
     """Accepts the requests of other instances, runs them and returns their results.
 
     A request is refused, which guarantees that it does not run, while another version of the route
-    table is in force here, while this process is overloaded, and after a planned stop has begun.
+    table is in force here, while this process is overloaded or reaches no server itself, and after
+    a planned stop has begun. It is never passed on again.
 
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
     :param run_request: runs a request; cancelling it cancels its calls
     :param quota_issuer: issues the quota of limited servers
     :param on_crash_report: called with each crash report of another instance
+    :param partitioned: whether this instance reaches no server
     :param finish_timeout_s: how long a planned stop waits for running requests
     """
 
@@ -85,6 +87,7 @@
     run_request: Callable[[GatewayRequest], Awaitable[RequestResult]]
     quota_issuer: QuotaIssuer
     on_crash_report: Callable[[CrashReportFrame], None]
+    partitioned: Callable[[], bool]
     finish_timeout_s: float
     draining: bool = False
     request_count: int = 0
@@ -192,6 +195,8 @@
         """Return why a request can't be run here; None if it can."""
         if self.draining:
             return "a planned stop has begun"
+        if self.partitioned():
+            return "no server can be reached"
         if self.version() != frame.version:
             return f"version {self.version()} of the configuration is in force"
         if self.lag.overloaded(now()):
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -0,0 +1,178 @@
+"""Decides where a request runs: here, on a coordinator, or on an instance that reaches servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+from result import Err, Ok
+
+from azurefield.crash_evidence import Standing, digest_of
+from azurefield.model import Outcome
+from azurefield.peer_selection import PeerSelection
+from azurefield.reachability import ServerContacts
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, lost_failure
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.outcomes import describe, no_server_reachable_failure
+from azurefield_entry.gateway.partition_watch import PartitionWatch
+from azurefield_entry.gateway.request_runner import RequestRunner
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from azurefield.routes import Route
+    from azurefield_entry.gateway.ports import GatewayRequest
+    from azurefield_entry.gateway.running import RequestResult
+
+# Coordinators, or other instances, that are asked to run one request.
+TARGETS_MAX = 3
+# In a partition, open connections are worth using if a server has answered within this time.
+OPEN_CONNECTION_S = 1.0
+# A request with less time left than this is not passed on.
+TIME_LEFT_MIN_S = 0.02
+log = Logger("gateway")
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestDispatcher:
+    """Dispatches the requests of callers; requests of other instances always run here.
+
+    :param own_runs_rejected: whether the last request of a partition found no instance to run it
+    """
+
+    runner: RequestRunner
+    forwarding: Forwarding
+    peers: PeerSelection
+    partition_watch: PartitionWatch
+    contacts: ServerContacts
+    metrics: GatewayMetrics
+    random: Random
+    own_runs_rejected: bool = False
+
+    async def dispatch(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
+        """Run a request and return its result; cancelling this cancels its calls."""
+        if self.is_refused(request):
+            return await self.runner.run(request, route, version)
+        result = await self.run_on(self.coordinators(route), request, route, version)
+        if result is None and self.passes_on():
+            result = await self.pass_on(request, route, version)
+        if result is not None:
+            return result
+        if self.partition_watch.partitioned and not self.open_connections_work():
+            return Err(no_server_reachable_failure())
+        return await self.run_here(request, route, version)
+
+    @property
+    def serving(self) -> bool:
+        """Whether this instance can serve requests, itself or through others."""
+        return not (self.partition_watch.partitioned and self.own_runs_rejected)
+
+    def is_refused(self, request: GatewayRequest) -> bool:
+        """Whether a request is refused because servers ended under it."""
+        crash_watch = self.runner.crash_watch
+        if not crash_watch.evidence.requests:
+            return False
+        digest = digest_of(request.method, request.host, request.target, request.body)
+        return crash_watch.standing(digest) is Standing.REFUSED
+
+    def passes_on(self) -> bool:
+        """Whether another instance should run the next request.
+
+        After a partition, this instance takes its requests back gradually.
+        """
+        fraction = self.partition_watch.detector.own_fraction(now())
+        return fraction < 1.0 and self.random.random() >= fraction
+
+    def open_connections_work(self) -> bool:
+        """Whether servers still answer over connections that were opened before a partition."""
+        return max(self.contacts.up_at.values(), default=0.0) > now() - OPEN_CONNECTION_S
+
+    def coordinators(self, route: Route) -> Iterator[str]:
+        """Choose coordinators one after the other; none if this instance runs the route itself."""
+        for _ in range(TARGETS_MAX):
+            coordinator = self.forwarding.choose(route)
+            if coordinator is None:
+                return
+            yield coordinator
+
+    def other_instances(self, route: Route) -> Iterator[str]:
+        """Choose other instances one after the other, coordinators of the route if it has any."""
+        tried: list[str] = []
+        for _ in range(TARGETS_MAX):
+            name = self.peers.choose(now(), self.forwarding.profiles_for(route), tried)
+            if name is None:
+                return
+            yield name
+            tried.append(name)
+
+    async def pass_on(
+        self, request: GatewayRequest, route: Route, version: int
+    ) -> RequestResult | None:
+        """Let another instance run a request; None if none has accepted it."""
+        result = await self.run_on(self.other_instances(route), request, route, version)
+        self.own_runs_rejected = result is None
+        return result
+
+    async def run_here(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
+        """Run a request here; pass it on if a partition is detected meanwhile."""
+        result = await self.runner.run(request, route, version)
+        if isinstance(result, Ok) or not self.may_run_again(
+            request, route, result.err_value.outcome
+        ):
+            return result
+        if not await self.partition_watch.confirmed():
+            return result
+        passed = await self.pass_on(request, route, version)
+        return result if passed is None else passed
+
+    def may_run_again(self, request: GatewayRequest, route: Route, outcome: Outcome) -> bool:
+        """Whether a request that failed here may still run elsewhere."""
+        deadline = request.arrived_at + route.timeout_s
+        if request.deadline is not None:
+            deadline = min(deadline, request.deadline)
+        repeatable = route.idempotent or outcome is Outcome.NOT_RUN
+        return repeatable and now() + TIME_LEFT_MIN_S < deadline
+
+    async def run_on(
+        self, instances: Iterator[str], request: GatewayRequest, route: Route, version: int
+    ) -> RequestResult | None:
+        """Let the first of some instances that accepts a request run it.
+
+        :return: the result; None if none has accepted it
+        """
+        for name in instances:
+            result = await self.forward(name, request, route, version)
+            if result is not None:
+                return result
+        return None
+
+    async def forward(
+        self, instance: str, request: GatewayRequest, route: Route, version: int
+    ) -> RequestResult | None:
+        """Let one instance run a request.
+
+        :return: the result; None if it was refused, so that it has not run
+        """
+        sent = await self.forwarding.forward(instance, request, route, version)
+        if isinstance(sent, Ok):
+            label, result = "answered", sent.ok_value
+        else:
+            label, result = sent.err_value.problem, Err(lost_failure(sent.err_value))
+        refused = isinstance(sent, Err) and sent.err_value.problem is ForwardProblem.REFUSED
+        if refused:
+            self.peers.on_refused(now(), instance)
+        self.metrics.forwarded.labels(label).inc()
+        log.info(
+            "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
+            request.request_id,
+            route.name,
+            version,
+            (now() - request.arrived_at) * 1000,
+            instance,
+            refused,
+            describe(result),
+        )
+        return None if refused else result
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -1,4 +1,4 @@
-"""Frames between an instance that forwards a query and the coordinator that runs it."""
+"""Frames between an instance that forwards a request and the one that runs it."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome  # noqa: TC001 - msgspec resolves it at run time
-from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
 
 if TYPE_CHECKING:
     from azurefield_entry.gateway.running import RequestResult
@@ -65,6 +65,16 @@
     body: bytes
 
 
+class RequestServed(msgspec.Struct, tag="served", frozen=True, kw_only=True):
+    """The result of a request: the answer of a single server."""
+
+    number: int
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    proof: str | None
+
+
 class RequestFailed(msgspec.Struct, tag="failed", frozen=True, kw_only=True):
     """The result of a request: why it failed."""
 
@@ -76,7 +86,7 @@
 
 
 ToCoordinator = ForwardedRequest | CancelRequest
-FromCoordinator = RequestAccepted | RequestRefused | RequestAnswered | RequestFailed
+FromCoordinator = RequestAccepted | RequestRefused | RequestAnswered | RequestServed | RequestFailed
 
 
 def encode_request(
@@ -111,15 +121,22 @@
     )
 
 
-def encode_result(number: int, result: RequestResult) -> RequestAnswered | RequestFailed:
-    """Build the frame of a result.
+ResultFrame = RequestAnswered | RequestServed | RequestFailed
 
-    :raises TypeError: if it is the answer of a single server, since only queries over shards are
-        forwarded
-    """
+
+def encode_result(number: int, result: RequestResult) -> ResultFrame:
+    """Build the frame of a result."""
     match result:
         case Ok(MergedParts(proofs=proofs, missing=missing, body=body)):
             return RequestAnswered(number=number, proofs=proofs, missing=missing, body=body)
+        case Ok(OpaqueAnswer() as answer):
+            return RequestServed(
+                number=number,
+                status=answer.status,
+                headers=answer.headers,
+                body=answer.body,
+                proof=answer.proof,
+            )
         case Err(failure):
             return RequestFailed(
                 number=number,
@@ -128,18 +145,29 @@
                 detail=failure.detail,
                 retry_after_s=failure.retry_after_s,
             )
-    raise TypeError(f"the result {result!r} can't be sent to another instance")
+    raise TypeError(f"{result!r} is no result")
 
 
-def decode_result(frame: RequestAnswered | RequestFailed) -> RequestResult:
+def decode_result(frame: ResultFrame) -> RequestResult:
     """Rebuild a result from its frame."""
-    if isinstance(frame, RequestAnswered):
-        return Ok(MergedParts(proofs=frame.proofs, missing=frame.missing, body=frame.body))
-    return Err(
-        RequestFailure(
-            kind=frame.kind,
-            outcome=frame.outcome,
-            detail=frame.detail,
-            retry_after_s=frame.retry_after_s,
-        )
-    )
+    match frame:
+        case RequestAnswered(proofs=proofs, missing=missing, body=body):
+            return Ok(MergedParts(proofs=proofs, missing=missing, body=body))
+        case RequestServed():
+            return Ok(
+                OpaqueAnswer(
+                    status=frame.status,
+                    headers=frame.headers,
+                    body=frame.body,
+                    proof=frame.proof,
+                )
+            )
+        case RequestFailed():
+            return Err(
+                RequestFailure(
+                    kind=frame.kind,
+                    outcome=frame.outcome,
+                    detail=frame.detail,
+                    retry_after_s=frame.retry_after_s,
+                )
+            )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -1,4 +1,4 @@
-"""Forwards queries over many shards to coordinators."""
+"""Forwards requests to other instances: queries to coordinators, or all in a partition."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
     RequestAnswered,
     RequestFailed,
     RequestRefused,
+    RequestServed,
     decode_result,
     encode_request,
 )
@@ -29,6 +30,7 @@
 from azurefield_entry.gateway.running import RequestResult
 
 if TYPE_CHECKING:
+    from azurefield.coordinators import InstanceProfile
     from azurefield.directory import Directory
     from azurefield.routes import Route, RouteTable
     from azurefield_entry.gateway.peer_frames import FromPeer
@@ -78,7 +80,7 @@
             case RequestRefused(detail=detail):
                 refused = NotForwarded(problem=ForwardProblem.REFUSED, detail=detail)
                 set_result(self.accepted, Err(refused))
-            case RequestAnswered() | RequestFailed():
+            case RequestAnswered() | RequestServed() | RequestFailed():
                 set_result(self.result, Ok(decode_result(frame)))
 
     def on_lost(self, detail: str) -> None:
@@ -153,6 +155,14 @@
             for service, zones in self.zones_by_service(table).items()
         }
 
+    def profiles_for(self, route: Route) -> list[InstanceProfile]:
+        """List the instances that can run a route: its coordinators if it has any, else all."""
+        zones = self.zones.get(route.name)
+        if zones is None:
+            return [*self.view.profiles.values()]
+        names = {name for zone in zones for name in self.view.by_zone.get(zone, ())}
+        return [self.view.profiles[name] for name in sorted(names)]
+
     def choose(self, route: Route) -> str | None:
         """Choose the coordinator of a request; None if this instance runs it itself."""
         zones = self.zones.get(route.name)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
@@ -96,7 +96,7 @@
 
     async def get_readiness(self, request: web.BaseRequest) -> web.StreamResponse:  # noqa: ARG002
         """Answer 200 if this instance takes new connections, else 503."""
-        ready = self.gateway.ready and not self.draining
+        ready = self.gateway.serving and not self.draining
         return web.Response(status=200 if ready else 503)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/outcomes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/outcomes.py
@@ -9,6 +9,7 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
+from azurefield.partition import PROBE_INTERVAL_S
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.ports import OpaqueAnswer
 
@@ -23,6 +24,16 @@
     )
 
 
+def no_server_reachable_failure() -> RequestFailure:
+    """Build the failure of a request that neither this instance nor another one can run."""
+    return RequestFailure(
+        kind=FailureKind.LEAF_UNAVAILABLE,
+        outcome=Outcome.NOT_RUN,
+        detail="this instance reaches no server, and no other instance accepts the request",
+        retry_after_s=PROBE_INTERVAL_S,
+    )
+
+
 def crashing_request_failure() -> RequestFailure:
     """Build the failure of a request under which servers ended."""
     return RequestFailure(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/partition_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/partition_watch.py
@@ -27,6 +27,7 @@
 
     :param on_begin: called when a partition was detected
     :param work: the running verification, and the probes of the partition that it finds
+    :param verification: done when the running verification has a result
     """
 
     checker: ServerChecker
@@ -34,6 +35,7 @@
     on_begin: Callable[[], None]
     detector: PartitionDetector = field(default_factory=PartitionDetector)
     work: asyncio.Task[None] | None = None
+    verification: asyncio.Future[None] | None = None
 
     @property
     def partitioned(self) -> bool:
@@ -52,11 +54,21 @@
         if not busy and self.detector.suspected(now(), servers):
             self.work = asyncio.create_task(self.verify())
 
+    async def confirmed(self) -> bool:
+        """Whether this instance is partitioned; waits for the result of a running verification."""
+        if self.verification is not None:
+            await asyncio.shield(self.verification)
+        return self.partitioned
+
     async def verify(self) -> None:
         """Verify a suspicion and, in a partition, probe until it ends."""
         failing = len(self.detector.failing)
+        self.verification = asyncio.get_running_loop().create_future()
         reached = await self.reach_any(VERIFICATION_SERVERS)
-        if not self.detector.on_verified(now(), reached=reached):
+        begun = self.detector.on_verified(now(), reached=reached)
+        self.verification.set_result(None)
+        self.verification = None
+        if not begun:
             return
         log.warning(
             "No server can be reached: {} accepted no connection, nor did any of {} others.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -12,7 +12,7 @@
 
 from azurefield.crash_evidence import Standing, digest_of
 from azurefield.directory import Directory
-from azurefield.failures import LeafFailure, LeafFailureReason
+from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.model import Outcome
 from azurefield.query_actions import CancelLeafCall, Finished, SendLeafCall, WakeAt
 from azurefield_entry.clock import now
@@ -33,7 +33,6 @@
 from azurefield_entry.logs import describe_error
 
 if TYPE_CHECKING:
-    from azurefield.failures import RequestFailure
     from azurefield.query_actions import Action
     from azurefield.routes import Route
 
@@ -119,6 +118,22 @@
                 self.execute_actions(running, running.fan_out.cancel(now()))
                 running.result_future.set_result(Err(failure))
 
+    def abandon_unreachable(self) -> None:
+        """End the runs that no server has answered, at the begin of a partition.
+
+        Requests that may not be repeated wait on if they may have run.
+        """
+        for running in [run for runs in self.running.values() for run in runs]:
+            repeatable = running.route.idempotent or not running.sent_calls
+            if repeatable and not running.survivors and not running.result_future.done():
+                failure = RequestFailure(
+                    kind=FailureKind.LEAF_UNAVAILABLE,
+                    outcome=Outcome.MAY_HAVE_RUN if running.sent_calls else Outcome.NOT_RUN,
+                    detail="this instance reaches no server",
+                )
+                self.execute_actions(running, running.fan_out.cancel(now()))
+                running.result_future.set_result(Err(failure))
+
     def record_run(self, running: RunningRequest, result: str, *, cancelled: bool) -> None:
         """Log how a request ended, and look for servers that ended under it."""
         lost = sorted({call.server for call in running.sent_calls.values() if call.lost})
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -8,14 +8,15 @@
 from typing import TYPE_CHECKING
 
 from logbook import Logger
-from result import Err, Ok
+from result import Err
 
 from azurefield.coordinators import CoordinatorView
-from azurefield.crash_evidence import CrashEvidence, CrashReport, Standing, digest_of
+from azurefield.crash_evidence import CrashEvidence, CrashReport
 from azurefield.directory import Directory, DirectoryChange, DirectoryChangeKind, RegisteredServer
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.instances import RunningInstances
 from azurefield.model import Outcome
+from azurefield.peer_selection import PeerSelection
 from azurefield.retry import WindowedBudget
 from azurefield.routes import RouteTable
 from azurefield.routing import OwnObservationRouter
@@ -24,7 +25,8 @@
 from azurefield_entry.gateway.connections import ServerConnections
 from azurefield_entry.gateway.crash_broadcast import CrashBroadcast
 from azurefield_entry.gateway.crash_watch import CrashWatch
-from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, lost_failure
+from azurefield_entry.gateway.dispatch import RequestDispatcher
+from azurefield_entry.gateway.forwarding import Forwarding
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
@@ -34,7 +36,7 @@
     WriteCrashReport,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.outcomes import describe, refusal
+from azurefield_entry.gateway.outcomes import refusal
 from azurefield_entry.gateway.partition_watch import PartitionWatch
 from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import (
@@ -54,7 +56,6 @@
 from azurefield_entry.notify import notify, notify_all
 
 if TYPE_CHECKING:
-    from azurefield.routes import Route
     from azurefield_entry.gateway.crash_frames import CrashReportFrame
     from azurefield_entry.gateway.running import RequestResult
     from azurefield_entry.kernel import Mailbox
@@ -96,6 +97,7 @@
     quotas: ServerQuotas = field(init=False)
     planner: RequestPlanner = field(init=False)
     runner: RequestRunner = field(init=False)
+    dispatcher: RequestDispatcher = field(init=False)
     kernel: Kernel | None = None
     store_contact_at: float = float("-inf")
 
@@ -128,7 +130,9 @@
             random=self.router.random,
         )
         self.partition_watch = PartitionWatch(
-            checker=checker, metrics=self.metrics, on_begin=lambda: None
+            checker=checker,
+            metrics=self.metrics,
+            on_begin=lambda: self.runner.abandon_unreachable(),
         )
         self.connections.contacts.observer = self.partition_watch
         self.crash_watch = CrashWatch(
@@ -153,6 +157,20 @@
             store_age_s=self.store_age_s,
             quotas=self.quotas,
         )
+        self.dispatcher = RequestDispatcher(
+            runner=self.runner,
+            forwarding=self.forwarding,
+            peers=PeerSelection(
+                own=self.instance,
+                own_zone=self.availability_zone,
+                router=self.forwarding.router,
+                other_zone_penalty_s=policies.OTHER_ZONE_PENALTY_S,
+            ),
+            partition_watch=self.partition_watch,
+            contacts=self.connections.contacts,
+            metrics=self.metrics,
+            random=self.router.random,
+        )
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Apply changes of the store and of the settings until ``Stop``."""
@@ -196,6 +214,11 @@
         """Whether a route table and a listing of the store are known."""
         return self.table is not None and self.listing_received
 
+    @property
+    def serving(self) -> bool:
+        """Whether requests can be served, here or through other instances."""
+        return self.ready and self.dispatcher.serving
+
     def record_store_contact(self, now: float, age_s: float, *, after_outage: bool) -> None:
         """Record that the store answered ``age_s`` ago; 0 unless a relay forwarded the answer."""
         self.store_contact_at = now - age_s
@@ -288,6 +311,7 @@
         self.crash_watch.evidence.expire(now)
         if self.instances.expire(now):
             self.forwarding.retain_only(self.instances.names)
+            self.dispatcher.peers.retain_only(self.instances.names)
             self.divide_limits()
         if self.table is not None:
             self.planner.tick(now, self.table)
@@ -320,7 +344,7 @@
         )
 
     async def handle(self, request: GatewayRequest) -> RequestResult:
-        """Run one request, here or on a coordinator, and return its result.
+        """Run one request, here or on another instance, and return its result.
 
         Cancelling this cancels the request's calls.
         """
@@ -338,46 +362,7 @@
                     detail=f"no route of configuration version {table.version} matches",
                 )
             )
-        coordinator = self.forwarding.choose(route)
-        if coordinator is not None and not self.is_refused(request):
-            result = await self.forward(coordinator, request, route, table.version)
-            if result is not None:
-                return result
-        return await self.runner.run(request, route, table.version)
-
-    def is_refused(self, request: GatewayRequest) -> bool:
-        """Whether a request is refused because servers ended under it."""
-        if not self.crash_watch.evidence.requests:
-            return False
-        digest = digest_of(request.method, request.host, request.target, request.body)
-        return self.crash_watch.standing(digest) is Standing.REFUSED
-
-    async def forward(
-        self, coordinator: str, request: GatewayRequest, route: Route, version: int
-    ) -> RequestResult | None:
-        """Let a coordinator run a request.
-
-        :return: the result; None if this instance must run the request itself
-        """
-        sent = await self.forwarding.forward(coordinator, request, route, version)
-        if isinstance(sent, Ok):
-            label, result = "answered", sent.ok_value
-        else:
-            label, result = sent.err_value.problem, Err(lost_failure(sent.err_value))
-        refused = isinstance(sent, Err) and sent.err_value.problem is ForwardProblem.REFUSED
-        self.metrics.forwarded.labels(label).inc()
-        elapsed_s = self.now() - request.arrived_at
-        log.info(
-            "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
-            request.request_id,
-            route.name,
-            version,
-            elapsed_s * 1000,
-            coordinator,
-            refused,
-            describe(result),
-        )
-        return None if refused else result
+        return await self.dispatcher.dispatch(request, route, table.version)
 
     async def run_forwarded(self, request: GatewayRequest) -> RequestResult:
         """Run a request that another instance has forwarded under the version in force here."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -105,6 +105,7 @@
             run_request=gateway.run_forwarded,
             quota_issuer=gateway.quotas.issuer,
             on_crash_report=gateway.on_crash_report_frame,
+            partitioned=lambda: gateway.partition_watch.partitioned,
             finish_timeout_s=finish_timeout_s,
         )
     if settings.relay_address is not None:
--- a/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
+++ b/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
@@ -68,6 +68,7 @@
                 run_request=lambda _: asyncio.Future(),
                 quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
                 on_crash_report=instance.on_frame,
+                partitioned=lambda: False,
                 finish_timeout_s=0.1,
             )
             mailbox = Mailbox(name=name)
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -99,6 +99,7 @@
         run_request=runner.run,
         quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
         on_crash_report=lambda _: None,
+        partitioned=lambda: False,
         finish_timeout_s=2.0,
     )
     mailbox = Mailbox(name="coordinator")
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -83,6 +83,7 @@
         run_request=refuse,  # type: ignore[arg-type]
         quota_issuer=quotas.issuer,
         on_crash_report=lambda _: None,
+        partitioned=lambda: False,
         finish_timeout_s=0.1,
     )
     mailbox = Mailbox(name="coordinator")
--- /dev/null
+++ b/packages/azurefield/src/azurefield/peer_selection.py
@@ -0,0 +1,57 @@
+"""Choice of the instance that runs a request which this instance can't run itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from azurefield.routing import OwnObservationRouter
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from azurefield.coordinators import InstanceProfile
+
+# An instance that has refused a request gets none for this time.
+AVOID_S = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerSelection:
+    """Chooses by the observed time to a result; instances of other zones have a penalty.
+
+    :param other_zone_penalty_s: added to the expected wait for an instance of another zone
+    """
+
+    own: str
+    own_zone: str
+    router: OwnObservationRouter
+    other_zone_penalty_s: float
+    avoided_until: dict[str, float] = field(default_factory=dict)
+
+    def choose(
+        self, now: float, profiles: Iterable[InstanceProfile], tried: Collection[str] = ()
+    ) -> str | None:
+        """Choose an instance that was not tried and has not refused lately; None without one."""
+        candidates = []
+        for profile in profiles:
+            name = profile.instance
+            reachable = profile.coordinator_address is not None and name != self.own
+            if reachable and name not in tried and self.avoided_until.get(name, now) <= now:
+                other_zone = profile.availability_zone != self.own_zone
+                penalty_s = self.other_zone_penalty_s if other_zone else 0.0
+                self.router.set_wait_penalty(name, penalty_s)
+                candidates.append(name)
+        return self.router.choose(now, tuple(candidates))
+
+    def on_refused(self, now: float, instance: str) -> None:
+        """Avoid an instance that has refused a request."""
+        self.avoided_until[instance] = now + AVOID_S
+
+    def retain_only(self, instances: Collection[str]) -> None:
+        """Drop the instances that no longer run."""
+        self.avoided_until = {
+            name: until for name, until in self.avoided_until.items() if name in instances
+        }
+        for name in [name for name in self.router.views if name not in instances]:
+            self.router.forget(name)
--- a/tests/fleet/test_partitions.py
+++ b/tests/fleet/test_partitions.py
@@ -29,7 +29,7 @@
 async def send_load(site: Site, until: float, first: int = 0) -> Counter[int]:
     """Send requests to one gateway, without waiting for answers; count the statuses."""
     clock = asyncio.get_running_loop().time
-    tasks = []
+    tasks: list[asyncio.Task[tuple[int, object, bytes]]] = []
     while clock() < until:
         number = first + len(tasks)
         target = TARGETS[number % len(TARGETS)]
