Test odd entries of another writer, and answers that end within their head

(2) Every cut within the head of an answer, with a length, without one, chunked and with an empty body: the call fails as possibly run, each time (test_connection.py).

--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -130,6 +130,26 @@
         assert not connection.usable
 
 
+HEADS = {
+    "with-length": answer("/1", b"body"),
+    "without-length": WITHOUT_LENGTH,
+    "chunked": chunked("/1", b"body"),
+    "empty-body": answer("/1", b""),
+}
+
+
+@pytest.mark.parametrize("head", HEADS)
+async def test_an_answer_that_ends_within_its_head_is_a_failure(head: str) -> None:
+    """Guards against an empty or short success, framed as whole, for half of a head."""
+    whole = HEADS[head]
+    for length in range(whole.index(b"\r\n\r\n") + 4):
+        segments = [whole[:length]] if length else []
+        async with connected(ScriptedServer(script=[segments], close=True)) as connection:
+            result = await connection.exchange(call("/1"))
+        assert isinstance(result, Err), whole[:length]
+        assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 async def test_an_answer_without_a_length_ends_with_its_connection() -> None:
     """Guards against rejecting a whole answer that has no length and ends with the connection."""
     async with connected(ScriptedServer(script=[[WITHOUT_LENGTH]], close=True)) as connection:
--- a/tests/fleet/test_process.py
+++ b/tests/fleet/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import re
 import signal
@@ -98,6 +99,45 @@
         await site.wait_for_log("Configuration version 3 is in force")
 
 
+DEEPLY_NESTED = b"[" * 100_000 + b"]" * 100_000
+ODD_ENTRIES = {
+    "nested": DEEPLY_NESTED,
+    "nested-field": b'{"more": ' + DEEPLY_NESTED + b"}",
+    "huge-number": b'{"capacity": 1' + b"0" * 5_000 + b"}",
+    "huge-exponent": b'{"warmup_left_ms": 1e999999}',
+    "no-json": b"\xff\x00",
+    "empty": b"",
+}
+
+
+async def test_odd_entries_of_another_writer_change_nothing(tmp_path: Path) -> None:
+    """Guards against an entry that ends the process or stops it from following the store."""
+    async with serving(tmp_path) as site:
+        odd = ODD_ENTRIES | {
+            name: json.dumps(site.leafs["a1"].entry(**changes)).encode()
+            for name, changes in {
+                "port": {"address": "127.0.0.1:99999"},
+                "no-port": {"address": "127.0.0.1:0"},
+                "sequence": {"sequence": 10**400},
+                "warm-up": {"warmup_left_ms": 1e308},
+                "born": {"born": -(10**400)},
+            }.items()
+        }
+        for name, value in odd.items():
+            site.store.put(f"servers/odd-{name}", value)
+            site.store.put(f"azurefield/crashes/{name}", value)
+            site.store.put(f"azurefield/crashes/{name}/ended/1", value)
+        site.put_config(2)
+        await site.wait_for_log("Configuration version 2 is in force")
+        site.store.forget_history()
+        site.put_config(3)
+        await site.wait_for_log("Configuration version 3 is in force")
+        for number in range(10):
+            assert (await site.call("/l/x", f"q{number}"))[0] == 200
+        assert site.process is not None
+        assert site.process.running
+
+
 async def test_an_outage_of_the_store_changes_nothing_for_callers(tmp_path: Path) -> None:
     """Guards against an outage of the store that removes servers or routes."""
     async with serving(tmp_path) as site:
