--- a/tests/fleet/test_process.py
+++ b/tests/fleet/test_process.py
@@ -109,19 +109,21 @@
     "empty": b"",
 }
 
+ODD_FIELDS: tuple[tuple[str, object], ...] = (
+    ("address", "127.0.0.1:99999"),
+    ("address", "127.0.0.1:0"),
+    ("sequence", 10**400),
+    ("warmup_left_ms", 1e308),
+    ("born", -(10**400)),
+)
+
 
 async def test_odd_entries_of_another_writer_change_nothing(tmp_path: Path) -> None:
     """Guards against an entry that ends the process or stops it from following the store."""
     async with serving(tmp_path) as site:
         odd = ODD_ENTRIES | {
-            name: json.dumps(site.leafs["a1"].entry(**changes)).encode()
-            for name, changes in {
-                "port": {"address": "127.0.0.1:99999"},
-                "no-port": {"address": "127.0.0.1:0"},
-                "sequence": {"sequence": 10**400},
-                "warm-up": {"warmup_left_ms": 1e308},
-                "born": {"born": -(10**400)},
-            }.items()
+            f"{name}-{value}"[:20]: json.dumps(site.leafs["a1"].entry(**{name: value})).encode()
+            for name, value in ODD_FIELDS
         }
         for name, value in odd.items():
             site.store.put(f"servers/odd-{name}", value)
