Answer the requests that a planned stop ends, and refuse what might not end in time

Callers saw: a request that was taken on a kept connection 3.2 s after SIGTERM and ran longer than the grace was cut without an answer, one that may not be repeated among them.

Cause: a planned stop waited for the running requests, took new ones on kept connections meanwhile with their full deadlines, and closed the connections of those that were left at its end.

Change: after the listener has closed, a request that might not end before the stop does gets the stop as its deadline, or 503 as not run if it may not be repeated. What is still running at the end is answered with 504 (possibly run) before its connection is closed.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -10,13 +10,14 @@
 from result import Err, Ok
 
 from azurefield.crash_evidence import Standing, digest_of
+from azurefield.failures import FailureKind
 from azurefield.model import Outcome
 from azurefield.peer_selection import PeerSelection
 from azurefield.reachability import ServerContacts
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, lost_failure
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.outcomes import describe, no_server_reachable_failure
+from azurefield_entry.gateway.outcomes import describe, no_server_reachable_failure, refusal
 from azurefield_entry.gateway.partition_watch import PartitionWatch
 from azurefield_entry.gateway.request_runner import RequestRunner
 
@@ -56,6 +57,10 @@
         """Run a request and return its result; cancelling this cancels its calls."""
         if self.is_refused(request):
             return await self.runner.run(request, route, version)
+        if request.stops_at is not None and request.deadline_on(route.timeout_s) > request.stops_at:
+            if not route.idempotent:
+                return Err(refusal(FailureKind.SHUTTING_DOWN, "it might not end before the stop"))
+            request = replace(request, deadline=request.stops_at)
         result = await self.run_on(self.coordinators(route), request, route, version)
         if result is None and self.passes_on():
             result = await self.pass_on(request, route, version)
@@ -130,11 +135,8 @@
 
     def may_run_again(self, request: GatewayRequest, route: Route, outcome: Outcome) -> bool:
         """Whether a request that failed here may still run elsewhere."""
-        deadline = request.arrived_at + route.timeout_s
-        if request.deadline is not None:
-            deadline = min(deadline, request.deadline)
         repeatable = route.idempotent or outcome is Outcome.NOT_RUN
-        return repeatable and now() + TIME_LEFT_MIN_S < deadline
+        return repeatable and now() + TIME_LEFT_MIN_S < request.deadline_on(route.timeout_s)
 
     async def run_on(
         self, instances: Iterator[str], request: GatewayRequest, route: Route, version: int
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -235,9 +235,7 @@
     call: ForwardedCall, request: GatewayRequest, route: Route
 ) -> Result[RequestResult, NotForwarded]:
     """Wait for the result of an accepted request, at most until shortly after its deadline."""
-    deadline = request.arrived_at + route.timeout_s
-    if request.deadline is not None:
-        deadline = min(deadline, request.deadline)
+    deadline = request.deadline_on(route.timeout_s)
     try:
         async with asyncio.timeout_at(deadline + RESULT_MARGIN_S):
             return await asyncio.shield(call.result)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -30,6 +30,8 @@
 CLOSE_TIMEOUT_S = 0.2
 # A planned stop closes the kept connections once no request has arrived for this time.
 QUIET_TIME_S = 0.05
+# Longest time for the answers to the requests that a planned stop ends.
+LAST_ANSWERS_S = 0.1
 log = Logger("front")
 
 
@@ -41,6 +43,10 @@
     :param readiness_address: ``host:port`` of the readiness check
     :param finish_timeout_s: how long a planned stop waits for running requests
     :param limits: what callers may send; new connections use the current limits
+    :param stops_at: when the running requests are ended; None before a planned stop has closed the
+        listener
+    :param expired: whether that time has come
+    :param handlers: the tasks of the running requests
     """
 
     address: str
@@ -50,6 +56,9 @@
     finish_timeout_s: float
     limits: CallerLimits = field(default_factory=CallerLimits)
     draining: bool = False
+    stops_at: float | None = None
+    expired: bool = False
+    handlers: set[asyncio.Task[object]] = field(default_factory=set)
     request_count: int = 0
     activity: Activity = field(default_factory=Activity)
 
@@ -72,20 +81,28 @@
                     log.info("Draining, {} requests are running.", len(self.activity.running))
                 case Stop():
                     break
+        self.stops_at = asyncio.get_running_loop().time() + self.finish_timeout_s
         await site.stop()
-        left = await self.finish_requests(server)
+        left = await self.finish_requests(server, self.stops_at)
         if left:
-            log.error("{} requests did not end in time; closing their connections.", left)
+            log.error("{} requests did not end in time; answering them as possibly run.", left)
+            await self.end_requests()
         await callers.cleanup()
         await readiness.cleanup()
 
-    async def finish_requests(self, server: CallerServer) -> int:
+    async def end_requests(self) -> None:
+        """Answer the requests that are still running, which ends them."""
+        self.expired = True
+        for handler in self.handlers:
+            handler.cancel()
+        await self.activity.finish(timeout_s=LAST_ANSWERS_S)
+
+    async def finish_requests(self, server: CallerServer, deadline: float) -> int:
         """Finish the requests that have arrived, and close the connections that are idle then.
 
         :return: how many requests are still running when the time is over
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self.finish_timeout_s
         counted = -1
         while counted != self.request_count and loop.time() < deadline:
             counted = self.request_count
@@ -104,12 +121,21 @@
         self.request_count += 1
         activity_id = str(self.request_count)
         self.activity.begin(activity_id)
+        handler = asyncio.current_task()
+        assert handler is not None
+        self.handlers.add(handler)
         try:
             response = self.dialect.build_response(await self.answer(request))
+        except asyncio.CancelledError:
+            if not self.expired:
+                raise
+            handler.uncancel()
+            response = self.dialect.build_response(Err(stopped()))
         except Exception as error:
             log.error("A request failed with an unexpected error: {}.", describe_error(error))
             response = self.dialect.build_response(Err(internal_error()))
         finally:
+            self.handlers.discard(handler)
             self.activity.end(activity_id)
         if self.draining:
             response.force_close()
@@ -127,6 +153,8 @@
             case Err(failure):
                 return Err(failure)
             case Ok(gateway_request):
+                if self.stops_at is not None:
+                    gateway_request = replace(gateway_request, stops_at=self.stops_at)
                 return await self.gateway.handle(gateway_request)
 
     async def read_body(self, request: web.BaseRequest) -> bytes | None:
@@ -155,6 +183,15 @@
     )
 
 
+def stopped() -> RequestFailure:
+    """Build the failure of a request that is still running when this instance stops."""
+    return RequestFailure(
+        kind=FailureKind.DEADLINE_EXCEEDED,
+        outcome=Outcome.MAY_HAVE_RUN,
+        detail="the instance stops before the request has ended",
+    )
+
+
 def internal_error() -> RequestFailure:
     """Build the failure of a request that ended with an unexpected error."""
     return RequestFailure(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -34,6 +34,7 @@
     :param target: path and query as received
     :param headers: without hop-by-hop headers, which concern only one connection
     :param deadline: when the caller stops waiting; None if it gave no deadline
+    :param stops_at: when this instance stops and ends the request; None while no stop is near
     """
 
     request_id: str
@@ -44,6 +45,12 @@
     body: bytes
     arrived_at: float
     deadline: float | None
+    stops_at: float | None = None
+
+    def deadline_on(self, timeout_s: float) -> float:
+        """Return when the request has to end on a route with a timeout."""
+        deadline = self.arrived_at + timeout_s
+        return deadline if self.deadline is None else min(deadline, self.deadline)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/fleet/test_process.py
+++ b/tests/fleet/test_process.py
@@ -15,7 +15,7 @@
 
 from azurefield_testkit.waiting import wait_until
 from gateway_process import PROGRAM, Site, serving
-from standins import StoreStandIn, running
+from standins import StoreStandIn, config, route, running
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -245,3 +245,61 @@
         _, error = await process.communicate()
         assert process.returncode == EXIT_BAD_SETTINGS
         assert re.fullmatch(r"\[settings\] .*zone.*\n", error.decode())
+
+
+async def send_on(
+    writer: asyncio.StreamWriter, target: str, request_id: str, method: str = "GET"
+) -> None:
+    """Send a request on a kept connection."""
+    writer.write(
+        f"{method} {target} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n"
+        f"Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    await writer.drain()
+
+
+async def status_on(reader: asyncio.StreamReader) -> int:
+    """Read the status of an answer.
+
+    :raises EOFError: if the connection ends without an answer
+    """
+    async with asyncio.timeout(10.0):
+        head = await reader.readuntil(b"\r\n\r\n")
+    return int(head.split()[1])
+
+
+# Planned stops have 6 s here; this long after the begin, a long request can't end in time.
+LATE_IN_STOP_S = 3.2
+
+
+async def test_requests_late_in_a_planned_stop_are_answered_before_it_ends(tmp_path: Path) -> None:
+    """Guards against requests that are passed on late in a stop and cut without an answer."""
+    async with serving(tmp_path) as site:
+        assert site.process is not None
+        long = {"service": "desk", "timeout_ms": 20_000}
+        routes = (
+            route("single", "/s/", **long),
+            route("order", "/o/", route_type="unsafe", **long),
+        )
+        site.store.put("op/config", config(2, *routes, services=("desk",)))
+        await site.wait_for_log("Configuration version 2 is in force")
+        host, _, port = site.callers.rpartition(":")
+        kept = [await asyncio.open_connection(host, int(port)) for _ in range(3)]
+        for number, (reader, writer) in enumerate(kept):
+            await send_on(writer, "/s/x", f"before{number}")
+            assert await status_on(reader) == 200
+            await reader.readexactly(16)
+        site.leafs["d1"].behaviour = "hang"
+        (first, first_writer), (late, late_writer), (order, order_writer) = kept
+        await send_on(first_writer, "/s/x", "first")
+        await wait_until(lambda: len(site.leafs["d1"].requests) == 4, "the leaf has the request")
+        site.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LATE_IN_STOP_S)
+        await send_on(late_writer, "/s/x", "late")
+        await send_on(order_writer, "/o/x", "order", method="POST")
+        statuses = await asyncio.gather(*map(status_on, (first, late, order)))
+        assert set(statuses[:2]) <= {503, 504}
+        assert statuses[2] == 503, "it must not run, since its answer might not come"
+        ran = [request["Request-Id"] for request in site.leafs["d1"].requests]
+        assert "order" not in ran
+        assert await site.process.wait() == 0
