--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crash_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crash_watch.py
@@ -108,12 +108,12 @@
 
         :param cancelled: whether the caller has left, so that a silent server may still work
         """
-        for service in running.survivors:
+        for service in running.answered_services:
             report = RequestAnswered(request=running.digest, service=service)
             if self.on_report(report):
                 self.publish(report)
         for call in running.sent_calls.values():
-            if call.service in running.survivors or call.checked:
+            if call.service in running.answered_services or call.checked:
                 continue
             if call.lost or not cancelled:
                 self.start(self.check_unanswered_call(running, call))
@@ -135,10 +135,10 @@
 
         :return: whether it is down
         """
-        suspects = {other.server for other in running.sent_calls.values()}
+        unanswered = {other.server for other in running.sent_calls.values()}
         entry = self.checker.directory.servers.get(call.server)
         state = await self.checker.check(
-            call.server, call.sent_at, avoid=suspects, services=running.route.services
+            call.server, call.sent_at, avoid=unanswered, services=running.route.services
         )
         log.debug("Server {} is {} after a call without answer.", call.server, state)
         if state is not ServerState.DOWN:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -41,7 +41,7 @@
 class RequestDispatcher:
     """Dispatches the requests of callers; requests of other instances always run here.
 
-    :param own_runs_rejected: whether the last request of a partition found no instance to run it
+    :param found_no_instance: whether no instance accepted the last request that was passed on
     """
 
     runner: RequestRunner
@@ -51,7 +51,7 @@
     contacts: ServerContacts
     metrics: GatewayMetrics
     random: Random
-    own_runs_rejected: bool = False
+    found_no_instance: bool = False
 
     async def dispatch(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
         """Run a request and return its result; cancelling this cancels its calls."""
@@ -73,7 +73,7 @@
     @property
     def serving(self) -> bool:
         """Whether this instance can serve requests, itself or through others."""
-        return not (self.partition_watch.partitioned and self.own_runs_rejected)
+        return not (self.partition_watch.partitioned and self.found_no_instance)
 
     def is_refused(self, request: GatewayRequest) -> bool:
         """Whether a request is refused because servers ended under it."""
@@ -118,7 +118,7 @@
     ) -> RequestResult | None:
         """Let another instance run a request; None if none has accepted it."""
         result = await self.run_on(self.other_instances(route), request, route, version)
-        self.own_runs_rejected = result is None
+        self.found_no_instance = result is None
         return result
 
     async def run_here(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -125,7 +125,7 @@
         """
         for running in [run for runs in self.running.values() for run in runs]:
             repeatable = running.route.idempotent or not running.sent_calls
-            if repeatable and not running.survivors and not running.result_future.done():
+            if repeatable and not running.answered_services and not running.result_future.done():
                 failure = RequestFailure(
                     kind=FailureKind.LEAF_UNAVAILABLE,
                     outcome=Outcome.MAY_HAVE_RUN if running.sent_calls else Outcome.NOT_RUN,
@@ -143,7 +143,7 @@
                 running.request.request_id,
                 running.digest,
                 ",".join(lost),
-                ",".join(sorted(running.survivors)) or "none",
+                ",".join(sorted(running.answered_services)) or "none",
             )
         self.crash_watch.on_run_ended(running, cancelled=cancelled)
         self.record_result(running, result)
@@ -319,7 +319,7 @@
         return
     match result:
         case Ok(_):
-            running.survivors.add(call.service)
+            running.answered_services.add(call.service)
         case Err(LeafFailure(reason=reason)) if reason in UNANSWERED_REASONS:
             call.lost = reason is not LeafFailureReason.TIMEOUT
             return
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -68,7 +68,7 @@
     :param logged_calls: the calls that ended, for the log line
     :param standing: how the request may run
     :param sent_calls: its calls that were sent and not answered, by call id
-    :param survivors: the services of which a server has run it and answered
+    :param answered_services: the services of which a server has run it and answered
     """
 
     request: GatewayRequest
@@ -80,7 +80,7 @@
     logged_calls: list[str] = field(default_factory=list)
     standing: Standing = Standing.USUAL
     sent_calls: dict[str, SentCall] = field(default_factory=dict)
-    survivors: set[str] = field(default_factory=set)
+    answered_services: set[str] = field(default_factory=set)
     wake_at: float | None = None
     wake_up: asyncio.TimerHandle | None = None
 
--- a/packages/azurefield/src/azurefield/crash_evidence.py
+++ b/packages/azurefield/src/azurefield/crash_evidence.py
@@ -7,8 +7,8 @@
 that its server is known to have been up. A request is refused once enough servers have ended under
 it, some of them while it was a suspect. A harmless request is in flight when a server ends by
 chance, but hardly ever again when it is sent as a suspect, and it is cleared by its first answer.
-Of several requests that a server was running when it ended, only the one under which most servers
-have ended is held to account.
+If a server was running several requests when it ended, its end counts only for the one under which
+most servers have ended.
 """
 
 from __future__ import annotations
@@ -197,15 +197,15 @@
         known = self.requests.get(request)
         if known is None or not known.ends or now - known.changed_at >= EVIDENCE_LIFETIME_S:
             return Standing.USUAL
-        ends = [end for end in known.ends if self.accounts_for(request, end)]
+        ends = [end for end in known.ends if self.has_most_ends(request, end)]
         suspect_ends = sum(end.requests[request] for end in ends)
         proven = len(ends) >= SERVERS_ENDED_MIN and suspect_ends >= SUSPECT_ENDS_MIN
         if proven and now - known.changed_at < REFUSAL_S:
             return Standing.REFUSED
         return Standing.SUSPECT
 
-    def accounts_for(self, request: str, end: ServerEnd) -> bool:
-        """Whether no other request of an ended server has been there at more ends."""
+    def has_most_ends(self, request: str, end: ServerEnd) -> bool:
+        """Whether none of the requests that a server was running was there at more ends."""
         count = len(self.requests[request].ends)
         return all(len(self.requests[other].ends) <= count for other in end.requests)
 
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
-from math import inf
+from dataclasses import dataclass, field
 from statistics import median
 from typing import Generic, TypeVar
 
-from result import Err, Ok, Result
-
 from azurefield.failures import (
     NEVER_SENT_REASONS,
     LeafFailure,
     LeafFailureReason,
-    RequestFailure,
 )
 from azurefield.hedging import HedgePolicy
 from azurefield.leaf_progress import LeafProgress, PendingCall
@@ -21,6 +17,7 @@
 from azurefield.merge import MergePolicy
 from azurefield.model import Outcome, Snapshot
 from azurefield.query_actions import Action, CancelLeafCall, Finished, SendLeafCall, WakeAt
+from azurefield.query_result import ResultBuilder
 from azurefield.query_timers import QueryTimers
 from azurefield.retry import CallBudget
 from azurefield.routing import CallResult, Router, result_of
@@ -31,8 +28,7 @@
 RESEND_DELAY_S = 0.05
 # A call waits for quota at most this fraction of its time; the rest is left to its server.
 QUOTA_WAIT_FRACTION = 0.75
-# Shortest time after which a caller whose request found no quota may retry.
-RETRY_AFTER_MIN_S = 0.1
+
 
 A = TypeVar("A")
 R = TypeVar("R")
@@ -396,39 +392,6 @@
                 self.record_leaf_latency(now, leaf, progress)
             self.cancel_pending(now, progress, CallResult.TIMED_OUT, actions)
         self.finished = True
-        actions.append(Finished(result=self.result(now)))
+        builder = ResultBuilder(merge=self.merge, choice=self.choice, progress=self.progress)
+        actions.append(Finished(result=builder.build(now)))
         return actions
-
-    def result(self, now: float) -> Result[R, RequestFailure]:
-        """Build the result, or the failure if too few leafs answered."""
-        entries = self.progress.items()
-        unanswered = [(leaf, entry.failure) for leaf, entry in entries if entry.answer is None]
-        result = self.merge.result(
-            leafs=self.leafs,
-            snapshot=self.snapshot,
-            answers={leaf: entry.answer for leaf, entry in entries if entry.answer is not None},
-            failures={leaf: failure for leaf, failure in unanswered if failure is not None},
-            outcome=self.outcome(),
-        )
-        opens_at = self.opens_at(now)
-        if isinstance(result, Ok) or opens_at is None:
-            return result
-        return Err(replace(result.err_value, retry_after_s=opens_at - now))
-
-    def opens_at(self, now: float) -> float | None:
-        """Return when all leafs without quota may get a token; None if no leaf lacks it."""
-        opens = [
-            at
-            for leaf, progress in self.progress.items()
-            if progress.answer is None
-            and progress.failure is LeafFailureReason.RATE_LIMITED
-            and (at := self.choice.opens_at(now, leaf)) < inf
-        ]
-        return max(now + RETRY_AFTER_MIN_S, *opens) if opens else None
-
-    def outcome(self) -> Outcome:
-        """Return whether any call of the query may have run."""
-        may_have_run = any(
-            entry.ended_attempts or entry.answer is not None for entry in self.progress.values()
-        )
-        return Outcome.MAY_HAVE_RUN if may_have_run else Outcome.NOT_RUN
