Let the ports of ended tests be chosen again, and fail when there is none

Cause: each test process chooses from 200 ports and never chose one twice; the new tests with three gateways use up a range. Change: each fleet of gateways may choose all ports again, as each soak run does, and a range without free ports is an error.

--- a/packages/azurefield-testkit/src/azurefield_testkit/processes.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/processes.py
@@ -158,13 +158,16 @@
             await process.wait()
 
     def free_port(self) -> int:
-        """Choose a loopback port that is not in use."""
+        """Choose a loopback port that is not in use.
+
+        :raises ProcessError: if all ports of the range were chosen or are in use
+        """
         first = FIRST_PORT + os.getpid() % PORT_RANGE_COUNT * PORTS_PER_PROCESS
-        while True:
-            port = first + random.randrange(PORTS_PER_PROCESS)
+        for port in random.sample(range(first, first + PORTS_PER_PROCESS), PORTS_PER_PROCESS):
             if self.is_free(port):
                 self.used_ports.add(port)
                 return port
+        raise ProcessError(f"no free port from {first} on; {len(self.used_ports)} were chosen")
 
     def free_port_pair(self) -> int:
         """Choose two consecutive ports that are not in use, and return the first."""
--- a/packages/azurefield-testkit/tests/test_processes.py
+++ b/packages/azurefield-testkit/tests/test_processes.py
@@ -5,7 +5,13 @@
 from azurefield_testkit.fleet import Fleet, ServicePlan
 from azurefield_testkit.history import History
 from azurefield_testkit.load import read_journals
-from azurefield_testkit.processes import ProcessError, Processes
+from azurefield_testkit.processes import (
+    FIRST_PORT,
+    PORT_RANGE_COUNT,
+    PORTS_PER_PROCESS,
+    ProcessError,
+    Processes,
+)
 from azurefield_testkit.waiting import wait_until
 
 pytestmark = pytest.mark.process
@@ -76,3 +82,11 @@
     pairs = [ports.free_port_pair() for _ in range(20)]
     chosen = [*pairs, *(port + 1 for port in pairs), *(ports.free_port() for _ in range(60))]
     assert len(set(chosen)) == len(chosen)
+
+
+def test_a_range_without_free_ports_is_an_error() -> None:
+    """Guards against a test that searches for a port for ever."""
+    ports = Processes()
+    ports.used_ports.update(range(FIRST_PORT, FIRST_PORT + PORT_RANGE_COUNT * PORTS_PER_PROCESS))
+    with pytest.raises(ProcessError, match="no free port"):
+        ports.free_port()
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -181,6 +181,7 @@
 @asynccontextmanager
 async def serving(directory: Path) -> AsyncIterator[Site]:
     """Run one gateway process."""
+    PORTS.used_ports.clear()
     site = Site(directory=directory)
     async with running(site.store, *site.leafs.values()), aiohttp.ClientSession() as session:
         site.session = session
@@ -210,6 +211,7 @@
     :param leafs: leafs that are served already, in place of the usual ones
     :param before_start: called with each site before its process starts
     """
+    PORTS.used_ports.clear()
     sites: dict[str, Site] = {}
     for name, capacity in cores.items():
         (directory / name).mkdir()
