Count the attempts of a run that is passed on, and play partitions in the soak

The soak cuts some gateways, or all, off from the leafs, among its other faults and in a check of its own (RECOVER).

Cause: a run that was ended by a partition was passed on with all its attempts, though its calls may have run on servers before their links were cut.

Change: the request carries the attempts that may have been made, and is passed on only if one is left.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -123,20 +123,24 @@
 
     async def run_here(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
         """Run a request here; pass it on if a partition is detected meanwhile."""
-        result = await self.runner.run(request, route, version)
-        if isinstance(result, Ok) or not self.may_run_again(
-            request, route, result.err_value.outcome
+        run = await self.runner.run_counted(request, route, version)
+        if isinstance(run.result, Ok) or not self.may_run_again(
+            request, route, run.attempts, run.result.err_value.outcome
         ):
-            return result
+            return run.result
         if not await self.partition_watch.confirmed():
-            return result
-        passed = await self.pass_on(request, route, version)
-        return result if passed is None else passed
-
-    def may_run_again(self, request: GatewayRequest, route: Route, outcome: Outcome) -> bool:
-        """Whether a request that failed here may still run elsewhere."""
+            return run.result
+        passed = await self.pass_on(replace(request, attempts_used=run.attempts), route, version)
+        return run.result if passed is None else passed
+
+    def may_run_again(
+        self, request: GatewayRequest, route: Route, attempts: int, outcome: Outcome
+    ) -> bool:
+        """Whether a request that failed here after some attempts may still run elsewhere."""
         repeatable = route.idempotent or outcome is Outcome.NOT_RUN
-        return repeatable and now() + TIME_LEFT_MIN_S < request.deadline_on(route.timeout_s)
+        attempts_left = route.attempts_max is None or attempts < route.attempts_max
+        in_time = now() + TIME_LEFT_MIN_S < request.deadline_on(route.timeout_s)
+        return repeatable and attempts_left and in_time
 
     async def run_on(
         self, instances: Iterator[str], request: GatewayRequest, route: Route, version: int
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -23,6 +23,7 @@
     :param version: the version of the route table that the request must be run under
     :param elapsed_s: time since the request arrived
     :param left_s: time until the caller stops waiting; None if it gave no deadline
+    :param attempts_used: attempts that an earlier run may have made on a service
     """
 
     number: int
@@ -35,6 +36,7 @@
     body: bytes
     elapsed_s: float
     left_s: float | None
+    attempts_used: int = 0
 
 
 class CancelRequest(msgspec.Struct, tag="cancel", frozen=True, kw_only=True):
@@ -104,6 +106,7 @@
         body=request.body,
         elapsed_s=max(0.0, now - request.arrived_at),
         left_s=None if request.deadline is None else request.deadline - now,
+        attempts_used=request.attempts_used,
     )
 
 
@@ -118,6 +121,7 @@
         body=frame.body,
         arrived_at=now - frame.elapsed_s,
         deadline=None if frame.left_s is None else now + frame.left_s,
+        attempts_used=frame.attempts_used,
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
@@ -85,7 +85,7 @@
             "retries": self.budget,
             "idempotent": route.idempotent,
             "limits": RouteServerLimits(limits=self.limits, priority=route.priority),
-            "attempts_max": 1 if suspect else route.attempts_max,
+            "attempts_max": 1 if suspect else attempts_left(request, route),
             "answer_by": answer_by,
         }
         if answer_by is not None and isinstance(route.target, ShardSet):
@@ -120,3 +120,8 @@
             )
             self.hedging[route.name] = known
         return known
+
+
+def attempts_left(request: GatewayRequest, route: Route) -> int | None:
+    """Return on how many servers of a service a request may still run; None for no limit."""
+    return None if route.attempts_max is None else route.attempts_max - request.attempts_used
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -35,6 +35,7 @@
     :param headers: without hop-by-hop headers, which concern only one connection
     :param deadline: when the caller stops waiting; None if it gave no deadline
     :param stops_at: when this instance stops and ends the request; None while no stop is near
+    :param attempts_used: attempts that earlier runs for the same caller may have made on a service
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     arrived_at: float
     deadline: float | None
     stops_at: float | None = None
+    attempts_used: int = 0
 
     def deadline_on(self, timeout_s: float) -> float:
         """Return when the request has to end on a route with a timeout."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -26,6 +26,7 @@
 from azurefield_entry.gateway.quotas import ServerQuotas
 from azurefield_entry.gateway.running import (
     ActiveCall,
+    CompletedRun,
     RequestResult,
     RunningRequest,
     SentCall,
@@ -63,11 +64,17 @@
 
     async def run(self, request: GatewayRequest, route: Route, version: int) -> RequestResult:
         """Run a request on the backend servers; cancelling this cancels the request's calls."""
+        return (await self.run_counted(request, route, version)).result
+
+    async def run_counted(
+        self, request: GatewayRequest, route: Route, version: int
+    ) -> CompletedRun:
+        """Run a request and count its attempts."""
         started_at = now()
         digest = digest_of(request.method, request.host, request.target, request.body)
         standing = self.crash_watch.standing(digest)
         if standing is Standing.REFUSED:
-            return Err(self.refusal(request, digest))
+            return CompletedRun(result=Err(self.refusal(request, digest)))
         running = RunningRequest(
             request=request,
             digest=digest,
@@ -91,7 +98,7 @@
             running.clear_wake_up()
             self.remove(running)
         self.record_run(running, describe(result), cancelled=False)
-        return result
+        return CompletedRun(result=result, attempts=max(running.attempts.values(), default=0))
 
     def remove(self, running: RunningRequest) -> None:
         """Remove a request that no longer runs."""
@@ -246,6 +253,7 @@
         running.fan_out.set_waiting(action.call_id, waiting=False)
         sent = SentCall(server=action.server, service=action.leaf, sent_at=active.sent_at)
         running.sent_calls[action.call_id] = sent
+        running.attempts[action.leaf] += 1
         self.crash_watch.on_call_sent(running, sent, active)
         call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
         try:
@@ -323,4 +331,6 @@
         case Err(LeafFailure(reason=reason)) if reason in UNANSWERED_REASONS:
             call.lost = reason is not LeafFailureReason.TIMEOUT
             return
+        case Err(LeafFailure(outcome=Outcome.NOT_RUN)):
+            running.attempts[call.service] -= 1
     del running.sent_calls[call_id]
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -20,6 +21,18 @@
 
 RequestResult = Result[OpaqueAnswer | MergedParts, RequestFailure]
 
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CompletedRun:
+    """A run that has ended.
+
+    :param attempts: the largest number of its calls to one service that may have run
+    """
+
+    result: RequestResult
+    attempts: int = 0
+
+
 # The log line of a request lists at most this many of its calls.
 LOGGED_CALLS_MAX = 40
 
@@ -68,6 +81,7 @@
     :param logged_calls: the calls that ended, for the log line
     :param standing: how the request may run
     :param sent_calls: its calls that were sent and not answered, by call id
+    :param attempts: its calls that may have run, by service
     :param answered_services: the services of which a server has run it and answered
     """
 
@@ -80,6 +94,7 @@
     logged_calls: list[str] = field(default_factory=list)
     standing: Standing = Standing.USUAL
     sent_calls: dict[str, SentCall] = field(default_factory=dict)
+    attempts: Counter[str] = field(default_factory=Counter)
     answered_services: set[str] = field(default_factory=set)
     wake_at: float | None = None
     wake_up: asyncio.TimerHandle | None = None
--- a/tests/fleet/test_partitions.py
+++ b/tests/fleet/test_partitions.py
@@ -9,7 +9,8 @@
 import pytest
 
 from azurefield_testkit.waiting import wait_until
-from partitions import Cut, PartitionedFleet, partitioned_fleet
+from links import Cut
+from partitions import PartitionedFleet, partitioned_fleet
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -86,7 +87,7 @@
     async with partitioned_fleet(tmp_path, NAMES) as fleet:
         site = fleet.sites["n1"]
         for links in fleet.links.values():
-            for proxy in links.proxies[:4]:
+            for proxy in [*links.proxies.values()][:4]:
                 proxy.stop_listening()
                 proxy.reset_all()
         for number in range(20):
--- a/tests/soak/soak/callers.py
+++ b/tests/soak/soak/callers.py
@@ -67,6 +67,13 @@
             writer.transport.abort()
         return sent
 
+    async def is_served(self, number: int, gateway: str) -> bool:
+        """Send one request on a new connection; return whether it is answered with success."""
+        try:
+            return (await self.send_single_request(number, gateway)).status == 200
+        except OSError:
+            return False
+
     async def send_crashing(self, random: Random, duration_s: float) -> list[SentRequest]:
         """Send the request that ends leafs again and again; return what was sent."""
         clock = asyncio.get_running_loop().time
--- a/tests/soak/soak/faults.py
+++ b/tests/soak/soak/faults.py
@@ -13,6 +13,8 @@
 from soak.proxy import ConnectionFault, Proxy
 from soak.site import Site
 
+from links import Cut
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -62,6 +64,7 @@
             self.replace_leaf,
             self.crash_leaf,
             self.send_crashing_requests,
+            self.partition_gateways,
         )
         async with asyncio.TaskGroup() as group:
             while True:
@@ -200,6 +203,17 @@
         """Send a request that ends each leaf that begins to run it, again and again."""
         await self.callers.send_crashing(self.site.random, FAULT_MAX_S)
 
+    async def partition_gateways(self) -> None:
+        """Cut some gateways, or all, off from all leafs."""
+        random = self.site.random
+        count = random.randrange(1, len(self.site.gateways) + 1)
+        cut = random.sample([*self.site.gateways.values()], count)
+        for gateway in cut:
+            gateway.links.cut(random.choice([*Cut]))
+        await self.wait(FAULT_MAX_S)
+        for gateway in cut:
+            await gateway.links.heal()
+
     async def replace_leaf(self) -> None:
         """Drain a leaf and replace it by another one at a new address."""
         leaf = self.choose_leaf()
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -20,6 +20,7 @@
 from soak.site import DESKS, GATEWAYS, Site
 
 from azurefield_testkit.waiting import ConditionNotMetError, wait_until
+from links import Cut
 
 CALLERS = 12
 WARM_UP_S = 1.0
@@ -34,6 +35,10 @@
 # How long a request is sent that ends leafs, and how many of its sends may reach a leaf later than
 # some time after it has ended the third one.
 CRASHING_REQUEST_S = 8.0
+# Part of what the other gateways serve that partitioned ones have to serve, and the time in which
+# they take their requests back.
+PARTITIONED_SERVED_MIN = 2 / 3
+PARTITION_RETURN_S = 3.0
 CRASHES_MIN = 3
 CRASH_CONTACT_S = 4.0
 LATE_CRASHING_MAX = 3
@@ -73,7 +78,7 @@
     return True
 
 
-def clear_faults(site: Site) -> None:
+async def clear_faults(site: Site) -> None:
     """End all faults that are still active."""
     site.store.down = False
     for proxy in [*site.proxies.values(), *(g.store for g in site.gateways.values())]:
@@ -85,6 +90,7 @@
             site.unregister(leaf.name)
     for gateway in site.gateways.values():
         gateway.signal(signal.SIGCONT)
+        await gateway.links.heal()
 
 
 async def check_recovery(site: Site, history: History) -> None:
@@ -110,6 +116,25 @@
             history.add_violation("LIMIT", leaf.name, detail)
 
 
+async def check_partition(site: Site, callers: Callers, history: History) -> None:
+    """Check that gateways that are cut off from all leafs serve their callers nearly as often."""
+    cut = site.random.sample(GATEWAYS, site.random.randrange(1, len(GATEWAYS)))
+    for name in cut:
+        site.gateways[name].links.cut(site.random.choice([*Cut]))
+    await asyncio.sleep(CRASH_CONTACT_S)
+    served = {
+        name: sum([await callers.is_served(number, name) for number in range(CHECKS_PER_GATEWAY)])
+        for name in GATEWAYS
+    }
+    for name in cut:
+        await site.gateways[name].links.heal()
+    others = [served[name] for name in GATEWAYS if name not in cut]
+    at_cut = [served[name] for name in cut]
+    if sum(at_cut) / len(at_cut) < PARTITIONED_SERVED_MIN * sum(others) / len(others):
+        history.add_violation("RECOVER", ",".join(cut), f"served {served} of {CHECKS_PER_GATEWAY}")
+    await asyncio.sleep(PARTITION_RETURN_S)
+
+
 async def check_crashing_request(site: Site, callers: Callers, history: History) -> None:
     """Check that a request that ends leafs soon reaches no leaf, though the store is away."""
     site.crashes.clear()
@@ -183,11 +208,12 @@
             await asyncio.sleep(seconds)
             injection.cancel()
             await asyncio.wait([injection])
-            clear_faults(site)
+            await clear_faults(site)
             await check_recovery(site, history)
             await asyncio.sleep(SETTLE_TIME_S)
             await check_configuration(site, history)
             await check_limit(site, history)
+            await check_partition(site, callers, history)
             await check_crashing_request(site, callers, history)
             await rolling_restart(site, callers)
             await check_service(site, callers, history)
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -16,6 +16,7 @@
 from soak.proxy import Proxy
 
 from azurefield_testkit.processes import ManagedProcess, Processes
+from links import Links, StoreView
 from standins import StoreStandIn, config, route
 
 PROGRAM = Path(__file__).parents[3] / "platform" / "run.py"
@@ -34,13 +35,15 @@
 class Gateway:
     """One gateway; its process is restarted whenever it exits.
 
-    ``store`` is the proxy through which it reaches the store. Callers send requests to
-    ``caller_address``; ``readiness_address`` is the listener that reports whether it is ready.
+    ``store`` is the proxy through which it reaches the store, ``links`` leads to the leafs. Callers
+    send requests to ``caller_address``; ``readiness_address`` is the listener that reports whether
+    it is ready.
     """
 
     name: str
     directory: Path
     store: Proxy
+    links: Links
     caller_address: str = ""
     readiness_address: str = ""
     relay_port: int = 0
@@ -131,9 +134,12 @@
                 await self.add_leaf(service)
         self.put_config()
         for name in GATEWAYS:
-            proxy = Proxy(target=self.store.address)
+            links = Links(view=StoreView(store=self.store))
+            for leaf_proxy in self.proxies.values():
+                await links.add(leaf_proxy.address)
+            proxy = Proxy(target=await self.serve(links.view.handle))
             await proxy.start()
-            gateway = Gateway(name=name, directory=self.directory, store=proxy)
+            gateway = Gateway(name=name, directory=self.directory, store=proxy, links=links)
             gateway.write_settings()
             self.gateways[name] = gateway
             await gateway.start()
@@ -147,6 +153,7 @@
             if gateway.process is not None:
                 await gateway.process.wait()
             await gateway.store.stop()
+            await gateway.links.stop()
         for task in self.tasks:
             task.cancel()
         for proxy in self.proxies.values():
@@ -179,6 +186,8 @@
         proxy = Proxy(target=leaf.address)
         await proxy.start()
         self.leafs[name], self.proxies[name] = leaf, proxy
+        for gateway in self.gateways.values():
+            await gateway.links.add(proxy.address)
         self.register(leaf)
         return leaf
 
@@ -189,8 +198,8 @@
         self.crashes.append(asyncio.get_running_loop().time())
         leaf.down = True
         proxy = self.proxies[leaf.name]
-        proxy.stop_listening()
-        proxy.reset_all()
+        for gateway in self.gateways.values():
+            gateway.links.end_leaf(proxy.address)
         task = asyncio.create_task(self.restart_leaf(leaf, proxy))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -198,8 +207,9 @@
     async def restart_leaf(self, leaf: Leaf, proxy: Proxy) -> None:
         """Start a leaf that has ended."""
         await asyncio.sleep(CRASH_DOWN_S)
-        await proxy.listen_again()
         leaf.down = False
+        for gateway in self.gateways.values():
+            await gateway.links.restart_leaf(proxy.address)
 
     def register(self, leaf: Leaf, state: str = "ready") -> None:
         """Write the entry of a leaf to the store."""
