--- a/packages/azurefield/src/azurefield/partition.py
+++ b/packages/azurefield/src/azurefield/partition.py
@@ -21,7 +21,7 @@
 FAILED_SERVERS_MIN = 3
 # An older failure says nothing about now.
 FAILURE_AGE_MAX_S = 2.0
-# Servers that are tried for a verification, one after the other until one accepts a connection.
+# Servers that are tried for a verification: one and, if it fails, the others at the same time.
 VERIFICATION_SERVERS = 5
 PROBE_INTERVAL_S = 0.5
 # After the end of a partition, the instance takes back its requests over this time, so that the
