--- a/tests/fleet/crashing_leafs.py
+++ b/tests/fleet/crashing_leafs.py
@@ -219,7 +219,11 @@
 
 @asynccontextmanager
 async def crash_play(
-    directory: Path, *, dark: bool = False, crashing_services: tuple[str, ...] = ("a", "b", "desk")
+    directory: Path,
+    *,
+    dark: bool = False,
+    crashing_services: tuple[str, ...] = ("a", "b", "desk"),
+    connections_max: int = 30,
 ) -> AsyncIterator[CrashPlay]:
     """Run three gateways before services of three leafs."""
     leafs = {
@@ -237,7 +241,9 @@
         await leaf.start()
     try:
         cores = {"n1": 1.0, "n2": 1.0, "n3": 1.0}
-        async with serving_fleet(directory, cores, leafs=leafs) as sites:
+        async with serving_fleet(
+            directory, cores, leafs=leafs, connections_max=connections_max
+        ) as sites:
             yield CrashPlay(sites=sites, leafs=leafs)
     finally:
         for leaf in leafs.values():
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -27,6 +27,8 @@
 STORE_AWAY_S = 5.0
 # Twice the tolerated number of sends follows the time from which they count.
 LATE_S = 2 * LATE_SENDS_TOLERATED * SEND_INTERVAL_S
+# Fewer than the slots of a leaf for each of three instances, so that the fleet needs coordinators.
+COORDINATED_CONNECTIONS = 8
 # A request that is not refused ends three leafs well within this time.
 THIRD_END_S = 3.0
 
@@ -87,3 +89,25 @@
         assert play.ended_at, "the request reached a leaf"
         assert len(play.late_sends()) <= LATE_SENDS_TOLERATED
         assert not any(send.refused for send in play.harmless)
+
+
+async def test_a_query_that_ends_servers_is_refused_where_coordinators_run_it(
+    tmp_path: Path,
+) -> None:
+    """Guards against a query that each instance forwards, so that none counts what it did."""
+    async with crash_play(tmp_path, connections_max=COORDINATED_CONNECTIONS) as play:
+        until = asyncio.get_running_loop().time() + THIRD_END_S + CONTACT_S + LATE_S
+        async with asyncio.TaskGroup() as group:
+            group.create_task(play.send_crashing("/l/crash", until))
+            group.create_task(play.send_harmless(HARMLESS, until))
+        forwarded = [
+            line
+            for site in play.sites.values()
+            if site.process is not None
+            for line in site.process.output
+            if "forwarded_to=" in line
+        ]
+        assert forwarded, "coordinators run queries in this fleet"
+        assert play.ended_at
+        assert len(play.late_sends()) <= LATE_SENDS_TOLERATED
+        assert not any(send.refused for send in play.harmless)
