Mend three faults of the test harness that the soak reported as violations

Change: the status goes through the view, a proxy starts listening under a lock, a pair of ports stays within its range (the new test fails without this).

--- a/packages/azurefield-testkit/src/azurefield_testkit/processes.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/processes.py
@@ -173,7 +173,8 @@
         """Choose two consecutive ports that are not in use, and return the first."""
         while True:
             port = self.free_port()
-            if self.is_free(port + 1):
+            # The port behind the range is in that of another process.
+            if (port + 1 - FIRST_PORT) % PORTS_PER_PROCESS and self.is_free(port + 1):
                 self.used_ports.add(port + 1)
                 return port
 
--- a/packages/azurefield-testkit/tests/test_processes.py
+++ b/packages/azurefield-testkit/tests/test_processes.py
@@ -90,3 +90,16 @@
     ports.used_ports.update(range(FIRST_PORT, FIRST_PORT + PORT_RANGE_COUNT * PORTS_PER_PROCESS))
     with pytest.raises(ProcessError, match="no free port"):
         ports.free_port()
+
+
+def test_a_pair_of_ports_stays_within_the_range() -> None:
+    """Guards against a port that a test process that runs in parallel has chosen, too."""
+    for _ in range(20):
+        ports = Processes()
+        pairs = [ports.free_port_pair() for _ in range(40)]
+        ranges = {
+            (port - FIRST_PORT) // PORTS_PER_PROCESS
+            for first in pairs
+            for port in (first, first + 1)
+        }
+        assert len(ranges) == 1
--- a/tests/fleet/links.py
+++ b/tests/fleet/links.py
@@ -45,7 +45,8 @@
         for item in (*content.get("items", ()), *content.get("events", ())):
             if item["key"].startswith("servers/") and "value" in item:
                 item["value"] = self.replace_address(item["value"])
-        return web.json_response(content, headers={"Store-Era": answer.headers["Store-Era"]})
+        era = {"Store-Era": answer.headers["Store-Era"]}
+        return web.json_response(content, status=answer.status, headers=era)
 
     def replace_address(self, value: str) -> str:
         """Replace the address in the entry of a leaf."""
--- a/tests/soak/soak/proxy.py
+++ b/tests/soak/soak/proxy.py
@@ -52,6 +52,7 @@
     connections: set[ProxiedConnection] = field(default_factory=set)
     server: asyncio.Server | None = None
     held_port: list[socket.socket] = field(default_factory=list)
+    starting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self) -> None:
         """Listen on a free port, or on the same one again."""
@@ -75,8 +76,9 @@
 
     async def listen_again(self) -> None:
         """Accept connections at the same address again."""
-        self.stop_listening()
-        await self.start()
+        async with self.starting:
+            self.stop_listening()
+            await self.start()
 
     def reset_all(self) -> None:
         """Reset all open connections."""
