Register a leaf of the soak again that was down when the faults were cleared

Cause: a leaf that the crashing request has ended is unregistered with the lost leafs when the faults are cleared, and was not registered again when it was back.

--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -210,6 +210,8 @@
         leaf.down = False
         for gateway in self.gateways.values():
             await gateway.links.restart_leaf(proxy.address)
+        if f"servers/{leaf.name}" not in self.store.items:
+            self.register(leaf)
 
     def register(self, leaf: Leaf, state: str = "ready") -> None:
         """Write the entry of a leaf to the store."""
