Reserve the ports of test leafs that are down, and choose those of test instances with care

An outgoing connection had taken its port, which is one of those the system gives out. The port is now kept by a bound socket that does not listen. - test_crash_broadcast[ended-20], for the second time: one of 20 instances gets no report. Its 20 addresses are from the same range, and an instance that could not listen went unnoticed. They are now chosen below that range, and the test waits until each accepts connections.

--- a/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
+++ b/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
@@ -18,6 +19,7 @@
 from azurefield_entry.gateway.quota_issuer import QuotaIssuer
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
+from azurefield_testkit.processes import Processes
 from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -41,10 +43,22 @@
         self.broadcast.forward(frame)
 
 
+async def accepts(address: str) -> bool:
+    """Whether an address accepts connections."""
+    host, _, port = address.rpartition(":")
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 @asynccontextmanager
 async def fleet(count: int) -> AsyncIterator[dict[str, Instance]]:
     """Run the links of some instances that know each other."""
-    addresses = {f"i{number:02}": free_address() for number in range(count)}
+    ports = Processes()
+    addresses = {f"i{number:02}": f"127.0.0.1:{ports.free_port()}" for number in range(count)}
     instances: dict[str, Instance] = {}
     async with AsyncExitStack() as stack:
         for name, address in addresses.items():
@@ -85,7 +99,8 @@
                 await serving
 
             stack.push_async_callback(stop)
-        await asyncio.sleep(0.05)
+        for address in addresses.values():
+            await wait_until(partial(accepts, address), f"{address} accepts links")
         yield instances
 
 
--- a/tests/fleet/crashing_leafs.py
+++ b/tests/fleet/crashing_leafs.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 from aiohttp import web
-from soak.proxy import hold_port
+from soak.proxy import address_of, hold_port, reserve_port
 
 from gateway_process import Site, serving_fleet
 from standins import LeafStandIn
@@ -46,6 +46,7 @@
     server: web.Server | None = None
     listener: asyncio.Server | None = None
     closed_port: list[socket.socket] = field(default_factory=list)
+    reserved_port: socket.socket | None = None
     back: asyncio.Event = field(default_factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -102,12 +103,14 @@
         await self.listen()
 
     async def listen(self) -> None:
-        """Accept connections; a port that was chosen once is kept."""
-        host, _, port = (self.address or "127.0.0.1:0").rpartition(":")
+        """Accept connections; the port is reserved while the leaf is down."""
+        if self.reserved_port is None:
+            self.reserved_port = reserve_port()
+            self.address = address_of(self.reserved_port)
+        host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         assert self.server is not None
-        self.listener = await loop.create_server(self.server, host, int(port), reuse_address=True)
-        self.address = f"{host}:{self.listener.sockets[0].getsockname()[1]}"
+        self.listener = await loop.create_server(self.server, host, int(port), reuse_port=True)
         self.back.set()
 
     async def start(self) -> None:
@@ -123,6 +126,8 @@
         self.back.set()
         assert self.server is not None
         await self.server.shutdown(0.1)
+        if self.reserved_port is not None:
+            self.reserved_port.close()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/soak/soak/proxy.py
+++ b/tests/soak/soak/proxy.py
@@ -52,18 +52,23 @@
     connections: set[ProxiedConnection] = field(default_factory=set)
     server: asyncio.Server | None = None
     held_port: list[socket.socket] = field(default_factory=list)
+    reserved_port: socket.socket | None = None
     starting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self) -> None:
         """Listen on a free port, or on the same one again."""
-        host, _, port = (self.address or "127.0.0.1:0").rpartition(":")
-        self.server = await asyncio.start_server(self.accept, host, int(port))
-        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+        if self.reserved_port is None:
+            self.reserved_port = reserve_port()
+            self.address = address_of(self.reserved_port)
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self.accept, host, int(port), reuse_port=True)
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
         self.stop_listening()
         self.reset_all()
+        if self.reserved_port is not None:
+            self.reserved_port.close()
 
     def stop_listening(self, *, hang: bool = False) -> None:
         """Refuse new connections, or leave them hanging; open ones are kept."""
@@ -140,6 +145,20 @@
             await writer.drain()
 
 
+def reserve_port() -> socket.socket:
+    """Reserve a free port, so that no outgoing connection takes it while nothing listens there."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    reserved.bind(("127.0.0.1", 0))
+    return reserved
+
+
+def address_of(bound: socket.socket) -> str:
+    """Return ``host:port`` of a bound socket."""
+    host, port = bound.getsockname()
+    return f"{host}:{port}"
+
+
 def hold_port(address: str) -> list[socket.socket]:
     """Listen on an address with a full queue, so that new connections to it hang.
 
@@ -147,7 +166,7 @@
     """
     host, _, port = address.rpartition(":")
     listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     listener.bind((host, int(port)))
     listener.listen(0)
     held = [listener]
