Refuse ports that are too large instead of connecting to their remainder

Cause: the event loop cuts off the upper bits of a port. The test passed whenever nothing listened at the remainder.

Change: split_address checks the port wherever the gateway connects. Result: the new test, with a server at the remainder, fails without it and passes.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -17,6 +17,7 @@
 
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
+from azurefield_entry.addresses import split_address
 from azurefield_entry.gateway.ports import LeafCall, OpaqueAnswer
 
 if TYPE_CHECKING:
@@ -138,10 +139,10 @@
 
         :return: whether it is open; if not, this object is not usable any more
         """
-        host, _, port = self.address.rpartition(":")
         try:
+            host, port = split_address(self.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self._loop.create_connection(lambda: self, host, int(port))
+                await self._loop.create_connection(lambda: self, host, port)
         except (OSError, ValueError, OverflowError):
             # The caller reports the failure. TimeoutError is an OSError.
             self.closed = True
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from azurefield.coordinators import CoordinatorView
+from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.peer_frames import FROM_PEER, FromPeer, Heartbeat, ToPeer
@@ -136,10 +137,10 @@
         """Connect to an instance."""
         profile = self.view.profiles.get(instance)
         address = "" if profile is None else profile.coordinator_address or ""
-        host, _, port = address.rpartition(":")
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, port)
         except (OSError, ValueError, OverflowError) as error:
             return Err(PeerUnreachable(detail=repr(error)))
         sock = writer.get_extra_info("socket")
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
@@ -17,6 +17,7 @@
 from result import Err, Ok, Result
 
 from azurefield.store_position import StorePosition
+from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.messages import StoreReplyReceived, StoreWatchEnded, Tick
@@ -223,10 +224,10 @@
 
 async def open_relay(address: str, position: StorePosition) -> Result[RelayLink, RelayLost]:
     """Connect to ``host:port`` and request the changes after a position."""
-    host, _, port = address.rpartition(":")
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host, port)
     except (OSError, ValueError) as error:
         return Err(RelayLost(detail=repr(error)))
     writer.write(encode(FollowRequest(after=position.revision, era=position.era)))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/server_checker.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/server_checker.py
@@ -16,6 +16,7 @@
     choose_controls,
     judge,
 )
+from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.connection import CONNECT_TIMEOUT_S
 
@@ -96,11 +97,11 @@
         entry = self.directory.servers.get(server)
         if entry is None:
             return False
-        host, _, port = entry.address.rpartition(":")
         try:
+            host, port = split_address(entry.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, _ = await asyncio.get_running_loop().create_connection(
-                    asyncio.Protocol, host, int(port)
+                    asyncio.Protocol, host, port
                 )
         except (OSError, ValueError, OverflowError):
             self.contacts.on_open_failed(server)
--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -295,6 +295,20 @@
         assert result.ok_value.body == b"body"
 
 
+async def test_a_port_that_is_too_large_does_not_lead_to_another_server() -> None:
+    """Guards against a call to the port that is left when the upper bits are cut off."""
+    server = ScriptedServer(script=[[answer("/1", b"body")]])
+    async with listening(server) as address:
+        host, _, port = address.rpartition(":")
+        connection = HttpLeafConnection(
+            address=f"{host}:{int(port) + 65_536}", dialect=PlainDialect()
+        )
+        result = await connection.exchange(call("/1"))
+    assert isinstance(result, Err)
+    assert result.err_value.reason is R.CONNECT_FAILED
+    assert server.accepted == 0
+
+
 async def test_an_address_that_can_t_exist_did_not_run_the_call() -> None:
     """Guards against a call without a result because its server registered an invalid port."""
     connection = HttpLeafConnection(address="127.0.0.1:99999", dialect=PlainDialect())
