Use a connection to a server no more after any byte behind an answer

Cause: the parser of a connection keeps the bytes of a head that has begun, and the check for extra bytes asked only for whole answers and a rest. The next answer was read behind that head, with the status and first headers of an earlier answer.

Change: the bytes of a call are counted against the length of its answer; any byte more ends the use of the connection. A counter and a log line say so.

--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -0,0 +1,78 @@
+"""Tells whether bytes of a connection belong to the answer that they were read with."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from aiohttp.http import RawResponseMessage
+
+HEAD_END = b"\r\n\r\n"
+# The last chunk or the last trailer ends with HEAD_END; one more line break is an extra byte.
+EXTRA_LINE_BREAK = b"\n" + HEAD_END
+STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
+
+
+@dataclass(slots=True, kw_only=True)
+class ReceivedBytes:
+    """Counts the bytes that arrive for a call, to find bytes behind its answer.
+
+    The HTTP parser keeps the bytes of a head that has begun, without showing them.
+
+    :param total: all bytes since the call was sent
+    :param answer_start: how many of them came before the current answer
+    :param head: the bytes of the current answer, until its head is complete
+    :param head_length: length of that head; None while it is incomplete
+    :param last: the last bytes
+    """
+
+    total: int = 0
+    answer_start: int = 0
+    head: bytes = b""
+    head_length: int | None = None
+    last: bytes = b""
+
+    def add(self, data: bytes) -> None:
+        """Count bytes that have arrived."""
+        self.total += len(data)
+        self.last = (self.last + data[-len(EXTRA_LINE_BREAK) :])[-len(EXTRA_LINE_BREAK) :]
+        if self.head_length is None:
+            self.head += data
+            self.find_head_end()
+
+    def find_head_end(self) -> None:
+        """Find the end of the current answer's head, if it has arrived."""
+        position = self.head.find(HEAD_END)
+        if position >= 0:
+            self.head_length = position + len(HEAD_END)
+
+    def skip_interim_answer(self) -> None:
+        """Continue with the answer behind an interim answer, which is only a head."""
+        if self.head_length is not None:
+            self.answer_start += self.head_length
+            self.head = self.head[self.head_length :]
+            self.head_length = None
+            self.find_head_end()
+
+    def end_with(self, message: RawResponseMessage, body: bytes) -> bool:
+        """Whether the last byte is the last one of the current answer.
+
+        It must be the only whole answer behind the interim ones.
+        """
+        if self.head_length is None:
+            # The parser accepts a head with unusual line breaks, whose length is unknown here.
+            return False
+        if message.chunked:
+            return self.last.endswith(HEAD_END) and self.last != EXTRA_LINE_BREAK
+        return self.total == self.answer_start + self.head_length + len(body)
+
+
+def holds_another_head(message: RawResponseMessage) -> bool:
+    """Whether a head goes on with the status line of another one.
+
+    This happens if a head is cut off and an answer follows on the same connection.
+    """
+    values = [message.reason, *message.headers.values()]
+    return any("HTTP/" in value and STATUS_LINE.search(value) for value in values)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
@@ -18,6 +18,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
+from azurefield_entry.gateway.answer_end import ReceivedBytes, holds_another_head
 from azurefield_entry.gateway.ports import LeafCall, OpaqueAnswer
 
 if TYPE_CHECKING:
@@ -46,12 +47,11 @@
     """The call whose answer a connection waits for, with the answers that have begun to arrive.
 
     :param reused: whether an earlier call used the connection
-    :param received_bytes: bytes that have arrived since the call was sent
     """
 
     call: LeafCall
     reused: bool
-    received_bytes: int = 0
+    received: ReceivedBytes = field(default_factory=ReceivedBytes)
     result_future: asyncio.Future[Result[OpaqueAnswer, LeafFailure]]
     answers: list[tuple[RawResponseMessage, StreamReader]]
 
@@ -61,6 +61,9 @@
 
     It is not reused after a cancelled call, after an answer to another call, or after bytes that
     no call waits for.
+
+    :param on_open: called when the connection is open
+    :param on_stray_bytes: called when bytes have arrived that belong to no call
     """
 
     __slots__ = (
@@ -72,17 +75,24 @@
         "idle_since",
         "idle_until",
         "on_open",
+        "on_stray_bytes",
         "parser",
         "parses_bodies",
     )
 
     def __init__(
-        self, *, address: str, dialect: LeafDialect, on_open: Callable[[], None] = lambda: None
+        self,
+        *,
+        address: str,
+        dialect: LeafDialect,
+        on_open: Callable[[], None] = lambda: None,
+        on_stray_bytes: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(loop=asyncio.get_running_loop())
         self.address = address
         self.dialect = dialect
         self.on_open = on_open
+        self.on_stray_bytes = on_stray_bytes
         self.current_exchange: Exchange | None = None
         self.closed = False
         self.calls_sent = 0
@@ -123,7 +133,7 @@
             self.current_exchange = None
 
     def new_parser(self) -> HttpResponseParser:
-        """Make a parser; it is kept between calls, since it may hold a part of an extra answer."""
+        """Make a parser; it is kept between calls, which end where an answer ends."""
         return HttpResponseParser(
             self,
             self._loop,
@@ -177,6 +187,8 @@
         """Parse bytes of an answer; bytes that no call waits for close the connection."""
         exchange = self.current_exchange
         if exchange is None or exchange.result_future.done():
+            if not self.closed:
+                self.on_stray_bytes()
             self.abort()
             return
         try:
@@ -187,15 +199,16 @@
             )
             return
         exchange.answers += answers
-        exchange.received_bytes += len(data)
+        exchange.received.add(data)
         self.process_answers(exchange, extra=bool(tail))
         self.limit_size(exchange)
 
     def limit_size(self, exchange: Exchange) -> None:
         """Fail a call that still has no whole answer after too many bytes."""
         limit = ANSWER_BYTES_MAX if exchange.answers else HEAD_BYTES_MAX
-        if exchange.received_bytes > limit and not exchange.result_future.done():
-            detail = f"no whole answer in {exchange.received_bytes} bytes"
+        received = exchange.received.total
+        if received > limit and not exchange.result_future.done():
+            detail = f"no whole answer in {received} bytes"
             self.finish_exchange(
                 Err(failure(LeafFailureReason.MALFORMED, detail=detail)), reusable=False
             )
@@ -217,8 +230,17 @@
             if not payload.is_eof():
                 return
             del exchange.answers[0]
+            if holds_another_head(message):
+                self.on_stray_bytes()
+                detail = "the head holds the status line of another answer"
+                self.finish_exchange(
+                    Err(failure(LeafFailureReason.MALFORMED, detail=detail)), reusable=False
+                )
+                return
             if 100 <= message.code < 200:
+                exchange.received.skip_interim_answer()
                 continue
+            body = payload.read_nowait()
             headers = tuple(
                 (name.decode(errors="replace"), value.decode(errors="replace"))
                 for name, value in message.raw_headers
@@ -227,7 +249,7 @@
                 exchange.call,
                 message.code,
                 headers,
-                payload.read_nowait(),
+                body,
                 reused=exchange.reused,
             )
             if result is None:
@@ -235,7 +257,10 @@
                 continue
             self.apply_keep_alive(message)
             unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
-            unexpected = unexpected or self.has_extra_bytes(exchange)
+            if exchange.answers or not exchange.received.end_with(message, body):
+                unexpected = True
+            if unexpected:
+                self.on_stray_bytes()
             reusable = not (message.should_close or unexpected or unsent)
             self.finish_exchange(result, reusable=reusable)
             return
@@ -243,14 +268,6 @@
             # The call still waits for its own answer, and the connection is not reused after it.
             self.idle_until = float("-inf")
 
-    def has_extra_bytes(self, exchange: Exchange) -> bool:
-        """Whether more bytes arrived than those of the call's answer."""
-        try:
-            more, _, tail = self.parser.feed_data(b"")
-        except HttpProcessingError:
-            return True
-        return bool(exchange.answers or more or tail)
-
     def apply_keep_alive(self, message: RawResponseMessage) -> None:
         """Limit the idle time to the server's ``Keep-Alive`` timeout."""
         granted = KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", ""))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from logbook import Logger
+
 from azurefield.directory import Directory
 from azurefield.reachability import ServerContacts
 from azurefield.routes import ServiceLimits
@@ -20,6 +22,8 @@
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
 
+log = Logger("connections")
+
 
 @dataclass(slots=True, kw_only=True)
 class ServerConnections:
@@ -84,8 +88,14 @@
             address=address,
             dialect=self.dialect,
             on_open=lambda: self.contacts.on_opened(now(), server),
+            on_stray_bytes=partial(self.record_stray_bytes, server),
         )
 
+    def record_stray_bytes(self, server: str) -> None:
+        """Log and count that a server sent bytes that belong to no call."""
+        self.metrics.stray_bytes.inc()
+        log.info("Server {} sent bytes that belong to no call; the connection is closed.", server)
+
     def retire(self, server: str) -> None:
         """Close the connections to a server; those in use are closed when their calls end."""
         self.contacts.forget(server)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
@@ -1,4 +1,4 @@
-"""Which HTTP headers are passed on."""
+"""Which HTTP headers are passed on, and which must not contradict each other."""
 
 from __future__ import annotations
 
@@ -35,3 +35,16 @@
         if name.lower() == "connection":
             dropped |= {token.strip().lower() for token in value.split(",")}
     return tuple((name, value) for name, value in headers if name.lower() not in dropped)
+
+
+def gives_two_values(headers: Headers, names: frozenset[str]) -> bool:
+    """Whether a head gives different values of a header.
+
+    :param names: the headers that count, in lower case
+    """
+    values: dict[str, str] = {}
+    for name, value in headers:
+        lower = name.lower()
+        if lower in names and values.setdefault(lower, value) != value:
+            return True
+    return False
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -19,6 +19,7 @@
     forwarded: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
+    stray_bytes: Counter = field(init=False)
     servers: Gauge = field(init=False)
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
@@ -63,6 +64,11 @@
             "Connections opened to backend servers.",
             registry=registry,
         )
+        self.stray_bytes = Counter(
+            "azurefield_gateway_stray_bytes",
+            "Connections closed because a backend server sent bytes that belong to no call.",
+            registry=registry,
+        )
         self.servers = Gauge(
             "azurefield_gateway_servers", "Backend servers known.", registry=registry
         )
--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -168,17 +168,62 @@
         assert (server.accepted, server.requests) == (1, ["/1", "/2"])
 
 
-async def test_an_extra_answer_in_pieces_is_not_taken_for_the_next_one() -> None:
-    """Guards against reading the rest of an extra answer as part of the next answer."""
-    extra = answer("/1", b"no")
-    first = [answer("/1", b"body") + extra[:20]]
-    second = [extra[20:] + answer("/2", b"next")]
-    async with connected(ScriptedServer(script=[first, second])) as connection:
-        for target, body in (("/1", b"body"), ("/2", b"next")):
-            result = await connection.exchange(call(target))
+EXTRA = answer("/1", b"no", "Note: a b\r\n")
+EXTRA_CHUNKED = chunked("/1", b"no")
+
+
+@pytest.mark.parametrize(
+    "own", [answer("/1", b"body"), chunked("/1", b"body")], ids=["len", "chunk"]
+)
+@pytest.mark.parametrize("extra", [EXTRA, EXTRA_CHUNKED, b"\r\n\r\n"], ids=["len", "chunk", "line"])
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"], ids=["", "interim"])
+async def test_any_byte_behind_an_answer_ends_the_use_of_its_connection(
+    own: bytes, extra: bytes, interim: bytes
+) -> None:
+    """Guards against a begun extra answer whose head is joined with that of the next answer."""
+    for length in range(1, len(extra) + 1):
+        segments = [interim + own + extra[:length]]
+        async with connected(ScriptedServer(script=[segments])) as connection:
+            result = await connection.exchange(call("/1"))
             assert isinstance(result, Ok)
-            assert result.ok_value.body == body
-        assert not connection.usable
+            assert result.ok_value.body == b"body"
+            assert not connection.usable, extra[:length]
+
+
+@pytest.mark.parametrize("extra", [EXTRA, EXTRA_CHUNKED], ids=["len", "chunk"])
+async def test_an_extra_answer_that_arrives_while_the_connection_is_idle_ends_its_use(
+    extra: bytes,
+) -> None:
+    """Guards against a connection whose next answer is read behind a part of an extra one."""
+    for length in range(1, len(extra), 7):
+        script = [[answer("/1", b"body"), extra[:length]]]
+        async with connected(ScriptedServer(script=script)) as connection:
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            await asyncio.sleep(0.015)
+            assert not connection.usable, extra[:length]
+
+
+@pytest.mark.parametrize("extra", [EXTRA, EXTRA_CHUNKED], ids=["len", "chunk"])
+@pytest.mark.parametrize("joined", [True, False], ids=["one-segment", "two-segments"])
+async def test_the_cut_copy_of_an_earlier_answer_is_not_joined_with_the_next_one(
+    extra: bytes, joined: bool
+) -> None:
+    """Guards against an answer with the status or headers of a copy that was cut off before it."""
+    own = answer("/2", b"next")
+    for length in range(1, len(extra)):
+        cut = extra[:length]
+        second = [cut + own] if joined else [cut, own]
+        server = ScriptedServer(script=[[answer("/1", b"body")], second], close=True)
+        async with connected(server) as connection:
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            result = await connection.exchange(call("/2"))
+            if isinstance(result, Ok):
+                assert result.ok_value.body == b"next"
+                assert [value for name, value in result.ok_value.headers if name == "Id"] == ["/2"]
+                assert not any("HTTP/1.1" in value for _, value in result.ok_value.headers)
+            else:
+                assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+            assert not connection.usable
 
 
 async def test_a_cancelled_call_closes_its_connection() -> None:
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -75,6 +75,33 @@
     assert LeafsHttp().decode(CALL, 200, (("Request-Id", "q0"),), b"x") is None
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (("Request-Id", "q0"), *OK_HEADERS),
+        (*OK_HEADERS, ("response-signature", "other")),
+        (*OK_HEADERS, ("Not-Executed", "1"), ("Not-Executed", "0")),
+        (*OK_HEADERS, ("Server-Limit", "1"), ("Server-Limit", "2")),
+    ],
+    ids=["identity", "proof", "not-run", "limit"],
+)
+def test_a_head_that_gives_two_values_of_a_decisive_header_is_no_answer(
+    headers: tuple[tuple[str, str], ...],
+) -> None:
+    """Guards against a head that is joined from two answers and counts as the later one."""
+    result = LeafsHttp().decode(CALL, 503, headers, b"x")
+    assert isinstance(result, Err)
+    assert (result.err_value.reason, result.err_value.outcome) == (
+        LeafFailureReason.MALFORMED,
+        Outcome.MAY_HAVE_RUN,
+    )
+
+
+def test_a_header_that_an_answer_repeats_unchanged_is_accepted() -> None:
+    """Guards against the loss of an answer whose leaf repeats a header."""
+    assert isinstance(LeafsHttp().decode(CALL, 200, (*OK_HEADERS, *OK_HEADERS), b"x"), Ok)
+
+
 def test_an_answer_without_an_identity_counts_only_on_a_new_connection() -> None:
     """Guards against a late copy of an earlier answer, when its identity is missing."""
     headers = (("Response-Signature", "p"),)
