Never repeat a call over a connection that has carried its request

Cause: a refused call is sent again with the same identity, mostly over the connection that carried the refusal. A late copy of the refusal on it can't be told from the answer to the repeated call.

Change: a request remembers the connections that have carried it, and its later calls take others; the pool closes an idle one if the ceiling leaves no room. Giving up each connection after a refusal was weighed: it costs a new connection for each refusal of an overloaded server.

--- a/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from itertools import count
@@ -36,11 +36,15 @@
 
 @dataclass(slots=True, kw_only=True, order=True)
 class Waiter(Generic[C]):
-    """A call that waits for a connection, ordered by priority (lowest first), then by arrival."""
+    """A call that waits for a connection, ordered by priority (lowest first), then by arrival.
+
+    :param avoid: connections that the call must not use
+    """
 
     priority: int
     arrival: int
     granted: asyncio.Future[C] = field(compare=False)
+    avoid: Collection[C] = field(default=(), compare=False)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -68,16 +72,21 @@
         """Number of open connections without those that are being closed."""
         return self.open_count - len(self.closing)
 
-    async def acquire(self, *, priority: int, deadline: float) -> Result[C, LeafFailure]:
+    async def acquire(
+        self, *, priority: int, deadline: float, avoid: Collection[C] = ()
+    ) -> Result[C, LeafFailure]:
         """Take a free connection, or wait for one in the order of the queue.
 
+        :param avoid: connections that the call must not use
         :return: a failure ``NO_CAPACITY`` with ``NOT_RUN`` if none became free before the deadline
         """
-        connection = self.take_idle_or_open()
+        connection = self.take_idle_or_open(avoid)
         if connection is not None:
             return Ok(connection)
         granted: asyncio.Future[C] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(priority=priority, arrival=next(self.arrivals), granted=granted)
+        waiter = Waiter(
+            priority=priority, arrival=next(self.arrivals), granted=granted, avoid=avoid
+        )
         heappush(self.waiting, waiter)
         try:
             async with asyncio.timeout_at(deadline):
@@ -89,20 +98,31 @@
             self.remove_waiter(waiter)
             raise
 
-    def take_idle_or_open(self) -> C | None:
+    def take_idle_or_open(self, avoid: Collection[C] = ()) -> C | None:
         """Take an idle connection, or open a new one below the ceiling.
 
-        The most recently used one is taken, so that surplus connections stay idle and expire.
+        The most recently used one is taken, so that surplus connections stay idle and expire. If
+        only connections to avoid are idle at the ceiling, one of them is closed to make room.
         """
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable:
-                return connection
-            self.start_closing(connection)
+        connection = self.take_idle(avoid)
+        if connection is not None:
+            return connection
         if self.open_count < self.ceiling:
             self.open_count += 1
             self.on_change()
             return self.connect()
+        if self.idle and not self.closing:
+            self.start_closing(self.idle.pop(0))
+        return None
+
+    def take_idle(self, avoid: Collection[C]) -> C | None:
+        """Take the most recently used idle connection that may be used; close unusable ones."""
+        for position in reversed(range(len(self.idle))):
+            connection = self.idle[position]
+            if not connection.usable:
+                self.start_closing(self.idle.pop(position))
+            elif connection not in avoid:
+                return self.idle.pop(position)
         return None
 
     def open_fresh(self) -> C:
@@ -135,7 +155,7 @@
     def grant(self) -> None:
         """Give free connections to the calls at the head of the queue."""
         while self.waiting:
-            connection = self.take_idle_or_open()
+            connection = self.take_idle_or_open(self.waiting[0].avoid)
             if connection is None:
                 return
             heappop(self.waiting).granted.set_result(connection)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -243,11 +243,14 @@
             connection = pool.open_fresh()
         else:
             wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
-            match await pool.acquire(priority=running.route.priority, deadline=wait_until):
+            match await pool.acquire(
+                priority=running.route.priority, deadline=wait_until, avoid=running.carried_by
+            ):
                 case Err(failure):
                     return Err(failure)
                 case Ok(connection):
                     pass
+        running.carried_by.append(connection)
         active = self.active_calls[action.call_id]
         active.sent_at, active.connection = now(), connection
         running.fan_out.set_waiting(action.call_id, waiting=False)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -83,6 +83,8 @@
     :param sent_calls: its calls that were sent and not answered, by call id
     :param attempts: its calls that may have run, by service
     :param answered_services: the services of which a server has run it and answered
+    :param carried_by: the connections that have carried one of its calls; a late copy of their
+        answers can't be told from the answer to a repeated call
     """
 
     request: GatewayRequest
@@ -96,6 +98,7 @@
     sent_calls: dict[str, SentCall] = field(default_factory=dict)
     attempts: Counter[str] = field(default_factory=Counter)
     answered_services: set[str] = field(default_factory=set)
+    carried_by: list[LeafConnection] = field(default_factory=list)
     wake_at: float | None = None
     wake_up: asyncio.TimerHandle | None = None
 
