Use no kept connection to the platform on which a stray reply has arrived

Cause: aiohttp checks a kept connection for unread replies only when a reply ends. One that arrives while the connection is idle is returned to the next call, and if it is incomplete the call waits for its rest with the timer of the earlier call, which never fires: a watch that lasts forever.

Change: the connector closes such a connection when it is taken. Sessions to the platform are opened in one place.

--- a/packages/azurefield-entry/src/azurefield_entry/main.py
+++ b/packages/azurefield-entry/src/azurefield_entry/main.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 import defopt
-from aiohttp import ClientSession
 from result import Err, Ok
 
 from azurefield_entry.lifetime import EXIT_BAD_SETTINGS, run_process, serve
 from azurefield_entry.settings import Settings, load_settings
 from azurefield_entry.wiring import make_kernel, make_services
+from azurefield_platform.http import open_session
 
 if TYPE_CHECKING:
     from result import Result
@@ -36,7 +36,7 @@
 
 async def start(settings: Settings) -> Result[None, ServiceCrashed]:
     """Build the services inside the event loop and serve."""
-    async with ClientSession() as session:
+    async with open_session() as session:
         kernel = make_kernel(make_services(settings, session))
         return await serve(kernel, drain_notice_s=settings.drain_notice_s)
 
--- a/packages/azurefield-operator/src/azurefield_operator/commands.py
+++ b/packages/azurefield-operator/src/azurefield_operator/commands.py
@@ -20,6 +20,7 @@
 from azurefield_operator.outcome import ExitCode, change_failure
 from azurefield_operator.stored import AuditTrail, read_audit_trail, read_configuration
 from azurefield_platform.configuration_store import ConfigurationStore
+from azurefield_platform.http import open_session
 from azurefield_platform.keyvalue import KeyValueClient
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
 @asynccontextmanager
 async def connect_platform(url: str) -> AsyncIterator[Platform]:
     """Open an HTTP session to the platform for one command."""
-    async with aiohttp.ClientSession() as session:
+    async with open_session() as session:
         store = ConfigurationStore(client=KeyValueClient.connect(url, session))
         yield Platform(url=url, session=session, store=store)
 
--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -17,6 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from aiohttp.client_reqrep import ClientRequest
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
+
 CONNECT_TIMEOUT_S = 1.0
 REPLY_TIMEOUT_S = 3.0
 # Covers a value of 1 MB in JSON, where an escaped character takes up to six bytes.
@@ -34,9 +38,32 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+class CheckedConnector(aiohttp.TCPConnector):
+    """Uses no kept connection on which something has arrived since its last reply.
+
+    aiohttp would return it as the reply to the next request, and would wait for the rest of an
+    incomplete one without a timeout.
+    """
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        """Take a kept connection, or open a new one."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            if connection.protocol is None or not connection.protocol.should_close:
+                return connection
+            connection.close()
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Open a session for calls to the platform; the caller closes it."""
+    return aiohttp.ClientSession(connector=CheckedConnector())
+
+
 @dataclass(slots=True, kw_only=True)
 class PlatformHttp:
-    """Sends requests to one platform address over a session that the owner opens and closes."""
+    """Sends requests to one platform address over a session of ``open_session``."""
 
     base_url: str
     session: aiohttp.ClientSession
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -22,6 +22,7 @@
 )
 from azurefield_fleet.store import StoreHttp
 from azurefield_platform.failures import PlatformUnavailable
+from azurefield_platform.http import open_session
 from standins import LeafStandIn, StoreStandIn, config, route, running
 
 if TYPE_CHECKING:
@@ -149,3 +150,47 @@
         assert changes.unwrap().era is None
         known = StorePosition(revision=1, era=before.unwrap().era)
         assert known.relation_of(None) is HistoryRelation.CONTINUES
+
+
+BEGUN_REPLY = b'HTTP/1.1 200 OK\r\nStore-Era: 9\r\nContent-Length: 40\r\n\r\n{"events": []'
+
+
+@dataclass(slots=True, kw_only=True)
+class RepeatingStore:
+    """A store that sends ``extra`` behind its first reply, in the same write or a little later."""
+
+    extra: bytes
+    later: bool
+    replies: int = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.read(4096):
+            self.replies += 1
+            body = f'{{"events": [], "store_revision": {self.replies}}}'
+            head = f"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: {len(body)}\r\n\r\n"
+            extra = self.extra if self.replies == 1 else b""
+            writer.write(f"{head}{body}".encode() + (b"" if self.later else extra))
+            if self.later:
+                await asyncio.sleep(0.005)
+                writer.write(extra)
+        writer.close()
+
+
+@pytest.mark.parametrize("later", [False, True], ids=["same-write", "while-idle"])
+@pytest.mark.parametrize("cut", range(1, len(BEGUN_REPLY), 5))
+async def test_a_begun_second_reply_of_the_store_is_not_joined_with_the_next_one(
+    cut: int, later: bool
+) -> None:
+    """Guards against a reply to another call, and against a call that waits without an end."""
+    stand_in = RepeatingStore(extra=BEGUN_REPLY[:cut], later=later)
+    listener = await asyncio.start_server(stand_in.serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with open_session() as session:
+        store = StoreHttp(address=f"127.0.0.1:{port}", session=session)
+        for number in (1, 2):
+            async with asyncio.timeout(3.0):
+                changes = await store.watch(0, 0.0)
+            assert isinstance(changes, Ok)
+            assert (changes.ok_value.revision, changes.ok_value.era) == (number, 1)
+            await asyncio.sleep(0.01)
+    listener.close()
