Wait for an address that is in use at the start instead of ending

Users saw processes that did not start or ended by themselves (FAULT). That this is what they saw is not shown: no logs were kept.

Cause: a listener that could not be opened ended its service and the process with exit code 70. A predecessor that is still ending, or an outgoing connection of any process, may have the port; the services for other instances stayed without a listener.

Change: a service waits while its address is in use, says so once and can be stopped meanwhile. Readiness is reported only once callers can connect.

--- a/packages/azurefield-entry/src/azurefield_entry/admin/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/admin/service.py
@@ -41,8 +41,8 @@
         runner = web.AppRunner(
             self.application(), access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        await listen(runner, self.address)
-        log.info("Listening on {}.", self.address)
+        if await listen(runner, self.address, mailbox) is not None:
+            log.info("Listening on {}.", self.address)
         while True:
             message = await mailbox.receive()
             if isinstance(message, Stop):
--- a/packages/azurefield-entry/src/azurefield_entry/front/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/service.py
@@ -79,15 +79,17 @@
             access_log=None,
             shutdown_timeout=CLOSE_TIMEOUT_S,
         )
-        site = await listen(runner, self.address)
-        log.info("Listening on {}.", self.address)
+        site = await listen(runner, self.address, mailbox)
+        if site is not None:
+            log.info("Listening on {}.", self.address)
         ready = ReadinessChanged(part="front", ready=True, reason="")
         notify(kernel, "admin", ready)
         exchange = send_every(mailbox, ExchangeShares(), SHARE_EXCHANGE_INTERVAL_S)
         exchange_task = asyncio.create_task(exchange)
         await self.handle_messages(kernel, mailbox)
         exchange_task.cancel()
-        await site.stop()
+        if site is not None:
+            await site.stop()
         await self.wait_for_requests()
         await runner.cleanup()
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/admin.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/admin.py
@@ -34,8 +34,8 @@
         runner = web.ServerRunner(
             web.Server(self.answer, access_log=None), shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        await listen(runner, self.address)
-        log.info("Listening on {}.", self.address)
+        if await listen(runner, self.address, mailbox) is not None:
+            log.info("Listening on {}.", self.address)
         while not isinstance(await mailbox.receive(), Stop):
             pass
         await runner.cleanup()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -27,7 +27,7 @@
     decode_request,
     encode_result,
 )
-from azurefield_entry.gateway.framing import encode, read_frame
+from azurefield_entry.gateway.framing import encode, listen_for_instances, read_frame
 from azurefield_entry.gateway.messages import Tick
 from azurefield_entry.gateway.peer_frames import TO_PEER, FromPeer, Heartbeat
 from azurefield_entry.gateway.ports import GatewayRequest
@@ -97,12 +97,7 @@
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Serve until ``Stop``, then finish the running requests."""
-        host, _, port = self.address.rpartition(":")
-        server = None
-        try:
-            server = await asyncio.start_server(self.serve_link, host, int(port))
-        except OSError as error:
-            log.error("Can't listen, so no instance can forward requests here: {}.", error)
+        opening = asyncio.create_task(listen_for_instances(self.serve_link, self.address, mailbox))
         ticking = asyncio.create_task(send_every(mailbox, Tick(), HEARTBEAT_INTERVAL_S))
         while True:
             match await mailbox.receive():
@@ -117,6 +112,7 @@
         if left:
             log.error("{} forwarded requests did not end in time.", left)
         ticking.cancel()
+        server = await opening
         if server is not None:
             server.close()
         for link in [*self.links]:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/framing.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/framing.py
@@ -1,17 +1,24 @@
-"""Frames between instances: a length in front of a msgpack value."""
+"""Frames between instances, a length in front of a msgpack value, and their listeners."""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
+from logbook import Logger
+
+from azurefield_entry.listener import retry_while_in_use
 
 if TYPE_CHECKING:
-    import asyncio
+    from collections.abc import Awaitable, Callable
+
+    from azurefield_entry.kernel import Mailbox
 
 FRAME_BYTES_MAX = 16 * 1024 * 1024
 LENGTH_PREFIX_BYTES = 4
 
+log = Logger("links")
 T = TypeVar("T")
 
 
@@ -31,3 +38,23 @@
     if length > FRAME_BYTES_MAX:
         raise msgspec.DecodeError(f"a frame of {length} bytes is too long")
     return decoder.decode(await reader.readexactly(length))
+
+
+async def listen_for_instances(
+    serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+    address: str,
+    mailbox: Mailbox,
+) -> asyncio.Server | None:
+    """Accept connections of other instances on ``host:port``.
+
+    :param mailbox: the mailbox of the service that listens
+    :return: the listener; None if the address can't be used, or if the service is stopped before
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return await retry_while_in_use(
+            lambda: asyncio.start_server(serve, host, int(port)), address, mailbox
+        )
+    except OSError as error:
+        log.error("Service {} can't listen for other instances: {}.", mailbox.name, error)
+        return None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
@@ -69,9 +69,11 @@
         readiness = web.ServerRunner(
             web.Server(self.get_readiness, access_log=None), shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        await listen(readiness, self.readiness_address)
-        site = await listen(callers, self.address)
-        log.info("Listening on {}.", self.address)
+        site = await listen(callers, self.address, mailbox)
+        if site is not None:
+            log.info("Listening on {}.", self.address)
+        # Readiness is reported only once callers can connect.
+        await listen(readiness, self.readiness_address, mailbox)
         while True:
             match await mailbox.receive():
                 case RouteTableChanged(table=table):
@@ -82,7 +84,8 @@
                 case Stop():
                     break
         self.stops_at = asyncio.get_running_loop().time() + self.finish_timeout_s
-        await site.stop()
+        if site is not None:
+            await site.stop()
         left = await self.finish_requests(server, self.stops_at)
         if left:
             log.error("{} requests did not end in time; answering them as possibly run.", left)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
@@ -19,7 +19,7 @@
 from azurefield.store_position import StorePosition
 from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.framing import encode, read_frame
+from azurefield_entry.gateway.framing import encode, listen_for_instances, read_frame
 from azurefield_entry.gateway.messages import StoreReplyReceived, StoreWatchEnded, Tick
 from azurefield_entry.kernel import Stop, send_every
 
@@ -94,12 +94,9 @@
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Serve followers until ``Stop``."""
-        host, _, port = self.address.rpartition(":")
-        server = None
-        try:
-            server = await asyncio.start_server(self.serve_follower, host, int(port))
-        except OSError as error:
-            log.error("The relay can't listen, so no instance can follow this one: {}.", error)
+        opening = asyncio.create_task(
+            listen_for_instances(self.serve_follower, self.address, mailbox)
+        )
         ticking = asyncio.create_task(send_every(mailbox, Tick(), HEARTBEAT_INTERVAL_S))
         while True:
             match await mailbox.receive():
@@ -113,6 +110,7 @@
                     break
         ticking.cancel()
         self.disconnect_followers()
+        server = await opening
         if server is not None:
             server.close()
 
--- a/packages/azurefield-entry/src/azurefield_entry/kernel.py
+++ b/packages/azurefield-entry/src/azurefield_entry/kernel.py
@@ -15,14 +15,19 @@
 
     Work is bounded where it is admitted. Bounded mailboxes could deadlock services that send to
     each other.
+
+    :param stopping: set once ``Stop`` is queued, for a service that is not reading its messages
     """
 
     name: str
     queue: asyncio.Queue[object] = field(default_factory=asyncio.Queue)
+    stopping: asyncio.Event = field(default_factory=asyncio.Event)
 
     def send(self, message: object) -> None:
         """Queue a message without waiting."""
         self.queue.put_nowait(message)
+        if isinstance(message, Stop):
+            self.stopping.set()
 
     async def receive(self) -> object:
         """Wait for the next message."""
--- a/packages/azurefield-entry/src/azurefield_entry/peers/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/service.py
@@ -11,6 +11,7 @@
 from result import Err, Ok
 
 from azurefield_entry.kernel import Stop, send_every
+from azurefield_entry.listener import retry_while_in_use
 from azurefield_entry.messages import LinkChanged, PeerAddressesChanged, PeerFrame, SendToPeer
 from azurefield_entry.peers.dialing import DialScheduler
 from azurefield_entry.peers.frames import Frame, FrameError, encode_frame, fields_dict
@@ -78,14 +79,18 @@
         host, port = split_address(self.listen)
         async with asyncio.TaskGroup() as group:
             accept = partial(self.accept, group, kernel)
-            server = await asyncio.start_server(accept, host, port)
-            self.port = server.sockets[0].getsockname()[1]
+            server = await retry_while_in_use(
+                lambda: asyncio.start_server(accept, host, port), self.listen, mailbox
+            )
+            if server is not None:
+                self.port = server.sockets[0].getsockname()[1]
             ticking = group.create_task(send_every(mailbox, Tick(), TICK_INTERVAL_S))
             try:
                 while not isinstance(message := await mailbox.receive(), Stop):
                     self.handle(group, kernel, message)
             finally:
-                server.close()
+                if server is not None:
+                    server.close()
                 ticking.cancel()
                 await self.close_links()
 
