Wait for a settings file that is being written at the start instead of ending

Users saw processes that did not start (FAULT); that this is what they saw is not shown.

Cause: settings that can't be used at the start ended the process with exit code 78, also while the file was being written. Settings that can't be used later change nothing.

Change: the process tries again for 2 s before it ends.

Both cases of test_settings_that_are_being_written_delay_the_start failed before and pass now.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/reload.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/reload.py
@@ -1,9 +1,10 @@
-"""The service ``settings``: reloads the settings file of a gateway process."""
+"""Loads the settings file of a gateway process; the service ``settings`` loads it again."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,9 +19,27 @@
 
 # The file is also read at this interval, since it may change without a signal.
 SETTINGS_CHECK_INTERVAL_S = 2.0
+# How long a process waits at its start for a file that can be used: it may be being written.
+START_WAIT_S = 2.0
+START_RETRY_INTERVAL_S = 0.1
 log = Logger("settings")
 
 
+def load_at_start(
+    load: Callable[[], Result[GatewaySettings, SettingsFailure]],
+) -> Result[GatewaySettings, SettingsFailure]:
+    """Load the settings; while they can't be used, try again for ``START_WAIT_S``.
+
+    This blocks, so it must be called before the event loop runs.
+    """
+    ends = time.monotonic() + START_WAIT_S
+    while True:
+        loaded = load()
+        if isinstance(loaded, Ok) or time.monotonic() >= ends:
+            return loaded
+        time.sleep(START_RETRY_INTERVAL_S)
+
+
 @dataclass(slots=True, kw_only=True)
 class ReloadService:
     """Loads the settings on SIGHUP and at intervals; settings that can't be used change nothing.
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -99,9 +99,9 @@
         entry = config(version, *routes, services=services, connections_max=self.connections_max)
         self.store.put("op/config", entry)
 
-    async def start(self) -> None:
-        """Start the process."""
-        path = self.write_settings(self.settings())
+    async def start(self, settings: str | None = None) -> None:
+        """Start the process, with other settings than its own if they are given."""
+        path = self.write_settings(self.settings() if settings is None else settings)
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(PROGRAM),
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -22,6 +22,7 @@
 pytestmark = pytest.mark.process
 
 HELD_S = 1.5
+WRITING_S = 0.5
 LISTENERS = ("callers", "readiness", "admin", "relay", "coordinator")
 
 
@@ -86,6 +87,18 @@
         assert (await site.call("/l/x", "q1"))[0] == 200
 
 
+@pytest.mark.parametrize("part", [0.0, 0.5], ids=["empty", "half"])
+async def test_settings_that_are_being_written_delay_the_start(tmp_path: Path, part: float) -> None:
+    """Guards against a process that ends because its settings file is not complete yet."""
+    async with prepared(tmp_path) as site:
+        whole = site.settings()
+        await site.start(whole[: int(part * len(whole))])
+        await site.wait_for_log("was not opened early")
+        await asyncio.sleep(WRITING_S)
+        site.write_settings(whole)
+        await wait_until(site.ready, "the gateway is ready")
+
+
 @pytest.mark.parametrize("listener", LISTENERS)
 async def test_a_process_that_waits_for_an_address_can_be_stopped(
     tmp_path: Path, listener: str
