Check answers of real gateways whose leafs answer twice

Reproduced first: on two real gateways returned foreign headers and bodies for each of four kinds of second copies that are cut or come in pieces, and none for copies that are whole.

--- /dev/null
+++ b/tests/fleet/stuttering_leafs.py
@@ -0,0 +1,165 @@
+"""Leafs that send some of their answers twice, the second time whole or cut off."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+from random import Random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gateway_process import Site
+
+LATE_MAX_S = 0.3
+WORK_MAX_S = 0.01
+REFUSED_FRACTION = 0.05
+
+
+class Stutter(StrEnum):
+    """What the second copy of an answer is, and when it comes."""
+
+    CUT_SAME_WRITE = "cut-same-write"
+    CUT_LATE = "cut-late"
+    CUT_BEFORE_NEXT = "cut-before-next"
+    WHOLE_SAME_WRITE = "whole-same-write"
+    WHOLE_LATE = "whole-late"
+    WHOLE_IN_PIECES = "whole-in-pieces"
+
+
+def proof_of(leaf: str, request_id: str) -> str:
+    """Return the proof of the answer of a leaf to a request."""
+    return f"proof-{leaf}-{request_id}"
+
+
+def body_of(leaf: str, request_id: str) -> bytes:
+    """Return the body of that answer: one record of 16 bytes."""
+    return f"{request_id[-8:]:>8}{leaf:>8}".encode()
+
+
+@dataclass(slots=True, kw_only=True)
+class StutteringLeaf:
+    """Answers with the usual headers, and ``fraction`` of its answers twice.
+
+    :param ran: the identities of the requests that it has run
+    """
+
+    name: str
+    service: str
+    random: Random
+    stutter: Stutter
+    fraction: float
+    address: str = ""
+    ran: list[str] = field(default_factory=list)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def entry(self) -> dict[str, object]:
+        """The entry that the leaf writes about itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "one",
+            "version": "v1",
+            "capacity": 3,
+            "state": "ready",
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        self.writers.add(writer)
+        before_next = b""
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+                headers = {name.lower(): value for name, value in fields.items()}
+                await reader.readexactly(int(headers.get("content-length", "0")))
+                writer.write(before_next)
+                answer = await self.answer(headers["request-id"])
+                repeated = self.random.random() < self.fraction
+                before_next = self.write(writer, answer, repeated=repeated)
+        self.writers.discard(writer)
+        writer.close()
+
+    async def answer(self, request_id: str) -> bytes:
+        """Run a request, or refuse it, and encode the answer."""
+        lines = [f"Request-Id: {request_id}", "Content-Type: text/plain", "Keep-Alive: timeout=20"]
+        if self.random.random() < REFUSED_FRACTION:
+            lines = ["HTTP/1.1 503 Service Unavailable", "Not-Executed: 1", *lines]
+            return "\r\n".join([*lines, "Content-Length: 0", "\r\n"]).encode()
+        self.ran.append(request_id)
+        await asyncio.sleep(self.random.uniform(0.001, WORK_MAX_S))
+        body = body_of(self.name, request_id)
+        proof = f"Response-Signature: {proof_of(self.name, request_id)}"
+        lines = ["HTTP/1.1 200 OK", proof, *lines, f"Content-Length: {len(body)}", "\r\n"]
+        return "\r\n".join(lines).encode() + body
+
+    def write(self, writer: asyncio.StreamWriter, answer: bytes, *, repeated: bool) -> bytes:
+        """Write an answer and, if ``repeated``, its copy.
+
+        :return: what is to be written in front of the next answer of the connection
+        """
+        cut = self.random.randrange(1, len(answer))
+        if not repeated:
+            writer.write(answer)
+            return b""
+        match self.stutter:
+            case Stutter.CUT_SAME_WRITE:
+                writer.write(answer + answer[:cut])
+            case Stutter.WHOLE_SAME_WRITE:
+                writer.write(answer + answer)
+            case Stutter.CUT_BEFORE_NEXT:
+                writer.write(answer)
+                return answer[:cut]
+            case Stutter.CUT_LATE:
+                writer.write(answer)
+                self.write_late(writer, answer[:cut])
+            case Stutter.WHOLE_LATE:
+                writer.write(answer)
+                self.write_late(writer, answer)
+            case Stutter.WHOLE_IN_PIECES:
+                writer.write(answer + answer[:cut])
+                self.write_late(writer, answer[cut:])
+        return b""
+
+    def write_late(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write after a while, whatever the connection does then."""
+        delay_s = self.random.uniform(0.001, LATE_MAX_S)
+        asyncio.get_running_loop().call_later(delay_s, self.write_if_open, writer, data)
+
+    def write_if_open(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write unless the connection is closed."""
+        if not writer.is_closing():
+            writer.write(data)
+
+
+@asynccontextmanager
+async def serving_leafs(*leafs: StutteringLeaf) -> AsyncIterator[None]:
+    """Serve leafs on loopback addresses."""
+    listeners = []
+    for leaf in leafs:
+        listener = await asyncio.start_server(leaf.serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()[:2]
+        leaf.address = f"{host}:{port}"
+        listeners.append(listener)
+    try:
+        yield
+    finally:
+        for listener in listeners:
+            listener.close()
+        for writer in [writer for leaf in leafs for writer in leaf.writers]:
+            writer.close()
+
+
+def replace_leafs(site: Site, leafs: list[StutteringLeaf]) -> None:
+    """Register leafs in the store in place of those of a site."""
+    for name in [key for key in site.store.items if key.startswith("servers/")]:
+        site.store.remove(name)
+    for leaf in leafs:
+        site.store.put(f"servers/{leaf.name}", leaf.entry())
