Bound the memory of all answers that are being received

Cause: each answer was bounded, their sum was not; and a connection that was given up stayed in memory, in a cycle with its parser and its body, until the garbage collector ran in full.

Change: incomplete answers share a sixth of the process's memory; beyond it the call that holds most fails. A connection that is given up lets go of its parser and its body.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -23,14 +23,14 @@
 
     :param total: all bytes since the call was sent
     :param answer_start: how many of them came before the current answer
-    :param head: the bytes of the current answer, until its head is complete
+    :param head: the bytes of the current answer up to the read that completes its head
     :param head_length: length of that head; None while it is incomplete
     :param last: the last bytes
     """
 
     total: int = 0
     answer_start: int = 0
-    head: bytes = b""
+    head: bytearray = field(default_factory=bytearray)
     head_length: int | None = None
     last: bytes = b""
 
@@ -39,12 +39,18 @@
         self.total += len(data)
         self.last = (self.last + data[-len(EXTRA_LINE_BREAK) :])[-len(EXTRA_LINE_BREAK) :]
         if self.head_length is None:
+            searched = len(self.head)
             self.head += data
-            self.find_head_end()
+            self.find_head_end(searched)
+        else:
+            self.head.clear()
 
-    def find_head_end(self) -> None:
-        """Find the end of the current answer's head, if it has arrived."""
-        position = self.head.find(HEAD_END)
+    def find_head_end(self, searched: int) -> None:
+        """Find the end of the current answer's head, if it has arrived.
+
+        :param searched: how many bytes were searched before
+        """
+        position = self.head.find(HEAD_END, max(0, searched - len(HEAD_END) + 1))
         if position >= 0:
             self.head_length = position + len(HEAD_END)
 
@@ -52,9 +58,9 @@
         """Continue with the answer behind an interim answer, which is only a head."""
         if self.head_length is not None:
             self.answer_start += self.head_length
-            self.head = self.head[self.head_length :]
+            del self.head[: self.head_length]
             self.head_length = None
-            self.find_head_end()
+            self.find_head_end(0)
 
     def end_with(self, message: RawResponseMessage, body: bytes) -> bool:
         """Whether the last byte is the last one of the current answer.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -15,6 +15,7 @@
 from aiohttp.streams import StreamReader
 from result import Err, Result
 
+from azurefield.answer_memory import AnswerMemory
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
@@ -47,13 +48,20 @@
     """The call whose answer a connection waits for, with the answers that have begun to arrive.
 
     :param reused: whether an earlier call used the connection
+    :param body: what has arrived of the body of the first of these answers
     """
 
     call: LeafCall
     reused: bool
     received: ReceivedBytes = field(default_factory=ReceivedBytes)
     result_future: asyncio.Future[Result[OpaqueAnswer, LeafFailure]]
-    answers: list[tuple[RawResponseMessage, StreamReader]]
+    answers: list[tuple[RawResponseMessage, StreamReader]] = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+
+    def take_body(self) -> bytes:
+        """Remove and return the body of the first answer."""
+        parts, self.body = self.body, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
 class HttpLeafConnection(BaseProtocol):
@@ -62,6 +70,7 @@
     It is not reused after a cancelled call, after an answer to another call, or after bytes that
     no call waits for.
 
+    :param memory: the memory of the answers that all connections are receiving
     :param on_open: called when the connection is open
     :param on_stray_bytes: called when bytes have arrived that belong to no call
     """
@@ -74,6 +83,7 @@
         "dialect",
         "idle_since",
         "idle_until",
+        "memory",
         "on_open",
         "on_stray_bytes",
         "parser",
@@ -85,19 +95,21 @@
         *,
         address: str,
         dialect: LeafDialect,
+        memory: AnswerMemory[HttpLeafConnection] | None = None,
         on_open: Callable[[], None] = lambda: None,
         on_stray_bytes: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(loop=asyncio.get_running_loop())
         self.address = address
         self.dialect = dialect
+        self.memory = AnswerMemory() if memory is None else memory
         self.on_open = on_open
         self.on_stray_bytes = on_stray_bytes
         self.current_exchange: Exchange | None = None
         self.closed = False
         self.calls_sent = 0
         self.parses_bodies = True
-        self.parser = self.new_parser()
+        self.parser: HttpResponseParser | None = self.new_parser()
         self.idle_since = 0.0
         self.idle_until = float("inf")
 
@@ -120,7 +132,6 @@
             call=call,
             reused=self.calls_sent > 0,
             result_future=self._loop.create_future(),
-            answers=[],
         )
         self.calls_sent += 1
         self.transport.write(self.dialect.encode(call, self._loop.time()))
@@ -131,6 +142,7 @@
             raise
         finally:
             self.current_exchange = None
+            self.memory.release(self)
 
     def new_parser(self) -> HttpResponseParser:
         """Make a parser; it is kept between calls, which end where an answer ends."""
@@ -174,7 +186,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
     def pause_reading(self) -> None:
-        """Do nothing: the size of an answer is bounded, so there is no flow control."""
+        """Do nothing: the size of all answers is bounded, so there is no flow control."""
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Do nothing.
@@ -186,7 +198,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that no call waits for close the connection."""
         exchange = self.current_exchange
-        if exchange is None or exchange.result_future.done():
+        if exchange is None or exchange.result_future.done() or self.parser is None:
             if not self.closed:
                 self.on_stray_bytes()
             self.abort()
@@ -201,17 +213,27 @@
         exchange.answers += answers
         exchange.received.add(data)
         self.process_answers(exchange, extra=bool(tail))
-        self.limit_size(exchange)
+        if not exchange.result_future.done():
+            self.limit_size(exchange)
 
     def limit_size(self, exchange: Exchange) -> None:
-        """Fail a call that still has no whole answer after too many bytes."""
+        """Fail a call that still has no whole answer after too many bytes.
+
+        If all incomplete answers together hold too much memory, those that hold most fail.
+        """
         limit = ANSWER_BYTES_MAX if exchange.answers else HEAD_BYTES_MAX
         received = exchange.received.total
-        if received > limit and not exchange.result_future.done():
-            detail = f"no whole answer in {received} bytes"
-            self.finish_exchange(
-                Err(failure(LeafFailureReason.MALFORMED, detail=detail)), reusable=False
-            )
+        if received > limit:
+            self.give_up(f"no whole answer in {received} bytes")
+            return
+        self.memory.hold(self, received)
+        while (largest := self.memory.largest_above_limit()) is not None:
+            largest.give_up("the incomplete answers hold too much memory")
+
+    def give_up(self, detail: str) -> None:
+        """Fail the waiting call, whose answer is not complete."""
+        problem = failure(LeafFailureReason.MALFORMED, detail=detail)
+        self.finish_exchange(Err(problem), reusable=False)
 
     def process_answers(self, exchange: Exchange, *, extra: bool) -> None:
         """Finish the call with the first whole answer that belongs to it.
@@ -227,20 +249,19 @@
                     Err(failure(LeafFailureReason.TRUNCATED, detail=str(problem))), reusable=False
                 )
                 return
+            if received := payload.read_nowait():
+                exchange.body.append(received)
             if not payload.is_eof():
                 return
             del exchange.answers[0]
             if holds_another_head(message):
                 self.on_stray_bytes()
-                detail = "the head holds the status line of another answer"
-                self.finish_exchange(
-                    Err(failure(LeafFailureReason.MALFORMED, detail=detail)), reusable=False
-                )
+                self.give_up("the head holds the status line of another answer")
                 return
             if 100 <= message.code < 200:
                 exchange.received.skip_interim_answer()
                 continue
-            body = payload.read_nowait()
+            body = exchange.take_body()
             headers = tuple(
                 (name.decode(errors="replace"), value.decode(errors="replace"))
                 for name, value in message.raw_headers
@@ -280,15 +301,16 @@
     def eof_received(self) -> None:
         """Complete an answer without a length, which ends with its connection."""
         exchange = self.current_exchange
-        if exchange is not None and not exchange.result_future.done():
-            try:
-                self.parser.feed_eof()
-            except (HttpProcessingError, ClientPayloadError) as error:
-                self.finish_exchange(
-                    Err(failure(LeafFailureReason.TRUNCATED, detail=str(error))), reusable=False
-                )
-            else:
-                self.process_answers(exchange, extra=False)
+        if exchange is None or exchange.result_future.done() or self.parser is None:
+            return
+        try:
+            self.parser.feed_eof()
+        except (HttpProcessingError, ClientPayloadError) as error:
+            self.finish_exchange(
+                Err(failure(LeafFailureReason.TRUNCATED, detail=str(error))), reusable=False
+            )
+        else:
+            self.process_answers(exchange, extra=False)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the waiting call; its request may have run."""
@@ -304,14 +326,23 @@
 
         :param reusable: whether the connection may be used again; otherwise it is closed
         """
+        self.memory.release(self)
         if self.current_exchange is not None and not self.current_exchange.result_future.done():
             self.current_exchange.result_future.set_result(result)
         if not reusable:
             self.abort()
 
     def abort(self) -> None:
-        """Close the connection without waiting for the peer."""
+        """Close the connection without waiting for the peer.
+
+        The parser and what it has read refer to this object; without them it is freed at once,
+        and not only when the garbage collector runs.
+        """
         self.closed = True
+        self.parser = None
+        if self.current_exchange is not None:
+            self.current_exchange.answers.clear()
+            self.current_exchange.body.clear()
         if self.transport is not None:
             self.transport.abort()
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
@@ -9,6 +9,7 @@
 
 from logbook import Logger
 
+from azurefield.answer_memory import AnswerMemory
 from azurefield.directory import Directory
 from azurefield.reachability import ServerContacts
 from azurefield.routes import ServiceLimits
@@ -31,6 +32,7 @@
 
     :param limits: the limits of each service
     :param instances: how many instances share the limits; None if unknown
+    :param answer_memory: the memory of the answers that are being received
     :param shares: this instance's share of a server's limit, for the services where the shares of
         the instances differ
     """
@@ -42,6 +44,7 @@
     instances: int | None = None
     shares: Mapping[str, int] = field(default_factory=dict)
     pools: dict[str, ConnectionPool[LeafConnection]] = field(default_factory=dict)
+    answer_memory: AnswerMemory[HttpLeafConnection] = field(default_factory=AnswerMemory)
     contacts: ServerContacts = field(default_factory=ServerContacts)
 
     def set_limits(
@@ -87,6 +90,7 @@
         return HttpLeafConnection(
             address=address,
             dialect=self.dialect,
+            memory=self.answer_memory,
             on_open=lambda: self.contacts.on_opened(now(), server),
             on_stray_bytes=partial(self.record_stray_bytes, server),
         )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -192,6 +192,7 @@
                     )
                     self.budget.window_s = settings.further_calls_window_s
                     self.further_calls_allowance = settings.further_calls_allowance
+                    self.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
                     self.divide_limits()
                 case Tick():
                     self.tick(now)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -4,6 +4,12 @@
 
 from dataclasses import dataclass
 
+from azurefield.answer_memory import LIMIT_BYTES
+
+# The rest is left to the program itself, to complete answers and to callers' requests.
+ANSWER_MEMORY_FRACTION = 1 / 6
+BYTES_PER_MB = 1_000_000
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class GatewaySettings:
@@ -24,6 +30,7 @@
     :param coordinator_address: ``host:port`` for requests that other instances forward to this one;
         None to accept none
     :param capacity: the processor capacity of this instance in cores
+    :param memory_mb: megabytes beyond which the process is killed; None or 0 without such a limit
     """
 
     instance: str
@@ -39,3 +46,11 @@
     relay_address: str | None = None
     coordinator_address: str | None = None
     capacity: float = 0.0
+    memory_mb: float | None = None
+
+    @property
+    def answer_memory_bytes(self) -> int:
+        """How much memory all answers that are being received may hold together."""
+        if not self.memory_mb:
+            return LIMIT_BYTES
+        return int(ANSWER_MEMORY_FRACTION * self.memory_mb * BYTES_PER_MB)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -74,6 +74,7 @@
         further_calls_allowance=settings.further_calls_allowance,
         metrics=metrics,
     )
+    gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
     finish_timeout_s = max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S)
     services: dict[str, Service] = {
         "settings": ReloadService(load=load, current=settings),
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -40,6 +40,7 @@
     :param store_address: where the process reaches the store, if not at its own address
     :param first_port: first of two ports for other instances; None for no range of ports
     :param connections_max: connections that each leaf accepts
+    :param limits: further lines of the settings' table of limits
     """
 
     directory: Path
@@ -49,6 +50,7 @@
     zone: str = "one"
     store_address: str = ""
     connections_max: int = 30
+    limits: str = ""
     store: StoreStandIn = field(default_factory=StoreStandIn)
     leafs: dict[str, LeafStandIn] = field(default_factory=dict)
     callers: str = field(default_factory=free_address)
@@ -71,7 +73,7 @@
             f'[listen]\nfrontend = "{self.callers}"\nreadiness = "{self.readiness}"\n'
             f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n'
             f'[platform]\naddress = "{self.store_address or self.store.address}"\n'
-            f"[limits]\ncpu_quota = 1.0\ncores = {self.cores}\n"
+            f"[limits]\ncpu_quota = 1.0\ncores = {self.cores}\n{self.limits}"
         )
 
     def port_settings(self) -> str:
@@ -179,10 +181,10 @@
 
 
 @asynccontextmanager
-async def serving(directory: Path) -> AsyncIterator[Site]:
-    """Run one gateway process."""
+async def serving(directory: Path, *, limits: str = "") -> AsyncIterator[Site]:
+    """Run one gateway process, with further lines in the settings' table of limits."""
     PORTS.used_ports.clear()
-    site = Site(directory=directory)
+    site = Site(directory=directory, limits=limits)
     async with running(site.store, *site.leafs.values()), aiohttp.ClientSession() as session:
         site.session = session
         site.put_config()
