Give up answers whose framing outweighs their body

Users' report: bytes without end; the review noticed that chunks of one byte hold up the event loop.

Cause: parsing a chunk takes as long as parsing hundreds of bytes, and an answer was bounded by its bytes only: 8 MiB in chunks of one byte are 1.4 million chunks.

Change: bytes that are no body are bounded by 64 KiB and a sixteenth of the body, and checked after each 64 KiB. That bound also covers heads and interim answers.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -34,6 +34,11 @@
 ANSWER_BYTES_MAX = 8 * 1024 * 1024
 # Longest head of an answer, interim answers included.
 HEAD_BYTES_MAX = 64 * 1024
+# Bytes of the framing of chunks for each byte of body, beyond HEAD_BYTES_MAX. Parsing a chunk takes
+# as long as parsing hundreds of bytes.
+FRAMING_FRACTION_MAX = 1 / 16
+# Bytes that are parsed before the limits are checked again.
+PARSED_BYTES_MAX = 64 * 1024
 # The operating system closes a connection whose sent bytes are not acknowledged for this time. By
 # default it retransmits for minutes.
 TCP_USER_TIMEOUT_MS = 2_000
@@ -49,6 +54,7 @@
 
     :param reused: whether an earlier call used the connection
     :param body: what has arrived of the body of the first of these answers
+    :param body_bytes: bytes of bodies that have arrived, of all answers
     """
 
     call: LeafCall
@@ -57,6 +63,22 @@
     result_future: asyncio.Future[Result[OpaqueAnswer, LeafFailure]]
     answers: list[tuple[RawResponseMessage, StreamReader]] = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+
+    @property
+    def framing_bytes(self) -> int:
+        """Bytes that are no body: heads, sizes of chunks and trailers."""
+        return self.received.total - self.body_bytes
+
+    @property
+    def framing_bytes_max(self) -> float:
+        """How many such bytes the answers may have by now."""
+        return HEAD_BYTES_MAX + FRAMING_FRACTION_MAX * self.body_bytes
+
+    def add_body(self, data: bytes) -> None:
+        """Add to the body of the first answer."""
+        self.body.append(data)
+        self.body_bytes += len(data)
 
     def take_body(self) -> bytes:
         """Remove and return the body of the first answer."""
@@ -197,14 +219,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that no call waits for close the connection."""
-        exchange = self.current_exchange
-        if exchange is None or exchange.result_future.done() or self.parser is None:
-            if not self.closed:
+        for start in range(0, len(data), PARSED_BYTES_MAX):
+            if self.closed:
+                return
+            exchange = self.current_exchange
+            if exchange is None or exchange.result_future.done() or self.parser is None:
                 self.on_stray_bytes()
-            self.abort()
-            return
+                self.abort()
+                return
+            self.parse(exchange, self.parser, data[start : start + PARSED_BYTES_MAX])
+
+    def parse(self, exchange: Exchange, parser: HttpResponseParser, data: bytes) -> None:
+        """Parse bytes of an answer that a call waits for."""
         try:
-            answers, _, tail = self.parser.feed_data(data)
+            answers, _, tail = parser.feed_data(data)
         except HttpProcessingError as error:
             self.finish_exchange(
                 Err(failure(LeafFailureReason.MALFORMED, detail=str(error))), reusable=False
@@ -221,9 +249,8 @@
 
         If all incomplete answers together hold too much memory, those that hold most fail.
         """
-        limit = ANSWER_BYTES_MAX if exchange.answers else HEAD_BYTES_MAX
         received = exchange.received.total
-        if received > limit:
+        if received > ANSWER_BYTES_MAX or exchange.framing_bytes > exchange.framing_bytes_max:
             self.give_up(f"no whole answer in {received} bytes")
             return
         self.memory.hold(self, received)
@@ -250,7 +277,7 @@
                 )
                 return
             if received := payload.read_nowait():
-                exchange.body.append(received)
+                exchange.add_body(received)
             if not payload.is_eof():
                 return
             del exchange.answers[0]
--- a/tests/fleet/test_endless_answers.py
+++ b/tests/fleet/test_endless_answers.py
@@ -28,6 +28,7 @@
     "plain-body": (b"\r\n\r\n", bytes(65_536)),
     "long-body": (b"\r\nContent-Length: 99999999999\r\n\r\n", bytes(65_536)),
     "chunks": (CHUNKED, b"10000\r\n" + bytes(65_536) + b"\r\n"),
+    "chunks-of-one-byte": (CHUNKED, b"1\r\nx\r\n" * 10_000),
     "chunk-extension": (CHUNKED + b"1;", b"x" * 65_536),
     "header-value": (b"\r\nLong: ", b"x" * 65_536),
     "headers": (b"", b"\r\nName: value" * 5_000),
