Parse no more than the longest head before a caller's request has begun

Found while looking for bytes without end on related paths; nobody has reported it.

Cause: the HTTP library copies all bytes of a read several times into the error about a head that it can't parse, into the answer and into the log.

Change: of what a caller sends, no more than the longest head is parsed before a request has begun; what follows a head that can't be parsed is dropped.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/caller_server.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/caller_server.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import ERROR, RequestHandler
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -29,10 +29,25 @@
 class CallerConnection(RequestHandler):
     """A connection that is closed if its caller sends nothing, or does not complete a head.
 
-    aiohttp limits the idle time only after the first request.
+    aiohttp limits the idle time only after the first request, and copies all bytes of a read into
+    the error about a head that it can't parse. So no more than a head may be long is parsed before
+    a request has begun.
+
+    :param head_bytes_left: how many bytes of a head may follow
+    :param rejected: whether the connection is closed for what it has sent
+    :param unparsed: what was read behind these
     """
 
-    __slots__ = ("head_timer", "header_timeout_s", "idle_timeout_s", "request_runs")
+    __slots__ = (
+        "head_bytes_left",
+        "head_bytes_max",
+        "head_timer",
+        "header_timeout_s",
+        "idle_timeout_s",
+        "rejected",
+        "request_runs",
+        "unparsed",
+    )
 
     def __init__(self, *, server: web.Server, limits: CallerLimits) -> None:
         super().__init__(
@@ -48,7 +63,9 @@
         self.header_timeout_s = limits.header_timeout_s
         self.idle_timeout_s = limits.idle_timeout_s
         self.head_timer: asyncio.TimerHandle | None = None
-        self.request_runs = False
+        self.request_runs = self.rejected = False
+        self.head_bytes_max = self.head_bytes_left = limits.header_bytes_max
+        self.unparsed = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first bytes as long as for those of a later request."""
@@ -57,15 +74,38 @@
 
     def data_received(self, data: bytes) -> None:
         """Start the time allowed for a head with its first bytes."""
-        if not self.request_runs and (
-            self.head_timer is None or self.head_timer.when() > self.head_limit()
-        ):
+        if self.request_runs:
+            super().data_received(data)
+            return
+        if self.rejected:
+            return
+        if self.head_timer is None or self.head_timer.when() > self.head_limit():
             self.start_timer(self.header_timeout_s)
-        super().data_received(data)
+        if self.unparsed:
+            self.unparsed += data
+            return
+        head = data[: self.head_bytes_left]
+        self.head_bytes_left -= len(head)
+        self.unparsed += data[len(head) :]
+        super().data_received(head)
+        if self.unparsed:
+            asyncio.get_running_loop().call_soon(self.require_head)
+
+    def require_head(self) -> None:
+        """Close the connection if what may be a head, at its longest, is none."""
+        if self.unparsed and not self.request_runs:
+            self.reject()
+            self.force_close()
+
+    def reject(self) -> None:
+        """Ignore what follows a head that can't be parsed."""
+        self.rejected = True
+        self.unparsed.clear()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop the timer."""
+        """Stop the timer, and drop what was not parsed."""
         self.stop_timer()
+        self.unparsed.clear()
         super().connection_lost(exc)
 
     def head_limit(self) -> float:
@@ -87,6 +127,10 @@
         """Record that a whole head has arrived."""
         self.stop_timer()
         self.request_runs = True
+        self.head_bytes_left = self.head_bytes_max
+        if self.unparsed:
+            unparsed, self.unparsed = bytes(self.unparsed), bytearray()
+            super().data_received(unparsed)
 
     def on_request_end(self) -> None:
         """Record that the request has been handled."""
@@ -122,7 +166,10 @@
     ) -> web.BaseRequest:
         """Build a request whose head has arrived."""
         if isinstance(protocol, CallerConnection):
-            protocol.on_request_begin()
+            if message is ERROR:
+                protocol.reject()
+            else:
+                protocol.on_request_begin()
         loop = asyncio.get_running_loop()
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
--- a/tests/fleet/test_endless_answers.py
+++ b/tests/fleet/test_endless_answers.py
@@ -95,3 +95,57 @@
         assert peak_mb < MEMORY_MB
         usual = [(await site.call("/s/x", f"u{number}"))[0] for number in range(20)]
         assert usual.count(200) >= 20 - FAILED_MAX, usual
+
+
+REQUEST = b"POST /s/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: e\r\n"
+CHUNKED_REQUEST = REQUEST + b"Transfer-Encoding: chunked\r\n\r\n"
+PIPELINED = b"GET /s/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: e\r\n\r\n"
+# What a caller sends first, and what it repeats after it.
+ENDLESS_REQUESTS = {
+    "no-request": (b"", b"x" * 65_536),
+    "header-value": (REQUEST + b"Long: ", b"x" * 65_536),
+    "headers": (REQUEST, b"Name: value\r\n" * 5_000),
+    "long-body": (REQUEST + b"Content-Length: 99999999999\r\n\r\n", bytes(65_536)),
+    "chunks": (CHUNKED_REQUEST, b"10000\r\n" + bytes(65_536) + b"\r\n"),
+    "chunks-of-one-byte": (CHUNKED_REQUEST, b"1\r\nx\r\n" * 10_000),
+    "chunk-extension": (CHUNKED_REQUEST + b"1;", b"x" * 65_536),
+    "pipelined": (b"", PIPELINED * 1_000),
+}
+ENDLESS_CALLERS = 40
+SENDING_S = 3.0
+
+
+async def send_without_end(address: str, first: bytes, repeated: bytes) -> None:
+    """Send bytes to a gateway, on a new connection whenever it closes one, and read nothing."""
+    host, _, port = address.rpartition(":")
+    ends = asyncio.get_running_loop().time() + SENDING_S
+    while asyncio.get_running_loop().time() < ends:
+        _, writer = await asyncio.open_connection(host, int(port))
+        with suppress(ConnectionError, TimeoutError):
+            writer.write(first)
+            async with asyncio.timeout_at(ends):
+                while not writer.is_closing():
+                    writer.write(repeated)
+                    await writer.drain()
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("kind", ENDLESS_REQUESTS)
+async def test_requests_without_end_leave_a_gateway_within_its_memory(
+    tmp_path: Path, kind: str
+) -> None:
+    """Guards against callers that take a gateway over its memory."""
+    async with serving(tmp_path, limits=f"memory_mb = {MEMORY_MB}\n") as site:
+        sending = [
+            asyncio.create_task(send_without_end(site.callers, *ENDLESS_REQUESTS[kind]))
+            for _ in range(ENDLESS_CALLERS)
+        ]
+        peak_mb = 0.0
+        while not all(task.done() for task in sending):
+            peak_mb = max(peak_mb, resident_mb(site))
+            await asyncio.sleep(0.02)
+        assert peak_mb < MEMORY_MB
+        await asyncio.gather(*sending)
+        usual = [(await site.call("/s/x", f"u{number}"))[0] for number in range(20)]
+        assert usual.count(200) >= 20 - FAILED_MAX, usual
