Let the soak's leafs repeat answers and send some without end

Callers see both values of a repeated header, and a gateway that has used over 300 MB is a violation. Tests share the entry of a leaf and the parts of a gateway.

The endless body is now chunked, so its end can't look complete.

--- a/packages/azurefield-entry/tests/gateway/test_dispatch.py
+++ b/packages/azurefield-entry/tests/gateway/test_dispatch.py
@@ -17,7 +17,7 @@
 from azurefield_entry.gateway.dispatch import RequestDispatcher
 from azurefield_entry.gateway.forward_frames import decode_request, encode_request
 from azurefield_entry.gateway.planning import RequestPlanner
-from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_testkit.entry_support.gateway_parts import make_request
 
 ROUTE = Route(
     name="r",
@@ -30,20 +30,6 @@
 )
 
 
-def request(**changes: Any) -> GatewayRequest:
-    fields: dict[str, Any] = {
-        "request_id": "q1",
-        "method": "GET",
-        "host": "x",
-        "target": "/1",
-        "headers": (),
-        "body": b"",
-        "arrived_at": now(),
-        "deadline": None,
-    }
-    return GatewayRequest(**fields | changes)
-
-
 def dispatcher() -> RequestDispatcher:
     """Build one whose parts are not used."""
     unused = cast("Any", None)
@@ -73,13 +59,13 @@
 ) -> None:
     """Guards against a second run of what may run once, and more attempts than allowed."""
     route = replace(ROUTE, idempotent=idempotent)
-    sent = request(deadline=now() + left_s)
+    sent = make_request(deadline=now() + left_s)
     assert dispatcher().may_run_again(sent, route, attempts, outcome) is may_run
 
 
 async def test_attempts_of_an_earlier_run_count_on_the_next_instance() -> None:
     """Guards against a request that runs on more servers because two instances ran it."""
-    frame = encode_request(1, 7, request(attempts_used=1), now())
+    frame = encode_request(1, 7, make_request(attempts_used=1), now())
     planner = RequestPlanner(
         holders=Directory(),
         router=OwnObservationRouter(random=Random(1)),
--- a/packages/azurefield-entry/tests/gateway/test_late_refusals.py
+++ b/packages/azurefield-entry/tests/gateway/test_late_refusals.py
@@ -5,28 +5,26 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import dataclass, field
-from random import Random
+from typing import TYPE_CHECKING
 
 import pytest
 from result import Err, Ok, Result
 
-from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
-from azurefield.retry import WindowedBudget
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
-from azurefield.routing import OwnObservationRouter
-from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
-    GatewayRequest,
     Headers,
     InstanceEntry,
     LeafCall,
     OpaqueAnswer,
 )
-from azurefield_entry.gateway.service import GatewayService
+from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 from azurefield_testkit.entry_support.scripted_server import PlainDialect
 
+if TYPE_CHECKING:
+    from azurefield_entry.gateway.service import GatewayService
+
 ROUTE = Route(
     name="order",
     host="x",
@@ -86,43 +84,15 @@
         writer.close()
 
 
-def make_gateway(address: str, connections_max: int) -> GatewayService:
-    service = GatewayService(
-        instance="i1",
-        availability_zone="one",
-        leaf_dialect=RefusingDialect(),
-        router=OwnObservationRouter(random=Random(1)),
-        budget=WindowedBudget(ratio=0.2, window_s=10.0),
-        metrics=GatewayMetrics(),
-    )
-    service.further_calls_allowance = 100.0
-    table = RouteTable.build(
-        version=1,
-        routes=[ROUTE],
-        services={"desk": ServiceLimits(connections_max=connections_max)},
-        limits=CallerLimits(),
-    )
-    entry = RegisteredServer(
-        server="s1",
-        service="desk",
-        address=address,
-        availability_zone="one",
-        state=RegisteredState.LIVE,
-    )
-    service.apply_listing(0.0, (table, entry, InstanceEntry(instance="i1")))
-    return service
-
-
-def request(target: str) -> GatewayRequest:
-    return GatewayRequest(
-        request_id=target,
-        method="POST",
-        host="x",
-        target=target,
-        headers=(),
-        body=b"",
-        arrived_at=asyncio.get_running_loop().time(),
-        deadline=None,
+def gateway_to(address: str, connections_max: int) -> GatewayService:
+    services = {"desk": ServiceLimits(connections_max=connections_max)}
+    table = RouteTable.build(version=1, routes=[ROUTE], services=services, limits=CallerLimits())
+    return make_gateway(
+        table,
+        make_server(address),
+        InstanceEntry(instance="i1"),
+        dialect=RefusingDialect(),
+        further_calls_allowance=100.0,
     )
 
 
@@ -135,10 +105,10 @@
     """Guards against a request that runs twice, or is refused after it has run."""
     server = RefusingServer()
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
-    service = make_gateway(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", connections_max)
-    beside = [service.handle(request(f"/other{number}")) for number in range(others)]
+    service = gateway_to(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", connections_max)
+    beside = [service.handle(make_request(f"/other{number}")) for number in range(others)]
     targets = [f"/refused{number}" for number in range(count)]
-    results = await asyncio.gather(*(service.handle(request(t)) for t in targets), *beside)
+    results = await asyncio.gather(*(service.handle(make_request(t)) for t in targets), *beside)
     assert all(isinstance(result, Ok) for result in results), results
     assert sorted(t for t in server.ran if t.startswith("/refused")) == targets
     service.connections.retire_all()
@@ -149,12 +119,12 @@
     """Guards against a new connection for each refusal of an overloaded server."""
     server = RefusingServer()
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
-    service = make_gateway(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", 30)
-    assert isinstance(await service.handle(request("/first")), Ok)
-    assert isinstance(await service.handle(request("/refused")), Ok)
+    service = gateway_to(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", 30)
+    assert isinstance(await service.handle(make_request("/first")), Ok)
+    assert isinstance(await service.handle(make_request("/refused")), Ok)
     assert server.accepted == 2
     for number in range(5):
-        assert isinstance(await service.handle(request(f"/later{number}")), Ok)
+        assert isinstance(await service.handle(make_request(f"/later{number}")), Ok)
     assert server.accepted == 2
     service.connections.retire_all()
     listener.close()
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -5,33 +5,26 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
 from result import Err, Ok
 
 from azurefield.crash_evidence import ServerEnded
-from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.failures import FailureKind
 from azurefield.model import Outcome
-from azurefield.retry import WindowedBudget
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
-from azurefield.routing import OwnObservationRouter
 from azurefield_entry.gateway.messages import MetadataListed, WriteCrashReport
-from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
-    GatewayRequest,
     InstanceEntry,
-    Item,
     LeafCall,
     Listing,
     Removed,
     ServerKey,
 )
-from azurefield_entry.gateway.service import GatewayService
 from azurefield_entry.kernel import Kernel, Mailbox
+from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
     ScriptedServer,
@@ -41,6 +34,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from azurefield_entry.gateway.service import GatewayService
+
 
 def table(version: int, *, connections_max: int = 30) -> RouteTable:
     route = Route(
@@ -58,45 +53,9 @@
     )
 
 
-def server(address: str, name: str = "s1") -> RegisteredServer:
-    return RegisteredServer(
-        server=name,
-        service="desk",
-        address=address,
-        availability_zone="one",
-        state=RegisteredState.LIVE,
-    )
-
-
-def gateway(*items: Item) -> GatewayService:
-    service = GatewayService(
-        instance="i1",
-        availability_zone="one",
-        leaf_dialect=PlainDialect(),
-        router=OwnObservationRouter(random=Random(1)),
-        budget=WindowedBudget(ratio=0.2, window_s=10.0),
-        metrics=GatewayMetrics(),
-    )
-    service.apply_listing(0.0, items)
-    return service
-
-
-def request(target: str) -> GatewayRequest:
-    return GatewayRequest(
-        request_id=target,
-        method="GET",
-        host="x",
-        target=target,
-        headers=(),
-        body=b"",
-        arrived_at=asyncio.get_running_loop().time(),
-        deadline=None,
-    )
-
-
 async def test_an_older_version_never_replaces_a_newer_one() -> None:
     """Guards against a configuration that reverts."""
-    service = gateway(table(5))
+    service = make_gateway(table(5))
     service.apply_change(0.0, table(4))
     assert service.table is not None
     assert service.table.version == 5
@@ -114,14 +73,14 @@
 ) -> None:
     """Guards against instances that together open more connections than a server accepts."""
     known = [InstanceEntry(instance=f"i{number}") for number in range(1, instances + 1)]
-    service = gateway(table(1, connections_max=limit), server("192.0.2.1:80"), *known)
+    service = make_gateway(table(1, connections_max=limit), make_server("192.0.2.1:80"), *known)
     assert service.connections.ceiling("s1") == expected
 
 
 async def test_the_allowance_of_further_calls_is_divided_among_the_instances() -> None:
     """Guards against instances that together exceed the allowance after entries are lost."""
     known = [InstanceEntry(instance=f"i{number}") for number in range(1, 5)]
-    service = gateway()
+    service = make_gateway()
     service.further_calls_allowance = 50.0
     service.divide_limits()
     assert service.budget.allowance == 0.0, "the other instances are not known yet"
@@ -135,8 +94,8 @@
 
 async def test_a_request_without_a_configuration_is_refused_as_not_run() -> None:
     """Guards against a 404 from an instance that has not loaded a configuration yet."""
-    service = gateway()
-    result = await service.handle(request("/1"))
+    service = make_gateway()
+    result = await service.handle(make_request("/1"))
     assert isinstance(result, Err)
     assert (result.err_value.kind, result.err_value.outcome) == (
         FailureKind.NOT_READY,
@@ -155,10 +114,10 @@
 async def test_an_unexpected_error_in_a_call_ends_its_request_at_once() -> None:
     """Guards against a request that waits until its deadline for a call that has ended."""
     async with listening(ScriptedServer(script=[[]])) as address:
-        service = gateway(table(1), server(address))
+        service = make_gateway(table(1), make_server(address))
         service.connections.dialect = BrokenDialect()
         async with asyncio.timeout(0.4):
-            result = await service.handle(request("/1"))
+            result = await service.handle(make_request("/1"))
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
@@ -169,8 +128,8 @@
 async def test_a_server_whose_entry_lapses_keeps_its_running_calls() -> None:
     """Guards against work that is given up because its server was slow to report."""
     async with listening(ScriptedServer(script=[SLOW_ANSWER])) as address:
-        service = gateway(table(1), server(address))
-        waiting = asyncio.create_task(service.handle(request("/1")))
+        service = make_gateway(table(1), make_server(address))
+        waiting = asyncio.create_task(service.handle(make_request("/1")))
         await asyncio.sleep(0.03)
         service.apply_change(0.0, Removed(key=ServerKey(server="s1")))
         result = await waiting
@@ -181,7 +140,7 @@
 async def other_server(service: GatewayService) -> AsyncIterator[None]:
     """Run a server of another service, which is up."""
     async with listening(ScriptedServer(script=[])) as address:
-        entry = replace(server(address, "other"), service="other")
+        entry = replace(make_server(address, "other"), service="other")
         service.apply_change(0.0, entry)
         yield
 
@@ -189,8 +148,8 @@
 async def end_server(service: GatewayService, target: str) -> None:
     """Run a request whose server closes the connection and then refuses connections."""
     async with listening(ScriptedServer(script=[[b""]])) as address:
-        service.apply_change(0.0, server(address))
-        assert isinstance(await service.handle(request(target)), Err)
+        service.apply_change(0.0, make_server(address))
+        assert isinstance(await service.handle(make_request(target)), Err)
     await asyncio.gather(*service.crash_watch.tasks)
     service.apply_change(0.0, Removed(key=ServerKey(server="s1")))
 
@@ -204,7 +163,7 @@
 
 async def test_a_request_under_which_servers_end_is_refused_everywhere() -> None:
     """Guards against a request that ends one server after the other."""
-    service = gateway(table(1))
+    service = make_gateway(table(1))
     mailbox = mailbox_of_metadata(service)
     async with other_server(service):
         await end_server(service, "/bad")
@@ -216,7 +175,7 @@
     for name in ("s2", "s3"):
         elsewhere = replace(report, server=name, run=name, suspect=True)
         service.apply_change(0.0, CrashReportEntry(report=elsewhere))
-    result = await service.handle(request("/bad"))
+    result = await service.handle(make_request("/bad"))
     assert isinstance(result, Err)
     assert result.err_value.kind is FailureKind.REQUEST_CRASHES_SERVERS
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
@@ -224,7 +183,7 @@
 
 async def test_an_instance_that_reaches_no_server_reports_nothing() -> None:
     """Guards against an own partition that is reported as crashes of servers."""
-    service = gateway(table(1))
+    service = make_gateway(table(1))
     mailbox = mailbox_of_metadata(service)
     async with other_server(service):
         pass
@@ -235,10 +194,10 @@
 
 async def test_a_run_is_ended_when_its_request_is_refused() -> None:
     """Guards against calls that go on to further servers after the last report has arrived."""
-    service = gateway(table(1))
+    service = make_gateway(table(1))
     async with listening(ScriptedServer(script=[SLOW_ANSWER * 50])) as address:
-        service.apply_change(0.0, server(address))
-        running = asyncio.create_task(service.handle(request("/bad")))
+        service.apply_change(0.0, make_server(address))
+        running = asyncio.create_task(service.handle(make_request("/bad")))
         await asyncio.sleep(0.05)
         (digest,) = service.runner.running
         for name in ("s1", "s2", "s3"):
@@ -260,7 +219,7 @@
 
 async def test_an_instance_is_ready_once_it_has_a_listing() -> None:
     """Guards against an instance that reports readiness before it knows the servers."""
-    service = gateway()
+    service = make_gateway()
     assert not service.ready
     listing = Listing(items=(table(1),), revision=1)
     message = MetadataListed(listing=listing, after_outage=True)
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -191,17 +191,7 @@
 
     def entry(self, **changes: object) -> dict[str, object]:
         """The entry that the leaf writes about itself."""
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": "one",
-            "version": "v1",
-            "capacity": 3,
-            "state": "ready",
-            "warmup_left_ms": 0,
-            "sequence": 1,
-            "born": 1_700_000_000_000,
-        } | changes
+        return server_entry(self.service, self.address) | changes
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -236,6 +226,21 @@
             raise
 
 
+def server_entry(service: str, address: str) -> dict[str, object]:
+    """Build the entry of a leaf in the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "one",
+        "version": "v1",
+        "capacity": 3,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    }
+
+
 @asynccontextmanager
 async def running(*stand_ins: StoreStandIn | LeafStandIn) -> AsyncIterator[None]:
     """Serve stand-ins on loopback addresses."""
--- a/tests/fleet/stuttering_leafs.py
+++ b/tests/fleet/stuttering_leafs.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from standins import server_entry
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -58,17 +60,7 @@
 
     def entry(self) -> dict[str, object]:
         """The entry that the leaf writes about itself."""
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": "one",
-            "version": "v1",
-            "capacity": 3,
-            "state": "ready",
-            "warmup_left_ms": 0,
-            "sequence": 1,
-            "born": 1_700_000_000_000,
-        }
+        return server_entry(self.service, self.address)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
--- a/tests/soak/soak/callers.py
+++ b/tests/soak/soak/callers.py
@@ -176,9 +176,10 @@
     :raises EOFError: if the connection is closed before the end of the answer
     """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    headers = {}
+    headers: dict[str, str] = {}
     for line in head[1:]:
         name, _, value = line.partition(":")
-        headers[name.strip().lower()] = value.strip()
+        name, value = name.strip().lower(), value.strip()
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return int(head[0].split()[1]), headers, body
--- a/tests/soak/soak/history.py
+++ b/tests/soak/soak/history.py
@@ -120,7 +120,8 @@
         if request_id != sent.request_id:
             self.add_violation("MIXED", sent.request_id, f"signature {leaf}.{request_id}")
         elif body != leaf_records(leaf, sent.request_id):
-            self.add_violation("MIXED", sent.request_id, f"body differs from that sent by {leaf}")
+            detail = f"{len(body)} bytes that {leaf} has not sent: {body[:40]!r}"
+            self.add_violation("MIXED", sent.request_id, detail)
 
     def check_listing(self, sent: SentRequest, headers: dict[str, str], body: bytes) -> None:
         """Check a merged answer.
--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -9,6 +9,9 @@
 
 from aiohttp import web
 from soak.history import CRASH_TARGET, History, leaf_records, leaf_signature
+from soak.stutter import Stutter
+
+from standins import server_entry
 
 BEHAVIOURS = ("shed", "error", "slow", "hang", "reset", "lost", "truncated", "extra", "unframed")
 SERVICE_TIME_MAX_S = 0.02
@@ -36,20 +39,14 @@
     arrivals: list[float] = field(default_factory=list)
     on_crash: Callable[[Leaf], None] = lambda _: None
     duplicate_answers: dict[asyncio.Transport, bytes] = field(default_factory=dict)
+    stutter: Stutter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.stutter = Stutter(random=Random(self.name))
 
     def registry_entry(self, address: str, state: str = "ready") -> dict[str, object]:
         """Return the entry of the leaf in the store, with the address at which it is reachable."""
-        return {
-            "service": self.service,
-            "address": address,
-            "zone": "one",
-            "version": "v1",
-            "capacity": 4,
-            "state": state,
-            "warmup_left_ms": 0,
-            "sequence": 1,
-            "born": 1_700_000_000_000,
-        }
+        return server_entry(self.service, address) | {"capacity": 4, "state": state}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, or misbehave."""
@@ -70,7 +67,9 @@
         transport.write(self.duplicate_answers.pop(transport, b""))
         behaviour = self.behaviour if self.random.random() < self.faulty_fraction else "answer"
         if behaviour == "shed":
-            return web.Response(status=503, headers=id_header | {"Not-Executed": "1"})
+            refusal = id_header | {"Not-Executed": "1"}
+            self.stutter.repeat(transport, encode_answer(refusal, b"", status=503))
+            return web.Response(status=503, headers=refusal)
         if behaviour == "reset":
             transport.abort()
             return web.Response()
@@ -92,8 +91,15 @@
         headers = id_header | {"Response-Signature": leaf_signature(name, request_id)}
         status = 500 if behaviour == "error" else 200
         answer = leaf_records(name, request_id)
+        if self.stutter.is_endless():
+            chunked = headers | {"Transfer-Encoding": "chunked"}
+            head = encode_answer(chunked, b"", with_length=False)
+            await self.stutter.send_without_end(transport, head)
+            return web.Response()
+        encoded = encode_answer(headers, answer, status=status)
+        self.stutter.repeat(transport, encoded)
         if behaviour == "extra":
-            self.duplicate_answers[transport] = encode_answer(headers, answer, with_length=True)
+            self.duplicate_answers[transport] = encoded
         if behaviour in ("lost", "truncated", "unframed"):
             self.write_faulty_answer(behaviour, transport, headers, answer)
             return web.Response()
@@ -109,7 +115,7 @@
         """Write an incomplete answer, one without a length or none, and close the connection."""
         match behaviour:
             case "truncated":
-                transport.write(encode_answer(headers, answer, with_length=True)[:-7])
+                transport.write(encode_answer(headers, answer)[:-7])
             case "unframed":
                 transport.write(encode_answer(headers, answer, with_length=False))
         if behaviour == "lost":
@@ -118,8 +124,10 @@
             transport.close()
 
 
-def encode_answer(headers: dict[str, str], answer: bytes, *, with_length: bool) -> bytes:
+def encode_answer(
+    headers: dict[str, str], answer: bytes, *, status: int = 200, with_length: bool = True
+) -> bytes:
     """Encode an answer as HTTP/1.1, with a Content-Length if ``with_length``."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     length = f"Content-Length: {len(answer)}\r\n" if with_length else ""
-    return f"HTTP/1.1 200 OK\r\n{lines}{length}\r\n".encode() + answer
+    return f"HTTP/1.1 {status} X\r\n{lines}{length}\r\n".encode() + answer
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -17,7 +17,7 @@
 from soak.faults import FaultInjector
 from soak.history import CRASH_TARGET, History
 from soak.proxy import ConnectionFault
-from soak.site import DESKS, GATEWAYS, Site
+from soak.site import DESKS, GATEWAY_MEMORY_MB, GATEWAYS, Site
 
 from azurefield_testkit.waiting import ConditionNotMetError, wait_until
 from links import Cut
@@ -86,6 +86,7 @@
     for leaf in site.leafs.values():
         leaf.behaviour = "answer"
         leaf.limit_per_s = None
+        leaf.stutter.active = False
         if leaf.down:
             site.unregister(leaf.name)
     for gateway in site.gateways.values():
@@ -93,6 +94,16 @@
         await gateway.links.heal()
 
 
+def check_memory(site: Site, history: History) -> None:
+    """Check that no gateway has ever used more memory than its settings allow."""
+    for gateway in site.gateways.values():
+        if gateway.process is not None and gateway.process.running:
+            status = Path(f"/proc/{gateway.process.process.pid}/status").read_text(encoding="utf-8")
+            peak_kb = next(line.split()[1] for line in status.splitlines() if "VmHWM" in line)
+            if int(peak_kb) > GATEWAY_MEMORY_MB * 1000:
+                history.add_violation("MEMORY", gateway.name, f"it has used {peak_kb} kB")
+
+
 async def check_recovery(site: Site, history: History) -> None:
     """Check that all gateways become ready again after the faults."""
     try:
@@ -210,6 +221,7 @@
             await asyncio.wait([injection])
             await clear_faults(site)
             await check_recovery(site, history)
+            check_memory(site, history)
             await asyncio.sleep(SETTLE_TIME_S)
             await check_configuration(site, history)
             await check_limit(site, history)
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -22,6 +22,7 @@
 PROGRAM = Path(__file__).parents[3] / "platform" / "run.py"
 HOST = "127.0.0.1"
 GATEWAY_GRACE_S = 6
+GATEWAY_MEMORY_MB = 300
 # A leaf that a request has ended is back after this time.
 CRASH_DOWN_S = 1.5
 SHARD_SETS = (("a", "b", "c"), ("d", "e"))
@@ -70,6 +71,7 @@
             f'[listen]\nfrontend = "{self.caller_address}"\n'
             f'readiness = "{self.readiness_address}"\n'
             f"[bounds]\ngrace_s = {GATEWAY_GRACE_S}\nbudget_slack = 50\n"
+            f"[limits]\nmemory_mb = {GATEWAY_MEMORY_MB}\n"
             f'[platform]\naddress = "{self.store.address}"\n',
             encoding="utf-8",
         )
