Bound what a caller sends behind a head whose request has not begun

Cause: what follows the longest head is kept until the request has begun. A caller that pipelines requests and does not read the answers delays that, so the kept bytes had no bound; and a request with a large body behind a slowly read answer was rejected.

Change: the connection closes beyond 256 KiB, and a head that is complete is never taken for one that is too long.

The second fault was found by reading; no test showed it before.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/caller_server.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/caller_server.py
@@ -21,6 +21,10 @@
 # The gateway closes an idle connection this long after the idle timeout, so that a request that a
 # caller sends just before the timeout is not lost.
 IDLE_MARGIN_S = 1.0
+HEAD_END = b"\r\n\r\n"
+# A caller may send this much behind a head whose request has not begun, while it does not read the
+# answer to an earlier one.
+UNPARSED_BYTES_MAX = 256 * 1024
 # Stops aiohttp from logging a line per request.
 NO_ACCESS_LOG = logging.getLogger("azurefield.no-access-log")
 NO_ACCESS_LOG.disabled = True
@@ -83,19 +87,25 @@
             self.start_timer(self.header_timeout_s)
         if self.unparsed:
             self.unparsed += data
+            if len(self.unparsed) > UNPARSED_BYTES_MAX:
+                self.close_rejected()
             return
         head = data[: self.head_bytes_left]
         self.head_bytes_left -= len(head)
         self.unparsed += data[len(head) :]
         super().data_received(head)
-        if self.unparsed:
+        if self.unparsed and HEAD_END not in head:
             asyncio.get_running_loop().call_soon(self.require_head)
 
     def require_head(self) -> None:
         """Close the connection if what may be a head, at its longest, is none."""
         if self.unparsed and not self.request_runs:
-            self.reject()
-            self.force_close()
+            self.close_rejected()
+
+    def close_rejected(self) -> None:
+        """Close the connection because of what the caller has sent."""
+        self.reject()
+        self.force_close()
 
     def reject(self) -> None:
         """Ignore what follows a head that can't be parsed."""
--- a/tests/fleet/test_endless_answers.py
+++ b/tests/fleet/test_endless_answers.py
@@ -110,6 +110,7 @@
     "chunks-of-one-byte": (CHUNKED_REQUEST, b"1\r\nx\r\n" * 10_000),
     "chunk-extension": (CHUNKED_REQUEST + b"1;", b"x" * 65_536),
     "pipelined": (b"", PIPELINED * 1_000),
+    "pipelined-bodies": (b"", (REQUEST + b"Content-Length: 900\r\n\r\n" + bytes(900)) * 100),
 }
 ENDLESS_CALLERS = 40
 SENDING_S = 3.0
