--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -20,6 +20,7 @@
     ScriptedServer,
     listening,
 )
+from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -201,8 +202,7 @@
         script = [[answer("/1", b"body"), extra[:length]]]
         async with connected(ScriptedServer(script=script)) as connection:
             assert isinstance(await connection.exchange(call("/1")), Ok)
-            await asyncio.sleep(0.015)
-            assert not connection.usable, extra[:length]
+            await wait_until(lambda: not connection.usable, f"{extra[:length]!r} ends the use")
 
 
 @pytest.mark.parametrize("extra", [EXTRA, EXTRA_CHUNKED], ids=["len", "chunk"])
--- a/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
+++ b/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
@@ -20,7 +20,7 @@
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.processes import Processes
-from azurefield_testkit.waiting import wait_until
+from azurefield_testkit.waiting import accepts, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -43,17 +43,6 @@
         self.broadcast.forward(frame)
 
 
-async def accepts(address: str) -> bool:
-    """Whether an address accepts connections."""
-    host, _, port = address.rpartition(":")
-    try:
-        _, writer = await asyncio.open_connection(host, int(port))
-    except OSError:
-        return False
-    writer.close()
-    return True
-
-
 @asynccontextmanager
 async def fleet(count: int) -> AsyncIterator[dict[str, Instance]]:
     """Run the links of some instances that know each other."""
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -6,6 +6,7 @@
 import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -26,7 +27,7 @@
 from azurefield_entry.gateway.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
-from azurefield_testkit.waiting import wait_until
+from azurefield_testkit.waiting import accepts, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -114,7 +115,7 @@
         view=view,
         router=OwnObservationRouter(random=Random(1)),
     )
-    await asyncio.sleep(0.05)
+    await wait_until(partial(accepts, address), "the coordinator accepts links")
     try:
         yield Pair(forwarding=forwarding, coordinator=coordinator, mailbox=mailbox, serving=serving)
     finally:
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
@@ -20,7 +21,7 @@
 from azurefield_entry.gateway.quotas import ServerQuotas
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
-from azurefield_testkit.waiting import wait_until
+from azurefield_testkit.waiting import accepts, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -98,7 +99,8 @@
     async with AsyncExitStack() as stack:
         for instance in instances.values():
             stack.push_async_callback(instance.stop)
-        await asyncio.sleep(0.05)
+        for address in addresses.values():
+            await wait_until(partial(accepts, address), f"{address} accepts links")
         yield instances
 
 
--- a/packages/azurefield-testkit/src/azurefield_testkit/waiting.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/waiting.py
@@ -39,3 +39,14 @@
         if loop.time() >= end:
             raise ConditionNotMetError(f"condition not met within {limit_s:g} s: {what}")
         await asyncio.sleep(step_s)
+
+
+async def accepts(address: str) -> bool:
+    """Whether ``host:port`` accepts connections."""
+    host, _, port = address.rpartition(":")
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -162,6 +162,7 @@
     extra: bytes
     later: bool
     replies: int = 0
+    sent: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while await reader.read(4096):
@@ -173,6 +174,7 @@
             if self.later:
                 await asyncio.sleep(0.005)
                 writer.write(extra)
+            self.sent.set()
         writer.close()
 
 
@@ -192,5 +194,7 @@
                 changes = await store.watch(0, 0.0)
             assert isinstance(changes, Ok)
             assert (changes.ok_value.revision, changes.ok_value.era) == (number, 1)
+            # The extra bytes must have arrived before the next call.
+            await stand_in.sent.wait()
             await asyncio.sleep(0.01)
     listener.close()
