--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import tomllib
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -23,11 +24,18 @@
 
     from multidict import CIMultiDictProxy
 
-PROGRAM = Path(__file__).parent.parent.parent / "platform" / "run.py"
+ROOT = Path(__file__).parent.parent.parent
 # Chooses ports that an outgoing connection can't take before they are used.
 PORTS = Processes()
 
 
+def gateway_command() -> list[str]:
+    """Return the command of the deploy file, with the interpreter and the paths of the tests."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+    _, *options, program = deploy["roles"]["gateway"]["run"].split()
+    return [sys.executable, *options, str(ROOT / program)]
+
+
 def free_address() -> str:
     return f"127.0.0.1:{PORTS.free_port()}"
 
@@ -101,13 +109,19 @@
         entry = config(version, *routes, services=services, connections_max=self.connections_max)
         self.store.put("op/config", entry)
 
-    async def start(self, settings: str | None = None) -> None:
-        """Start the process, with other settings than its own if they are given."""
+    async def start(self, settings: str | None = None, python_path: str = "") -> None:
+        """Start the process, with other settings than its own if they are given.
+
+        :param python_path: a directory of further modules
+        """
         path = self.write_settings(self.settings() if settings is None else settings)
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(PROGRAM),
-            env={"PATH": os.environ["PATH"], "AZUREFIELD_BOOT": str(path)},
+            *gateway_command(),
+            env={
+                "PATH": os.environ["PATH"],
+                "AZUREFIELD_BOOT": str(path),
+                "PYTHONPATH": python_path,
+            },
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
--- a/tests/fleet/test_process.py
+++ b/tests/fleet/test_process.py
@@ -7,14 +7,13 @@
 import os
 import re
 import signal
-import sys
 from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 
 from azurefield_testkit.waiting import wait_until
-from gateway_process import PROGRAM, Site, serving
+from gateway_process import Site, gateway_command, serving
 from standins import StoreStandIn, config, route, running
 
 if TYPE_CHECKING:
@@ -236,8 +235,7 @@
     async with running(site.store):
         path = site.write_settings(site.settings().replace('zone = "one"', ""))
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(PROGRAM),
+            *gateway_command(),
             env={"PATH": os.environ["PATH"], "AZUREFIELD_BOOT": str(path)},
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -23,6 +23,7 @@
 
 HELD_S = 1.5
 WRITING_S = 0.5
+LOADING_S = 0.5
 LISTENERS = ("callers", "readiness", "admin", "relay", "coordinator")
 
 
@@ -99,6 +100,25 @@
         await wait_until(site.ready, "the gateway is ready")
 
 
+async def test_a_signal_while_the_interpreter_loads_its_modules_does_not_end_the_process(
+    tmp_path: Path,
+) -> None:
+    """Guards against a SIGHUP that ends a process before its program has begun."""
+    modules = tmp_path / "modules"
+    modules.mkdir()
+    loading = modules / "loading"
+    (modules / "sitecustomize.py").write_text(
+        f"import pathlib, time\npathlib.Path({str(loading)!r}).touch()\ntime.sleep({LOADING_S})\n",
+        encoding="utf-8",
+    )
+    async with prepared(tmp_path) as site:
+        await site.start(python_path=str(modules))
+        await wait_until(loading.exists, "the interpreter loads its modules", step_s=0.01)
+        assert site.process is not None
+        site.process.send_signal(signal.SIGHUP)
+        await wait_until(site.ready, "the gateway is ready")
+
+
 @pytest.mark.parametrize("listener", LISTENERS)
 async def test_a_process_that_waits_for_an_address_can_be_stopped(
     tmp_path: Path, listener: str
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -16,10 +15,10 @@
 from soak.proxy import Proxy
 
 from azurefield_testkit.processes import ManagedProcess, Processes
+from gateway_process import gateway_command
 from links import Links, StoreView
 from standins import StoreStandIn, config, route
 
-PROGRAM = Path(__file__).parents[3] / "platform" / "run.py"
 HOST = "127.0.0.1"
 GATEWAY_GRACE_S = 6
 GATEWAY_MEMORY_MB = 300
@@ -81,8 +80,7 @@
         self.ended_by_soak = False
         self.started_at = asyncio.get_running_loop().time()
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(PROGRAM),
+            *gateway_command(),
             env={"PATH": os.environ["PATH"], "AZUREFIELD_BOOT": str(self.settings)},
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE,
