Use no connection again after an answer that does not name its request

Callers of servers whose answers bear no identity of the request got 504 for calls that had run, after their whole deadline.

Cause: over a connection that is used again, an answer without an identity can't be told from a late copy of the answer before. The connection must end before there is anything to guess: behind an answer that does not name its request.

Change: the dialect says whether an answer names its request; if not, its connection is closed behind it and the next call opens another one.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -89,8 +89,8 @@
 class HttpLeafConnection(BaseProtocol):
     """A connection that is opened by its first call.
 
-    It is not reused after a cancelled call, after an answer to another call, or after bytes that
-    no call waits for.
+    It is not reused after a cancelled call, after an answer to another call, after one that does
+    not name its call, or after bytes that no call waits for.
 
     :param memory: the memory of the answers that all connections are receiving
     :param on_open: called when the connection is open
@@ -309,7 +309,8 @@
                 unexpected = True
             if unexpected:
                 self.on_stray_bytes()
-            reusable = not (message.should_close or unexpected or unsent)
+            named = self.dialect.names_request(headers)
+            reusable = named and not (message.should_close or unexpected or unsent)
             self.finish_exchange(result, reusable=reusable)
             return
         if unexpected:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -119,6 +119,12 @@
             name its request may be a late copy of an earlier one
         """
 
+    def names_request(self, headers: Headers) -> bool:
+        """Whether an answer names the request that it belongs to.
+
+        Behind one that does not, a late copy of it can't be told from the next answer.
+        """
+
 
 class CallerDialect(Protocol):
     """Wire format of callers' requests and of the answers to them."""
--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -80,6 +80,7 @@
         ([answer("/0", b"no"), answer("/1", b"body")], False),
         ([answer("/0", b"no") + answer("/1", b"body")], False),
         ([b"HTTP/1.1 100 Continue\r\n\r\n" + answer("/1", b"body")], True),
+        ([answer("/1", b"body").replace(b"Id: /1\r\n", b"")], False),
     ],
     ids=[
         "whole",
@@ -92,6 +93,7 @@
         "extra-of-another-before",
         "both-in-one-segment",
         "interim",
+        "without-identity",
     ],
 )
 async def test_a_call_gets_its_own_answer_and_unusable_connections_are_not_reused(
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
@@ -38,6 +38,10 @@
             return None
         return Ok(OpaqueAnswer(status=status, headers=headers, body=body, proof="p"))
 
+    def names_request(self, headers: Headers) -> bool:
+        """Whether an answer has an ``Id``."""
+        return "Id" in dict(headers)
+
 
 @dataclass(slots=True, kw_only=True)
 class ScriptedServer:
--- a/tests/fleet/stuttering_leafs.py
+++ b/tests/fleet/stuttering_leafs.py
@@ -46,6 +46,7 @@
 class StutteringLeaf:
     """Answers with the usual headers, and ``fraction`` of its answers twice.
 
+    :param names_requests: whether its answers name their requests
     :param ran: the identities of the requests that it has run
     """
 
@@ -54,6 +55,7 @@
     random: Random
     stutter: Stutter
     fraction: float
+    names_requests: bool = True
     address: str = ""
     ran: list[str] = field(default_factory=list)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -81,7 +83,8 @@
 
     async def answer(self, request_id: str) -> bytes:
         """Run a request, or refuse it, and encode the answer."""
-        lines = [f"Request-Id: {request_id}", "Content-Type: text/plain", "Keep-Alive: timeout=20"]
+        lines = [f"Request-Id: {request_id}"] * self.names_requests
+        lines += ["Content-Type: text/plain", "Keep-Alive: timeout=20"]
         if self.random.random() < REFUSED_FRACTION:
             lines = ["HTTP/1.1 503 Service Unavailable", "Not-Executed: 1", *lines]
             return "\r\n".join([*lines, "Content-Length: 0", "\r\n"]).encode()
--- a/tests/fleet/test_mixed_answers.py
+++ b/tests/fleet/test_mixed_answers.py
@@ -100,11 +100,13 @@
         observations.add(request_id, *answer)
 
 
-@pytest.mark.parametrize("stutter", [*Stutter])
-async def test_each_caller_gets_its_own_answer_from_leafs_that_answer_twice(
-    tmp_path: Path, stutter: Stutter
-) -> None:
-    """Guards against answers with the headers, the status or the body of another answer."""
+async def call_stuttering_leafs(
+    directory: Path, stutter: Stutter, *, unnamed: tuple[str, ...] = ()
+) -> Observations:
+    """Send requests to gateways whose leafs answer twice, and check what callers and leafs see.
+
+    :param unnamed: the services whose answers do not name their requests
+    """
     leafs = [
         StutteringLeaf(
             name=f"{service}{number}",
@@ -112,6 +114,7 @@
             random=Random(f"{service}{number}"),
             stutter=stutter,
             fraction=STUTTERED_FRACTION,
+            names_requests=service not in unnamed,
         )
         for service in SERVICES
         for number in range(LEAFS_PER_SERVICE)
@@ -119,7 +122,7 @@
     observations = Observations(leafs={leaf.name: leaf for leaf in leafs})
     async with (
         serving_leafs(*leafs),
-        serving_fleet(tmp_path, dict.fromkeys(GATEWAYS, 1.0)) as sites,
+        serving_fleet(directory, dict.fromkeys(GATEWAYS, 1.0)) as sites,
     ):
         replace_leafs(sites["n1"], leafs)
         for site in sites.values():
@@ -142,3 +145,21 @@
     runs = Counter(orders)
     assert not observations.refused & runs.keys(), "refused, and has run"
     assert observations.statuses[200] > sum(observations.statuses.values()) / 2
+    return observations
+
+
+@pytest.mark.parametrize("stutter", [*Stutter])
+async def test_each_caller_gets_its_own_answer_from_leafs_that_answer_twice(
+    tmp_path: Path, stutter: Stutter
+) -> None:
+    """Guards against answers with the headers, the status or the body of another answer."""
+    await call_stuttering_leafs(tmp_path, stutter)
+
+
+@pytest.mark.parametrize("unnamed", [("a", "b"), SERVICES], ids=["shards", "all"])
+async def test_answers_that_do_not_name_their_request_are_neither_mixed_nor_lost(
+    tmp_path: Path, unnamed: tuple[str, ...]
+) -> None:
+    """Guards against a late copy without an identity, and against calls that wait in vain."""
+    observations = await call_stuttering_leafs(tmp_path, Stutter.WHOLE_LATE, unnamed=unnamed)
+    assert set(observations.statuses) <= {200, 503}, observations.statuses
