Let the test of a lapsing entry hold the answer instead of timing it

Cause: its server wrote 22 pieces 5 ms apart, and the route allowed 0.5 s. The test measured the machine.

Change: the server holds its answer until the entry is removed, and the route allows 30 s. This is at least as strict: the call is known to run when the entry goes, which 0.03 s of waiting did not show.

--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -37,14 +37,14 @@
     from azurefield_entry.gateway.service import GatewayService
 
 
-def table(version: int, *, connections_max: int = 30) -> RouteTable:
+def table(version: int, *, connections_max: int = 30, timeout_s: float = 0.5) -> RouteTable:
     route = Route(
         name="r",
         host="x",
         prefix="/",
         target=SingleService(service="desk"),
         idempotent=True,
-        timeout_s=0.5,
+        timeout_s=timeout_s,
         attempts_max=1,
     )
     services = {"desk": ServiceLimits(connections_max=connections_max)}
@@ -125,13 +125,36 @@
 SLOW_ANSWER = [b"HTTP/1.1 200 OK\r\n"] + [b"Id: /1\r\n"] * 20 + [b"Content-Length: 0\r\n\r\n"]
 
 
+@dataclass(slots=True, kw_only=True)
+class HeldServer:
+    """Answers one request once ``released`` is set.
+
+    :param begun: set once the request has arrived
+    """
+
+    begun: asyncio.Event = field(default_factory=asyncio.Event)
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nId: /1\r\n")
+        self.begun.set()
+        await self.released.wait()
+        writer.write(b"Content-Length: 0\r\n\r\n")
+        await reader.read()
+        writer.close()
+
+
 async def test_a_server_whose_entry_lapses_keeps_its_running_calls() -> None:
     """Guards against work that is given up because its server was slow to report."""
-    async with listening(ScriptedServer(script=[SLOW_ANSWER])) as address:
-        service = make_gateway(table(1), make_server(address))
+    server = HeldServer()
+    async with listening(server) as address:
+        service = make_gateway(table(1, timeout_s=30.0), make_server(address))
         waiting = asyncio.create_task(service.handle(make_request("/1")))
-        await asyncio.sleep(0.03)
+        await server.begun.wait()
         service.apply_change(0.0, Removed(key=ServerKey(server="s1")))
+        server.released.set()
         result = await waiting
     assert isinstance(result, Ok)
 
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
@@ -7,7 +7,7 @@
 import struct
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from result import Ok, Result
 
@@ -77,8 +77,15 @@
         writer.close()
 
 
+class StreamServer(Protocol):
+    """A server of streams."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+
+
 @asynccontextmanager
-async def listening(server: ScriptedServer) -> AsyncIterator[str]:
+async def listening(server: StreamServer) -> AsyncIterator[str]:
     """Listen on a loopback address until the context ends; afterwards it refuses connections."""
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
