Refuse settings that can't be read or used instead of ending

Users saw processes that did not start or ended by themselves (FAULT). That this is what they saw is not shown: no logs were kept.

Cause: reading a settings file raises other errors than that of the format: numbers of thousands of digits and deep nesting, also in fields that the gateway ignores. They ended the service that reloads the file. A memory limit of inf or nan was accepted, and inf ended the gateway service where it is used. At the start, such a file, or a port above 65535 in the callers' address, gave a traceback in place of the wait for usable settings.

Change: whatever the reading raises is a reason to keep the previous settings, or to wait at the start. Quantities have to be finite and not negative, and the ports for other instances valid.

--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -51,6 +51,12 @@
         ('"127.0.0.1:8004"', '"store:80"', "platform.address"),
         ("grace_s = 6", 'grace_s = "six"', "grace_s"),
         ("[listen]", "[listen", "line"),
+        ("new_field = 1", f"new_field = {'9' * 5000}", "integer"),
+        ("new_field = 1", f"new_field = {'[' * 2000}{']' * 2000}", "recursion"),
+        ("new_field = 1", "port_range = [70000, 70001]", "port_range"),
+        ("grace_s = 6", "grace_s = nan", "grace_s"),
+        ("grace_s = 6", "grace_s = inf", "grace_s"),
+        ("grace_s = 6", "grace_s = -1", "grace_s"),
     ],
 )
 def test_bad_settings_are_refused_with_the_field_that_is_wrong(
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -23,6 +23,7 @@
 
 HELD_S = 1.5
 WRITING_S = 0.5
+BAD_PORT = "127.0.0.1:99999"
 LISTENERS = ("callers", "readiness", "admin", "relay", "coordinator")
 
 
@@ -99,6 +100,21 @@
         await wait_until(site.ready, "the gateway is ready")
 
 
+@pytest.mark.parametrize("problem", ["nested", "port"])
+async def test_settings_that_cannot_be_used_at_first_delay_the_start(
+    tmp_path: Path, problem: str
+) -> None:
+    """Guards against a traceback in place of the wait for settings that can be used."""
+    async with prepared(tmp_path) as site:
+        usable = site.settings()
+        nested = f"{usable}deep = {'[' * 2000}{']' * 2000}\n"
+        await site.start(nested if problem == "nested" else usable.replace(site.callers, BAD_PORT))
+        await site.wait_for_log("was not opened early")
+        await asyncio.sleep(WRITING_S)
+        site.write_settings(usable)
+        await wait_until(site.ready, "the gateway is ready")
+
+
 @pytest.mark.parametrize("listener", LISTENERS)
 async def test_a_process_that_waits_for_an_address_can_be_stopped(
     tmp_path: Path, listener: str
