Start tasks of the store again that an unexpected error has ended

Found by reading; no user has reported it, and no input that raises such an error in follow-store was known at that time.

Cause: the metadata service starts three tasks and never looks at them. If one ends by an exception, the instance follows the store no more, loses its entry when its lease ends, or writes no crash reports, until it is restarted; nothing is logged. Other tasks in the background (crash checks and broadcasts, links, quota, partitions) ended as silently; a verification of a partition that ended so left the requests that wait for it without a result.

Ending the process instead was weighed: it would cost callers all running requests, and the same input could end all instances at the same moment.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crash_broadcast.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crash_broadcast.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from azurefield.dissemination import broadcast_groups
+from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.gateway.crash_frames import CrashReportFrame, encode_report
 from azurefield_entry.gateway.peer_links import PeerLinks
 
@@ -33,7 +34,7 @@
     own: str
     peers: PeerLinks
     instances: Callable[[], frozenset[str]]
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def send(self, report: CrashReport) -> None:
         """Send a report to all other instances in the background."""
@@ -49,9 +50,7 @@
         """Start the sending to one group."""
         if len(self.tasks) >= BROADCASTS_MAX:
             return
-        task = asyncio.create_task(self.send_to(report, group))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.start("send-crash-report", self.send_to(report, group))
 
     async def send_to(self, report: CrashReport, group: tuple[str, ...]) -> None:
         """Send a report to the first member of a group that can be reached."""
@@ -66,5 +65,4 @@
 
     def close(self) -> None:
         """Stop sending."""
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crash_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crash_watch.py
@@ -17,6 +17,7 @@
     Standing,
 )
 from azurefield.server_check import ServerState
+from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.server_checker import ServerChecker
@@ -42,7 +43,7 @@
     metrics: GatewayMetrics
     publish: Callable[[CrashReport], None]
     refuse_running: Callable[[str], None]
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def standing(self, request: str) -> Standing:
         """Return how a request may run, by its digest."""
@@ -160,12 +161,9 @@
 
     def start(self, work: Coroutine[None, None, None]) -> None:
         """Run a check in the background."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.start("check-server", work)
 
     def close(self) -> None:
         """Stop all checks."""
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
         self.checker.close()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 
 from azurefield.relay_tree import RelayTree
 from azurefield.store_position import HistoryRelation, StorePosition
+from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
@@ -102,11 +104,10 @@
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Run the calls to the store until ``Stop``."""
-        tasks = [
-            asyncio.create_task(self.follow_store(kernel)),
-            asyncio.create_task(self.own_entries.keep_registered()),
-            asyncio.create_task(self.own_entries.reports.run()),
-        ]
+        tasks = BackgroundTasks()
+        tasks.keep_running("follow-store", partial(self.follow_store, kernel))
+        tasks.keep_running("keep-registered", self.own_entries.keep_registered)
+        tasks.keep_running("write-crash-reports", self.own_entries.reports.run)
         while True:
             match await mailbox.receive():
                 case WriteCrashReport(report=report):
@@ -115,9 +116,7 @@
                     self.store.use_address(settings.store_address)
                 case Stop():
                     break
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.stop()
 
     async def follow_store(self, kernel: Kernel) -> None:
         """Read everything, then follow the changes; read again if changes are missing."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -30,6 +30,7 @@
     store_failures: Counter = field(init=False)
     store_contact_at: Gauge = field(init=False)
     store_restores: Counter = field(init=False)
+    task_failures: Counter = field(init=False)
     log_lines_dropped: Counter = field(init=False)
 
     def __post_init__(self) -> None:
@@ -118,6 +119,11 @@
             "Restores of the platform's store from an older copy that this process has noticed.",
             registry=registry,
         )
+        self.task_failures = Counter(
+            "azurefield_gateway_task_failures",
+            "Background tasks that failed with an unexpected error.",
+            registry=registry,
+        )
         self.log_lines_dropped = Counter(
             "azurefield_gateway_log_lines_dropped",
             "Log lines dropped because there were too many or their reader was too slow.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/partition_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/partition_watch.py
@@ -14,6 +14,7 @@
     PartitionDetector,
     choose_probes,
 )
+from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.server_checker import ServerChecker
@@ -35,6 +36,7 @@
     on_begin: Callable[[], None]
     detector: PartitionDetector = field(default_factory=PartitionDetector)
     work: asyncio.Task[None] | None = None
+    tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
     verification: asyncio.Future[None] | None = None
 
     @property
@@ -52,7 +54,7 @@
         busy = self.work is not None and not self.work.done()
         servers = len(self.checker.directory.servers)
         if not busy and self.detector.suspected(now(), servers):
-            self.work = asyncio.create_task(self.verify())
+            self.work = self.tasks.start("verify-partition", self.verify())
 
     async def confirmed(self) -> bool:
         """Whether this instance is partitioned; waits for the result of a running verification."""
@@ -64,10 +66,13 @@
         """Verify a suspicion and, in a partition, probe until it ends."""
         failing = len(self.detector.failing)
         self.verification = asyncio.get_running_loop().create_future()
-        reached = await self.reach_any(VERIFICATION_SERVERS)
-        begun = self.detector.on_verified(now(), reached=reached)
-        self.verification.set_result(None)
-        self.verification = None
+        try:
+            reached = await self.reach_any(VERIFICATION_SERVERS)
+            begun = self.detector.on_verified(now(), reached=reached)
+        finally:
+            # Requests wait for it.
+            self.verification.set_result(None)
+            self.verification = None
         if not begun:
             return
         log.warning(
@@ -97,5 +102,4 @@
 
     def close(self) -> None:
         """Stop probing."""
-        if self.work is not None:
-            self.work.cancel()
+        self.tasks.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
@@ -15,6 +15,7 @@
 
 from azurefield.coordinators import CoordinatorView
 from azurefield_entry.addresses import split_address
+from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.peer_frames import FROM_PEER, FromPeer, Heartbeat, ToPeer
@@ -119,7 +120,7 @@
     connecting: dict[str, asyncio.Task[Result[PeerLink, PeerUnreachable]]] = field(
         default_factory=dict
     )
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     async def link(self, instance: str) -> Result[PeerLink, PeerUnreachable]:
         """Return the link to an instance, connecting first if needed."""
@@ -147,10 +148,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_TIMEOUT_S * 1000))
         link = PeerLink(writer=writer, last_frame_at=now())
         self.links[instance] = link
-        for work in (link.receive(reader), link.watch_silence()):
-            task = asyncio.create_task(work)
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        self.tasks.start("receive-from-peer", link.receive(reader))
+        self.tasks.start("watch-peer-silence", link.watch_silence())
         log.info("Connected to instance {}.", instance)
         return Ok(link)
 
@@ -167,5 +166,4 @@
         """Close all links."""
         for link in self.links.values():
             link.close("this instance stops")
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas.py
@@ -19,6 +19,7 @@
     rate_fraction,
 )
 from azurefield.server_limits import ServerLimits
+from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peer_links import PeerLinks
@@ -96,7 +97,7 @@
     unreachable_until: dict[str, float] = field(default_factory=dict)
     orders: dict[str, tuple[frozenset[str], tuple[str, ...]]] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=count)
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def __post_init__(self) -> None:
         self.issuer = QuotaIssuer(fraction=self.own_fraction)
@@ -208,9 +209,7 @@
 
     def on_limit_ended(self, server: RegisteredServer) -> None:
         """Report to the issuer that a server has answered without a limit."""
-        task = asyncio.create_task(self.report_end(server))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.start("report-limit-end", self.report_end(server))
 
     async def report_end(self, server: RegisteredServer) -> None:
         """Send the report to the first issuer that can be reached."""
@@ -226,5 +225,4 @@
     def close(self) -> None:
         """Stop issuing."""
         self.issuer.close()
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -8,6 +8,7 @@
 
 from azurefield.retry import WindowedBudget
 from azurefield.routing import OwnObservationRouter
+from azurefield_entry.background import FAILURE_LISTENERS
 from azurefield_entry.gateway.admin import GatewayAdmin
 from azurefield_entry.gateway.coordinator import CoordinatorService
 from azurefield_entry.gateway.front import GatewayFront
@@ -62,6 +63,7 @@
     random = Random()
     metrics = GatewayMetrics()
     DROPPED_LINES.listeners.append(metrics.log_lines_dropped.inc)
+    FAILURE_LISTENERS.append(metrics.task_failures.inc)
     gateway = GatewayService(
         instance=settings.instance,
         availability_zone=settings.availability_zone,
