End only the link over which a frame nested too deeply arrives

Found by fuzzed frames; no user has reported it.

Cause: decoding a frame with values nested beyond the interpreter's limit raises another error than that of a malformed frame, also in a field that is skipped. At a follower it ended the task that follows the store: one frame of a relay, or of whatever else listens at its address, and the instance learned of no further change.

Change: such a frame is malformed, as any other that can't be decoded. A listener for other instances whose address can't be used at all is logged at once, also if the library does not report it as an error of the system; so far that ended the service when it was stopped.

The address that can't be used was not run.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/framing.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/framing.py
@@ -37,7 +37,11 @@
     length = int.from_bytes(await reader.readexactly(LENGTH_PREFIX_BYTES), "big")
     if length > FRAME_BYTES_MAX:
         raise msgspec.DecodeError(f"a frame of {length} bytes is too long")
-    return decoder.decode(await reader.readexactly(length))
+    body = await reader.readexactly(length)
+    try:
+        return decoder.decode(body)
+    except RecursionError as error:
+        raise msgspec.DecodeError("the values of a frame are nested too deeply") from error
 
 
 async def listen_for_instances(
@@ -55,6 +59,6 @@
         return await retry_while_in_use(
             lambda: asyncio.start_server(serve, host, int(port)), address, mailbox
         )
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
         log.error("Service {} can't listen for other instances: {}.", mailbox.name, error)
         return None
--- a/tests/fleet/test_odd_replies.py
+++ b/tests/fleet/test_odd_replies.py
@@ -1,13 +1,15 @@
-"""A gateway process before a store whose replies can't be used."""
+"""Gateway processes before a store or other instances that send what can't be used."""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 
+from azurefield_entry.gateway.framing import LENGTH_PREFIX_BYTES
 from azurefield_testkit.waiting import wait_until
-from gateway_process import serving_fleet
+from gateway_process import Site, serving_fleet
 from standins import config, route
 
 if TYPE_CHECKING:
@@ -15,6 +17,24 @@
 
 pytestmark = pytest.mark.process
 
+# A map with one unknown field of nested arrays; decoders of frames skip unknown fields.
+NESTED = b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0"
+
+
+def put_next_version(site: Site) -> None:
+    """Write the second version of the configuration."""
+    entry = config(2, route("r", "/x/", service="d"), services=("d",))
+    site.store.put("op/config", entry)
+
+
+async def wait_for_next_version(site: Site) -> None:
+    """Wait until the second version of the configuration is in force."""
+
+    async def in_force() -> bool:
+        return await site.metric("azurefield_gateway_configuration_version") == 2
+
+    await wait_until(in_force, "the next version is in force")
+
 
 async def test_a_revision_that_no_frame_can_carry_does_not_end_the_process(tmp_path: Path) -> None:
     """Guards against a reply of the store that ends the service that relays it."""
@@ -26,9 +46,28 @@
         await wait_until(lambda: site.store.calls.count("/kv-watch") > 2, "the store is watched")
         del site.store.events[-1]
         site.store.revision = usable
-        site.store.put("op/config", config(2, route("r", "/x/", service="d"), services=("d",)))
+        put_next_version(site)
+        await wait_for_next_version(site)
+
 
-        async def in_force() -> bool:
-            return await site.metric("azurefield_gateway_configuration_version") == 2
+async def test_frames_that_are_nested_too_deeply_only_end_their_link(tmp_path: Path) -> None:
+    """Guards against a relay whose frames end the work of its followers with the store."""
+    accepted: list[bytes] = []
 
-        await wait_until(in_force, "the next version is in force")
+    async def send_nested(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        accepted.append(await reader.read(1))
+        writer.write(len(NESTED).to_bytes(LENGTH_PREFIX_BYTES, "big") + NESTED)
+        await reader.read()
+        writer.close()
+
+    relay = await asyncio.start_server(send_nested, "127.0.0.1", 0)
+    address = f"127.0.0.1:{relay.sockets[0].getsockname()[1]}"
+    async with relay, serving_fleet(tmp_path, {"n1": 1.0}) as sites:
+        site = sites["n1"]
+        for name in ("a", "b", "c", "d"):
+            entry = {"zone": "one", "relay": address, "capacity": 1.0}
+            site.store.put(f"azurefield/instances/{name}", entry)
+        await wait_until(lambda: len(accepted) > 1, "both relays have been followed")
+        put_next_version(site)
+        await wait_for_next_version(site)
+        assert await site.metric("azurefield_gateway_task_failures_total") == 0
