Keep the exit code of a planned stop when more signals arrive

Users saw processes that ended by themselves (FAULT). That this is what they saw is not shown: no logs were kept.

Cause: when all services have stopped, closing the event loop removes the handlers of the signals. From then on until the interpreter has ended, another SIGTERM or SIGINT, or the SIGHUP of changed settings, ended the process with that signal in place of exit code 0.

Change: the process ends without closing the loop, as it does after a crash; the services have closed what they own by then. Blocking the signals instead was tried and does not suffice: processes still ended with code -1.

Evidence: a planned stop with one of the signals every 2 ms.

--- a/packages/azurefield-entry/src/azurefield_entry/lifetime.py
+++ b/packages/azurefield-entry/src/azurefield_entry/lifetime.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import sys
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import uvloop
 from logbook import Logger
@@ -29,22 +29,28 @@
 
 def run_process(
     serving: Coroutine[Any, Any, Result[None, ServiceCrashed]], *, log_level: str
-) -> int:
-    """Run a process until ``serving`` ends; a crash ends it at once.
-
-    :return: the exit code
-    """
+) -> NoReturn:
+    """Run a process until ``serving`` ends; a crash ends it at once."""
     handler = make_handler(log_level)
     with handler.applicationbound(), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         match runner.run(serving):
             case Err(crashed):
                 # The loop has stopped, so no other service can log after this line.
                 log.critical("Service {} crashed: {}.", crashed.name, describe_error(crashed.error))
-                # Tasks of other services may hang, so the process exits without waiting for them.
-                sys.stdout.flush()
-                sys.stderr.flush()
-                os._exit(EXIT_CRASHED)
-    return EXIT_OK
+                exit_at_once(EXIT_CRASHED)
+            case Ok(_):
+                exit_at_once(EXIT_OK)
+
+
+def exit_at_once(exit_code: int) -> NoReturn:
+    """End the process without closing its event loop.
+
+    Tasks of a service may hang after a crash of another one. And closing the loop removes the
+    handlers of signals, so that one more signal during a planned stop would end the process first.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(exit_code)
 
 
 async def serve(kernel: Kernel, *, drain_notice_s: float) -> Result[None, ServiceCrashed]:
