Move the exchange of a connection to a module of its own

Change: the class Exchange and the two limits that only it uses move to gateway/exchange.py. Result: no change of behaviour; the tests of the gateway pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -5,38 +5,32 @@
 import asyncio
 import re
 import socket
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_exceptions import ClientPayloadError
-from aiohttp.http import HttpResponseParser, RawResponseMessage
+from aiohttp.http import HttpResponseParser
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.streams import StreamReader
 from result import Err, Result
 
 from azurefield.answer_memory import AnswerMemory
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import ReceivedBytes, holds_another_head
-from azurefield_entry.gateway.ports import LeafCall, OpaqueAnswer
+from azurefield_entry.gateway.answer_end import holds_another_head
+from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
-
     from collections.abc import Callable
 
-    from azurefield_entry.gateway.ports import LeafDialect
+    from aiohttp.http import RawResponseMessage
+
+    from azurefield_entry.gateway.ports import LeafCall, LeafDialect, OpaqueAnswer
 
 # Connecting takes one round trip, at most to another zone. A server that takes longer counts as
 # unreachable.
 CONNECT_TIMEOUT_S = 0.2
 ANSWER_BYTES_MAX = 8 * 1024 * 1024
-# Longest head of an answer, interim answers included.
-HEAD_BYTES_MAX = 64 * 1024
-# Bytes of the framing of chunks for each byte of body, beyond HEAD_BYTES_MAX. Parsing a chunk takes
-# as long as parsing hundreds of bytes.
-FRAMING_FRACTION_MAX = 1 / 16
 # Bytes that are parsed before the limits are checked again.
 PARSED_BYTES_MAX = 64 * 1024
 # The operating system closes a connection whose sent bytes are not acknowledged for this time. By
@@ -48,44 +42,6 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]{1,9})", re.IGNORECASE)
 
 
-@dataclass(slots=True, kw_only=True)
-class Exchange:
-    """The call whose answer a connection waits for, with the answers that have begun to arrive.
-
-    :param reused: whether an earlier call used the connection
-    :param body: what has arrived of the body of the first of these answers
-    :param body_bytes: bytes of bodies that have arrived, of all answers
-    """
-
-    call: LeafCall
-    reused: bool
-    received: ReceivedBytes = field(default_factory=ReceivedBytes)
-    result_future: asyncio.Future[Result[OpaqueAnswer, LeafFailure]]
-    answers: list[tuple[RawResponseMessage, StreamReader]] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-
-    @property
-    def framing_bytes(self) -> int:
-        """Bytes that are no body: heads, sizes of chunks and trailers."""
-        return self.received.total - self.body_bytes
-
-    @property
-    def framing_bytes_max(self) -> float:
-        """How many such bytes the answers may have by now."""
-        return HEAD_BYTES_MAX + FRAMING_FRACTION_MAX * self.body_bytes
-
-    def add_body(self, data: bytes) -> None:
-        """Add to the body of the first answer."""
-        self.body.append(data)
-        self.body_bytes += len(data)
-
-    def take_body(self) -> bytes:
-        """Remove and return the body of the first answer."""
-        parts, self.body = self.body, []
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-
-
 class HttpLeafConnection(BaseProtocol):
     """A connection that is opened by its first call.
 
