Parse each answer without the trailers of an earlier one

What callers saw: not reported; found by playing copies of every form. A caller got the last trailer of the answer to another request as a header of its own answer. Where it was Not-Executed, a request that had run was refused with 503.

Cause: the HTTP parser of a connection was kept between calls. It adds a trailer to the headers when the next header begins, which for the last trailer is the first header of the next answer, so that answer began with it.

Change: each call has a parser of its own. An extra answer in chunks is dropped with its parser; where the own answer begins in the same read and trailers may stand between the two, the call fails as malformed and may have run.

Why it works: nothing of an earlier answer is left in a new parser. Result: the 5 cases pass, with the other tests of the gateway.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -12,6 +12,8 @@
 HEAD_END = b"\r\n\r\n"
 # The last chunk or the last trailer ends with HEAD_END; one more line break is an extra byte.
 EXTRA_LINE_BREAK = b"\n" + HEAD_END
+# The end of a chunked answer without trailers, and the begin of another answer.
+NO_TRAILERS = b"\r\n0\r\n\r\nH"
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
 
@@ -54,6 +56,11 @@
         if position >= 0:
             self.head_length = position + len(HEAD_END)
 
+    @property
+    def ends_with_chunks(self) -> bool:
+        """Whether the last byte is the last one of a chunked answer, if one has just ended."""
+        return self.last.endswith(HEAD_END) and self.last != EXTRA_LINE_BREAK
+
     def skip_interim_answer(self) -> None:
         """Continue with the answer behind an interim answer, which is only a head."""
         if self.head_length is not None:
@@ -71,7 +78,7 @@
             # The parser accepts a head with unusual line breaks, whose length is unknown here.
             return False
         if message.chunked:
-            return self.last.endswith(HEAD_END) and self.last != EXTRA_LINE_BREAK
+            return self.ends_with_chunks
         return self.total == self.answer_start + self.head_length + len(body)
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -17,7 +17,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import holds_another_head
+from azurefield_entry.gateway.answer_end import NO_TRAILERS, holds_another_head
 from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -65,7 +65,6 @@
         "on_open",
         "on_stray_bytes",
         "parser",
-        "parses_bodies",
     )
 
     def __init__(
@@ -86,8 +85,7 @@
         self.current_exchange: Exchange | None = None
         self.closed = False
         self.calls_sent = 0
-        self.parses_bodies = True
-        self.parser: HttpResponseParser | None = self.new_parser()
+        self.parser: HttpResponseParser | None = None
         self.idle_since = 0.0
         self.idle_until = float("inf")
 
@@ -102,10 +100,7 @@
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
         if self.closed or self.transport is None:
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
-        parses_bodies = call.request.method != "HEAD"
-        if parses_bodies is not self.parses_bodies:
-            self.parses_bodies = parses_bodies
-            self.parser = self.new_parser()
+        self.parser = self.new_parser(call)
         self.current_exchange = Exchange(
             call=call,
             reused=self.calls_sent > 0,
@@ -122,14 +117,17 @@
             self.current_exchange = None
             self.memory.release(self)
 
-    def new_parser(self) -> HttpResponseParser:
-        """Make a parser; it is kept between calls, which end where an answer ends."""
+    def new_parser(self, call: LeafCall) -> HttpResponseParser:
+        """Make a parser, without anything of earlier answers.
+
+        A parser adds the last trailer of an answer to the headers of the next one.
+        """
         return HttpResponseParser(
             self,
             self._loop,
             ANSWER_BYTES_MAX,
             payload_exception=ClientPayloadError,
-            response_with_body=self.parses_bodies,
+            response_with_body=call.request.method != "HEAD",
             read_until_eof=True,
             auto_decompress=False,
         )
@@ -196,7 +194,7 @@
             return
         exchange.answers += answers
         exchange.received.add(data)
-        self.process_answers(exchange, extra=bool(tail))
+        self.process_answers(exchange, extra=bool(tail), read=data)
         if not exchange.result_future.done():
             self.limit_size(exchange)
 
@@ -218,10 +216,11 @@
         problem = failure(LeafFailureReason.MALFORMED, detail=detail)
         self.finish_exchange(Err(problem), reusable=False)
 
-    def process_answers(self, exchange: Exchange, *, extra: bool) -> None:
+    def process_answers(self, exchange: Exchange, *, extra: bool, read: bytes) -> None:
         """Finish the call with the first whole answer that belongs to it.
 
         :param extra: whether bytes follow that are no part of an answer
+        :param read: the bytes with which these answers were completed
         """
         unexpected = extra
         while exchange.answers:
@@ -258,6 +257,9 @@
             )
             if result is None:
                 unexpected = True
+                if message.chunked and not self.drop_trailers(exchange, read):
+                    self.give_up("an answer follows in one read with the trailers of another one")
+                    return
                 continue
             self.apply_keep_alive(message)
             unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
@@ -272,6 +274,16 @@
             # The call still waits for its own answer, and the connection is not reused after it.
             self.idle_until = float("-inf")
 
+    def drop_trailers(self, exchange: Exchange, read: bytes) -> bool:
+        """Drop the trailers of an extra answer.
+
+        :return: whether the answers behind it are free of them
+        """
+        if not exchange.answers and exchange.received.ends_with_chunks:
+            self.parser = self.new_parser(exchange.call)
+            return True
+        return NO_TRAILERS in read
+
     def apply_keep_alive(self, message: RawResponseMessage) -> None:
         """Limit the idle time to the server's ``Keep-Alive`` timeout."""
         granted = KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", ""))
@@ -293,7 +305,7 @@
                 Err(failure(LeafFailureReason.TRUNCATED, detail=str(error))), reusable=False
             )
         else:
-            self.process_answers(exchange, extra=False)
+            self.process_answers(exchange, extra=False, read=b"")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the waiting call; its request may have run."""
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -0,0 +1,81 @@
+"""Extra answers of a backend server behind answers whose end or whose trailers hide them."""
+
+from __future__ import annotations
+
+import pytest
+from result import Err, Ok
+
+from azurefield.model import Outcome
+from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
+from azurefield_testkit.entry_support.scripted_server import (
+    PlainDialect,
+    ScriptedServer,
+    listening,
+)
+
+
+def call(target: str) -> LeafCall:
+    request = GatewayRequest(
+        request_id=target,
+        method="GET",
+        host="x",
+        target=target,
+        headers=(),
+        body=b"",
+        arrived_at=0.0,
+        deadline=None,
+    )
+    return LeafCall(request=request, server="s", deadline=0.0)
+
+
+def answer(identity: str, body: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nId: {identity}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def chunked(identity: str, body: bytes, trailer: str = "") -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nId: {identity}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return f"{head}{len(body):x}\r\n{body.decode()}\r\n0\r\n{trailer}\r\n".encode()
+
+
+TRAILER = "Not-Executed: 1\r\n"
+
+
+async def test_a_trailer_is_no_header_of_the_next_answer_of_its_connection() -> None:
+    """Guards against a request that has run and is refused for a trailer of another answer."""
+    script = [[chunked("/1", b"one", TRAILER)], [answer("/2", b"two")]]
+    async with listening(ScriptedServer(script=script)) as address:
+        connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+        for target, body in (("/1", b"one"), ("/2", b"two")):
+            result = await connection.exchange(call(target))
+            assert isinstance(result, Ok)
+            assert result.ok_value.body == body
+            assert "Not-Executed" not in dict(result.ok_value.headers)
+        assert connection.usable
+        await connection.close()
+
+
+@pytest.mark.parametrize("trailer", [TRAILER, ""], ids=["trailer", "no-trailer"])
+@pytest.mark.parametrize("joined", [True, False], ids=["one-segment", "two-segments"])
+async def test_a_trailer_of_an_extra_answer_is_no_header_of_the_answer_behind_it(
+    trailer: str, joined: bool
+) -> None:
+    """Guards against the same for a late second copy, in one read with the answer or not."""
+    copy, own = chunked("/1", b"one", trailer), answer("/2", b"two")
+    for cut in range(1, len(own), 3):
+        segments = [copy + own[:cut], own[cut:]] if joined else [copy, own[:cut], own[cut:]]
+        script = [[answer("/1", b"one")], segments]
+        async with listening(ScriptedServer(script=script)) as address:
+            connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            match await connection.exchange(call("/2")):
+                case Ok(own_answer):
+                    assert own_answer.body == b"two"
+                    assert "Not-Executed" not in dict(own_answer.headers)
+                case Err(failure):
+                    assert trailer
+                    assert joined
+                    assert failure.outcome is Outcome.MAY_HAVE_RUN
+            assert not connection.usable
+            await connection.close()
