Reject a body without a length that goes on with another answer

What callers saw: MIXED, a body that isn't the server's whole body. An answer that has no length and ends with its connection was passed on with the second copy behind it, whole or cut off, as part of its body. Not known to be what the users saw.

Cause: bytes behind an answer are found by counting against its length. An answer without a length has none, so all bytes up to the close counted as its body.

Evidence: test_a_copy_behind_an_answer_without_a_length_is_no_part_of_its_body on the code before: 6 of 6 cases failed (copies with a length, in chunks and without; in the same write and later).

Change: a body without a length that holds a status line, or ends with the begin of one, is no answer: malformed, may have run. Weighed: a body may hold such bytes of its own. Where a length or chunks give its end, they are accepted as before; without an end nothing tells them from a copy, and a failure breaks no promise.

Limits: a copy that is cut off within its first four bytes can't be told from the body.

Result: the 6 cases pass, with the other tests of the gateway.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -15,6 +15,10 @@
 # The end of a chunked answer without trailers, and the begin of another answer.
 NO_TRAILERS = b"\r\n0\r\n\r\nH"
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
+# A status line in a body, or its begin as the last bytes.
+STATUS_LINE_IN_BODY = re.compile(
+    rb"HTTP/(?:[0-9]\.[0-9] [0-9]{3}|(?:[0-9](?:\.(?:[0-9](?: [0-9]{0,2})?)?)?)?\Z)"
+)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -82,10 +86,14 @@
         return self.total == self.answer_start + self.head_length + len(body)
 
 
-def holds_another_head(message: RawResponseMessage) -> bool:
-    """Whether a head goes on with the status line of another one.
+def holds_another_answer(message: RawResponseMessage, body: bytes) -> bool:
+    """Whether an answer goes on with another one, of which it holds the status line.
 
-    This happens if a head is cut off and an answer follows on the same connection.
+    This happens if a head is cut off, or if a body has no length and ends with its connection, and
+    an answer follows on the same connection.
     """
     values = [message.reason, *message.headers.values()]
-    return any("HTTP/" in value and STATUS_LINE.search(value) for value in values)
+    if any("HTTP/" in value and STATUS_LINE.search(value) for value in values):
+        return True
+    has_end = message.chunked or "Content-Length" in message.headers
+    return not has_end and STATUS_LINE_IN_BODY.search(body) is not None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -17,7 +17,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import NO_TRAILERS, holds_another_head
+from azurefield_entry.gateway.answer_end import NO_TRAILERS, holds_another_answer
 from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -236,14 +236,14 @@
             if not payload.is_eof():
                 return
             del exchange.answers[0]
-            if holds_another_head(message):
+            body = exchange.take_body()
+            if holds_another_answer(message, body):
                 self.on_stray_bytes()
-                self.give_up("the head holds the status line of another answer")
+                self.give_up("the answer holds the status line of another one")
                 return
             if 100 <= message.code < 200:
                 exchange.received.skip_interim_answer()
                 continue
-            body = exchange.take_body()
             headers = tuple(
                 (name.decode(errors="replace"), value.decode(errors="replace"))
                 for name, value in message.raw_headers
--- a/packages/azurefield-entry/tests/gateway/test_extra_answers.py
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Err, Ok
 
+from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
@@ -79,3 +80,39 @@
                     assert failure.outcome is Outcome.MAY_HAVE_RUN
             assert not connection.usable
             await connection.close()
+
+
+WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nId: /1\r\n\r\nbody"
+# A copy that is cut off within this can't be told from the body.
+TOO_SHORT = len(b"HTTP")
+
+
+@pytest.mark.parametrize("copy", [WITHOUT_LENGTH, answer("/0", b"no"), chunked("/0", b"no")])
+@pytest.mark.parametrize("late", [True, False], ids=["late", "same-write"])
+async def test_a_copy_behind_an_answer_without_a_length_is_no_part_of_its_body(
+    copy: bytes, late: bool
+) -> None:
+    """Guards against a body that goes on with the copy because it ends with the connection."""
+    for length in range(TOO_SHORT + 1, len(copy) + 1):
+        cut = copy[:length]
+        segments = [WITHOUT_LENGTH, cut] if late else [WITHOUT_LENGTH + cut]
+        async with listening(ScriptedServer(script=[segments], close=True)) as address:
+            connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+            result = await connection.exchange(call("/1"))
+        assert isinstance(result, Err), cut
+        assert (result.err_value.reason, result.err_value.outcome) == (
+            LeafFailureReason.MALFORMED,
+            Outcome.MAY_HAVE_RUN,
+        )
+
+
+@pytest.mark.parametrize("body", [b'"GET / HTTP/1.1" 200', b"HTTP/", b"HTTP/1.1 200 OK\r\nId: /1"])
+async def test_a_body_with_a_length_may_hold_a_status_line(body: bytes) -> None:
+    """Guards against rejecting a body whose end is known for what it holds."""
+    async with listening(ScriptedServer(script=[[answer("/1", body)]])) as address:
+        connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+        result = await connection.exchange(call("/1"))
+        assert isinstance(result, Ok)
+        assert result.ok_value.body == body
+        assert connection.usable
+        await connection.close()
