Believe a 421 without an identity only on a new connection

What callers saw: not reported. An answer 421 without Request-Id on a connection that had carried an earlier call was taken for the answer to the current one: the request counted as not run, may be sent again (TWICE) or refused (REFUSED), while it runs.

Cause: decode looked at 421 before the rule that an answer without an identity counts only on a new connection, which 503, 400 and all others keep.

Not shown with a whole gateway: a 421 retires all connections of its server, so its own late copy meets no later call; only a server that sends 421 without having been asked reaches this.

Test replaced: test_an_answer_without_an_identity_counts_only_on_a_new_connection demanded this one exception. The rest of it stays; the new test covers each status that refuses, with and without an identity, on new and on reused connections.

Weighed: a server's own 421 without an identity on a reused connection would now be waited for until the deadline. A connection stays with the process that accepted it, so another server can answer only on a new one.

--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -107,8 +107,26 @@
     headers = (("Response-Signature", "p"),)
     assert isinstance(LeafsHttp().decode(CALL, 200, headers, b"x", reused=False), Ok)
     assert LeafsHttp().decode(CALL, 200, headers, b"x", reused=True) is None
-    refused = LeafsHttp().decode(CALL, 421, (("Instance-Id", "i-2"),), b"", reused=True)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (421, (("Instance-Id", "i-2"),)),
+        (400, (("Not-Executed", "1"),)),
+        (503, (("Not-Executed", "1"),)),
+    ],
+)
+def test_a_refusal_without_an_identity_counts_only_on_a_new_connection(
+    status: int, headers: tuple[tuple[str, str], ...]
+) -> None:
+    """Guards against a request that runs and is refused for a copy of an earlier refusal."""
+    assert LeafsHttp().decode(CALL, status, headers, b"", reused=True) is None
+    refused = LeafsHttp().decode(CALL, status, headers, b"", reused=False)
     assert isinstance(refused, Err)
+    assert refused.err_value.outcome is Outcome.NOT_RUN
+    own = (("Request-Id", "q1"), *headers)
+    assert isinstance(LeafsHttp().decode(CALL, status, own, b"", reused=True), Err)
 
 
 def test_an_encoded_body_is_not_the_leaf_s_body() -> None:
