--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -12,7 +12,13 @@
 HEAD_END = b"\r\n\r\n"
 # The last chunk or the last trailer ends with HEAD_END; one more line break is an extra byte.
 EXTRA_LINE_BREAK = b"\n" + HEAD_END
+# The end of a chunked answer without trailers, and the begin of another answer.
+NO_TRAILERS = b"\r\n0\r\n\r\nH"
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
+# A status line in a body, or its begin as the last bytes.
+STATUS_LINE_IN_BODY = re.compile(
+    rb"HTTP/(?:[0-9]\.[0-9] [0-9]{3}|(?:[0-9](?:\.(?:[0-9](?: [0-9]{0,2})?)?)?)?\Z)"
+)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -54,6 +60,11 @@
         if position >= 0:
             self.head_length = position + len(HEAD_END)
 
+    @property
+    def ends_with_chunks(self) -> bool:
+        """Whether the last byte is the last one of a chunked answer, if one has just ended."""
+        return self.last.endswith(HEAD_END) and self.last != EXTRA_LINE_BREAK
+
     def skip_interim_answer(self) -> None:
         """Continue with the answer behind an interim answer, which is only a head."""
         if self.head_length is not None:
@@ -71,14 +82,18 @@
             # The parser accepts a head with unusual line breaks, whose length is unknown here.
             return False
         if message.chunked:
-            return self.last.endswith(HEAD_END) and self.last != EXTRA_LINE_BREAK
+            return self.ends_with_chunks
         return self.total == self.answer_start + self.head_length + len(body)
 
 
-def holds_another_head(message: RawResponseMessage) -> bool:
-    """Whether a head goes on with the status line of another one.
+def holds_another_answer(message: RawResponseMessage, body: bytes) -> bool:
+    """Whether an answer goes on with another one, of which it holds the status line.
 
-    This happens if a head is cut off and an answer follows on the same connection.
+    This happens if a head is cut off, or if a body has no length and ends with its connection, and
+    an answer follows on the same connection.
     """
     values = [message.reason, *message.headers.values()]
-    return any("HTTP/" in value and STATUS_LINE.search(value) for value in values)
+    if any("HTTP/" in value and STATUS_LINE.search(value) for value in values):
+        return True
+    has_end = message.chunked or "Content-Length" in message.headers
+    return not has_end and STATUS_LINE_IN_BODY.search(body) is not None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -5,38 +5,32 @@
 import asyncio
 import re
 import socket
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_exceptions import ClientPayloadError
-from aiohttp.http import HttpResponseParser, RawResponseMessage
+from aiohttp.http import HttpResponseParser
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.streams import StreamReader
 from result import Err, Result
 
 from azurefield.answer_memory import AnswerMemory
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import ReceivedBytes, holds_another_head
-from azurefield_entry.gateway.ports import LeafCall, OpaqueAnswer
+from azurefield_entry.gateway.answer_end import NO_TRAILERS, holds_another_answer
+from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
-
     from collections.abc import Callable
 
-    from azurefield_entry.gateway.ports import LeafDialect
+    from aiohttp.http import RawResponseMessage
+
+    from azurefield_entry.gateway.ports import LeafCall, LeafDialect, OpaqueAnswer
 
 # Connecting takes one round trip, at most to another zone. A server that takes longer counts as
 # unreachable.
 CONNECT_TIMEOUT_S = 0.2
 ANSWER_BYTES_MAX = 8 * 1024 * 1024
-# Longest head of an answer, interim answers included.
-HEAD_BYTES_MAX = 64 * 1024
-# Bytes of the framing of chunks for each byte of body, beyond HEAD_BYTES_MAX. Parsing a chunk takes
-# as long as parsing hundreds of bytes.
-FRAMING_FRACTION_MAX = 1 / 16
 # Bytes that are parsed before the limits are checked again.
 PARSED_BYTES_MAX = 64 * 1024
 # The operating system closes a connection whose sent bytes are not acknowledged for this time. By
@@ -48,44 +42,6 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]{1,9})", re.IGNORECASE)
 
 
-@dataclass(slots=True, kw_only=True)
-class Exchange:
-    """The call whose answer a connection waits for, with the answers that have begun to arrive.
-
-    :param reused: whether an earlier call used the connection
-    :param body: what has arrived of the body of the first of these answers
-    :param body_bytes: bytes of bodies that have arrived, of all answers
-    """
-
-    call: LeafCall
-    reused: bool
-    received: ReceivedBytes = field(default_factory=ReceivedBytes)
-    result_future: asyncio.Future[Result[OpaqueAnswer, LeafFailure]]
-    answers: list[tuple[RawResponseMessage, StreamReader]] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-
-    @property
-    def framing_bytes(self) -> int:
-        """Bytes that are no body: heads, sizes of chunks and trailers."""
-        return self.received.total - self.body_bytes
-
-    @property
-    def framing_bytes_max(self) -> float:
-        """How many such bytes the answers may have by now."""
-        return HEAD_BYTES_MAX + FRAMING_FRACTION_MAX * self.body_bytes
-
-    def add_body(self, data: bytes) -> None:
-        """Add to the body of the first answer."""
-        self.body.append(data)
-        self.body_bytes += len(data)
-
-    def take_body(self) -> bytes:
-        """Remove and return the body of the first answer."""
-        parts, self.body = self.body, []
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-
-
 class HttpLeafConnection(BaseProtocol):
     """A connection that is opened by its first call.
 
@@ -109,7 +65,6 @@
         "on_open",
         "on_stray_bytes",
         "parser",
-        "parses_bodies",
     )
 
     def __init__(
@@ -130,8 +85,7 @@
         self.current_exchange: Exchange | None = None
         self.closed = False
         self.calls_sent = 0
-        self.parses_bodies = True
-        self.parser: HttpResponseParser | None = self.new_parser()
+        self.parser: HttpResponseParser | None = None
         self.idle_since = 0.0
         self.idle_until = float("inf")
 
@@ -146,10 +100,7 @@
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
         if self.closed or self.transport is None:
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
-        parses_bodies = call.request.method != "HEAD"
-        if parses_bodies is not self.parses_bodies:
-            self.parses_bodies = parses_bodies
-            self.parser = self.new_parser()
+        self.parser = self.new_parser(call)
         self.current_exchange = Exchange(
             call=call,
             reused=self.calls_sent > 0,
@@ -166,14 +117,17 @@
             self.current_exchange = None
             self.memory.release(self)
 
-    def new_parser(self) -> HttpResponseParser:
-        """Make a parser; it is kept between calls, which end where an answer ends."""
+    def new_parser(self, call: LeafCall) -> HttpResponseParser:
+        """Make a parser, without anything of earlier answers.
+
+        A parser adds the last trailer of an answer to the headers of the next one.
+        """
         return HttpResponseParser(
             self,
             self._loop,
             ANSWER_BYTES_MAX,
             payload_exception=ClientPayloadError,
-            response_with_body=self.parses_bodies,
+            response_with_body=call.request.method != "HEAD",
             read_until_eof=True,
             auto_decompress=False,
         )
@@ -240,7 +194,7 @@
             return
         exchange.answers += answers
         exchange.received.add(data)
-        self.process_answers(exchange, extra=bool(tail))
+        self.process_answers(exchange, extra=bool(tail), read=data)
         if not exchange.result_future.done():
             self.limit_size(exchange)
 
@@ -262,10 +216,11 @@
         problem = failure(LeafFailureReason.MALFORMED, detail=detail)
         self.finish_exchange(Err(problem), reusable=False)
 
-    def process_answers(self, exchange: Exchange, *, extra: bool) -> None:
+    def process_answers(self, exchange: Exchange, *, extra: bool, read: bytes) -> None:
         """Finish the call with the first whole answer that belongs to it.
 
         :param extra: whether bytes follow that are no part of an answer
+        :param read: the bytes with which these answers were completed
         """
         unexpected = extra
         while exchange.answers:
@@ -281,14 +236,14 @@
             if not payload.is_eof():
                 return
             del exchange.answers[0]
-            if holds_another_head(message):
+            body = exchange.take_body()
+            if holds_another_answer(message, body):
                 self.on_stray_bytes()
-                self.give_up("the head holds the status line of another answer")
+                self.give_up("the answer holds the status line of another one")
                 return
             if 100 <= message.code < 200:
                 exchange.received.skip_interim_answer()
                 continue
-            body = exchange.take_body()
             headers = tuple(
                 (name.decode(errors="replace"), value.decode(errors="replace"))
                 for name, value in message.raw_headers
@@ -302,6 +257,9 @@
             )
             if result is None:
                 unexpected = True
+                if message.chunked and not self.drop_trailers(exchange, read):
+                    self.give_up("an answer follows in one read with the trailers of another one")
+                    return
                 continue
             self.apply_keep_alive(message)
             unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
@@ -317,6 +275,16 @@
             # The call still waits for its own answer, and the connection is not reused after it.
             self.idle_until = float("-inf")
 
+    def drop_trailers(self, exchange: Exchange, read: bytes) -> bool:
+        """Drop the trailers of an extra answer.
+
+        :return: whether the answers behind it are free of them
+        """
+        if not exchange.answers and exchange.received.ends_with_chunks:
+            self.parser = self.new_parser(exchange.call)
+            return True
+        return NO_TRAILERS in read
+
     def apply_keep_alive(self, message: RawResponseMessage) -> None:
         """Limit the idle time to the server's ``Keep-Alive`` timeout."""
         granted = KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", ""))
@@ -338,7 +306,7 @@
                 Err(failure(LeafFailureReason.TRUNCATED, detail=str(error))), reusable=False
             )
         else:
-            self.process_answers(exchange, extra=False)
+            self.process_answers(exchange, extra=False, read=b"")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the waiting call; its request may have run."""
