Finish the answers that callers still read before a planned stop ends

Seen by callers: an answer that is larger than what the sockets hold ended early when the process was stopped as planned (SIGTERM), though its caller went on reading within the time for the stop.

Cause: a request counted as finished once its answer was built. The front then closed its connections and the process ended, with the rest of the answer still in the process's own write buffers.

Change: the front waits until the operating system has taken all answers, at most until the existing end of the time for running requests.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/caller_server.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/caller_server.py
@@ -21,6 +21,7 @@
 # The gateway closes an idle connection this long after the idle timeout, so that a request that a
 # caller sends just before the timeout is not lost.
 IDLE_MARGIN_S = 1.0
+WRITE_CHECK_INTERVAL_S = 0.01
 HEAD_END = b"\r\n\r\n"
 # A caller may send this much behind a head whose request has not begun, while it does not read the
 # answer to an earlier one.
@@ -190,3 +191,13 @@
         finally:
             if isinstance(request.protocol, CallerConnection):
                 request.protocol.on_request_end()
+
+    async def finish_writing(self, deadline: float) -> None:
+        """Wait until the operating system has taken all answers, at most until a deadline."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < deadline:
+            # An answer is written shortly after its request has ended.
+            await asyncio.sleep(WRITE_CHECK_INTERVAL_S)
+            transports = [connection.transport for connection in self.connections]
+            if not any(t is not None and t.get_write_buffer_size() for t in transports):
+                return
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
@@ -101,7 +101,7 @@
         await self.activity.finish(timeout_s=LAST_ANSWERS_S)
 
     async def finish_requests(self, server: CallerServer, deadline: float) -> int:
-        """Finish the requests that have arrived, and close the connections that are idle then.
+        """Finish the requests that have arrived, close the idle connections and send all answers.
 
         :return: how many requests are still running when the time is over
         """
@@ -112,7 +112,9 @@
             await self.activity.finish(timeout_s=deadline - loop.time())
             await asyncio.sleep(QUIET_TIME_S)
         server.pre_shutdown()
-        return await self.activity.finish(timeout_s=max(0.0, deadline - loop.time()))
+        left = await self.activity.finish(timeout_s=max(0.0, deadline - loop.time()))
+        await server.finish_writing(deadline)
+        return left
 
     async def get_readiness(self, request: web.BaseRequest) -> web.StreamResponse:  # noqa: ARG002
         """Answer 200 if this instance takes new connections, else 503."""
--- a/tests/fleet/test_process.py
+++ b/tests/fleet/test_process.py
@@ -23,6 +23,9 @@
 pytestmark = pytest.mark.process
 
 EXIT_BAD_SETTINGS = 78
+# A caller's pause that lies within the time for a planned stop, but beyond its time for new
+# requests.
+PAUSE_S = 3.5
 
 
 async def test_each_kind_of_route_is_answered(tmp_path: Path) -> None:
@@ -303,3 +306,24 @@
         ran = [request["Request-Id"] for request in site.leafs["d1"].requests]
         assert "order" not in ran
         assert await site.process.wait() == 0
+
+
+async def test_a_planned_stop_finishes_an_answer_that_its_caller_reads_slowly(
+    tmp_path: Path,
+) -> None:
+    """Guards against answers that are cut where they exceed what the sockets hold."""
+    body = bytes(8_000_000)
+    async with serving(tmp_path) as site:
+        assert site.process is not None
+        site.leafs["d1"].body = body
+        host, _, port = site.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /s/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert f"Content-Length: {len(body)}".encode() in head
+        site.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(PAUSE_S)
+        assert await reader.readexactly(len(body)) == body
+        assert await reader.read() == b""
+        writer.close()
+        assert await site.process.wait() == 0
