Refuse a body without a length that goes on with another answer

Seen by callers: an answer with the leaf's proof whose body goes on with the copy of the answer, whole or cut; in listings, records cut from the head of the copy (MIXED). It needs a leaf that answers twice, gives no length and then closes the connection.

Cause: without a length, the body is all that arrives until the connection closes. Bytes behind an answer were looked for only where a length or the last chunk shows its end.

Change: a body without a length that holds a status line with one of the server's own headers behind it, or ends with the begin of the answer's own head, is no answer. Its call has failed and may have run.

Result: the tests pass. Fewer than five bytes of a status line can't be told from a body; this stays open.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -13,6 +13,7 @@
 # The last chunk or the last trailer ends with HEAD_END; one more line break is an extra byte.
 EXTRA_LINE_BREAK = b"\n" + HEAD_END
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
+STATUS_LINE_START = b"HTTP/"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -82,3 +83,25 @@
     """
     values = [message.reason, *message.headers.values()]
     return any("HTTP/" in value and STATUS_LINE.search(value) for value in values)
+
+
+def goes_on_with_answer(message: RawResponseMessage, body: bytes) -> bool:
+    """Whether a body that ends with its connection holds the begin of one more answer.
+
+    Without a length, an answer that is sent twice looks like one answer with a longer body. Only a
+    status line with a header of the same server behind it counts, or the begin of this head at the
+    end of the body, so that a body may hold other examples of HTTP.
+    """
+    if message.chunked or "Content-Length" in message.headers:
+        return False
+    last = body.rfind(STATUS_LINE_START)
+    if last < 0:
+        return False
+    version, first_names = message.version, [name for name, _ in message.raw_headers[:1]]
+    status_line = f"HTTP/{version.major}.{version.minor} {message.code} {message.reason}\r\n"
+    head = b"".join([status_line.encode(errors="surrogateescape"), *first_names])
+    if head.startswith(body[last:]):
+        return True
+    names = b"|".join(re.escape(name) for name, _ in message.raw_headers)
+    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*\r\n(?:" + names + rb")[ \t]*:"
+    return re.search(another, body, re.IGNORECASE) is not None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -19,7 +19,11 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import ReceivedBytes, holds_another_head
+from azurefield_entry.gateway.answer_end import (
+    ReceivedBytes,
+    goes_on_with_answer,
+    holds_another_head,
+)
 from azurefield_entry.gateway.ports import LeafCall, OpaqueAnswer
 
 if TYPE_CHECKING:
@@ -289,6 +293,10 @@
                 exchange.received.skip_interim_answer()
                 continue
             body = exchange.take_body()
+            if goes_on_with_answer(message, body):
+                self.on_stray_bytes()
+                self.give_up("a body without a length goes on with another answer")
+                return
             headers = tuple(
                 (name.decode(errors="replace"), value.decode(errors="replace"))
                 for name, value in message.raw_headers
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
@@ -0,0 +1,87 @@
+"""Answers without a length, which end with their connection, from servers that answer twice."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from result import Err, Ok
+
+from azurefield.failures import LeafFailureReason
+from azurefield.model import Outcome
+from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
+from azurefield_testkit.entry_support.scripted_server import (
+    PlainDialect,
+    ScriptedServer,
+    listening,
+)
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from azurefield.failures import LeafFailure
+    from azurefield_entry.gateway.ports import OpaqueAnswer
+
+ANSWER = b"HTTP/1.1 200 OK\r\nId: /1\r\nProof: p\r\n\r\nbody"
+EARLIER = b"HTTP/1.1 503 Service Unavailable\r\nId: /0\r\nContent-Length: 0\r\n\r\n"
+# A shorter begin of a status line can't be told from a body.
+CUTS = (5, 8, 12, 15, 16, 17, 19, 20, 24, len(ANSWER) - 4, len(ANSWER) - 1)
+
+
+async def exchange(*segments: bytes) -> Result[OpaqueAnswer, LeafFailure]:
+    """Make a call to a server that sends some segments and closes the connection."""
+    async with listening(ScriptedServer(script=[[*segments]], close=True)) as address:
+        connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+        request = GatewayRequest(
+            request_id="/1",
+            method="GET",
+            host="x",
+            target="/1",
+            headers=(),
+            body=b"",
+            arrived_at=0.0,
+            deadline=None,
+        )
+        try:
+            return await connection.exchange(LeafCall(request=request, server="s", deadline=0.0))
+        finally:
+            await connection.close()
+
+
+@pytest.mark.parametrize(
+    "segments",
+    [
+        (ANSWER + ANSWER,),
+        (ANSWER, ANSWER),
+        (ANSWER[:-2], ANSWER),
+        (ANSWER, EARLIER),
+        *((ANSWER, ANSWER[:cut]) for cut in CUTS),
+    ],
+    ids=["whole", "whole-later", "first-cut", "earlier", *(f"cut-{cut}" for cut in CUTS)],
+)
+async def test_a_second_answer_is_no_part_of_a_body_without_a_length(
+    segments: tuple[bytes, ...],
+) -> None:
+    """Guards against bodies that go on with the copy of an answer."""
+    result = await exchange(*segments)
+    assert isinstance(result, Err), result.ok_value
+    assert result.err_value.reason is LeafFailureReason.MALFORMED
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    "example",
+    [
+        b"GET /1 HTTP/1.1\r\nId: /1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nServer: example\r\n\r\n",
+        b"HTTP/1.1 200 OK",
+        b"see HTTP/1.1 and HTTP/2",
+    ],
+    ids=["request", "other-server", "status-line", "names"],
+)
+async def test_a_body_without_a_length_may_hold_examples_of_http(example: bytes) -> None:
+    """Guards against whole answers that are refused because of what their bodies say."""
+    result = await exchange(ANSWER, b" " + example + b".")
+    assert isinstance(result, Ok), result.err_value
+    assert result.ok_value.body == b"body " + example + b"."
