Let the tests of the callers' side wait until callers can connect

Cause: the fixture waited 0.1 s for the listeners. At a load of 25 to 29 on 8 cores, the first test of a run failed with a refused connection in 3 of 4 runs of one or two tests.

Change: it waits until both addresses accept connections; what the tests check is unchanged.

--- a/packages/azurefield-entry/tests/gateway/test_gateway_front.py
+++ b/packages/azurefield-entry/tests/gateway/test_gateway_front.py
@@ -79,6 +79,17 @@
     task: asyncio.Task[None]
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
+    async def accepts_connections(self) -> bool:
+        """Whether callers can connect, and the readiness check too, which is opened last."""
+        try:
+            for address in (self.front.address, self.front.readiness_address):
+                host, _, port = address.rpartition(":")
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.close()
+        except OSError:
+            return False
+        return True
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         host, _, port = self.front.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -98,7 +109,7 @@
     mailbox = Mailbox(name="front")
     task = asyncio.create_task(front.run(Kernel(), mailbox))
     instance = RunningFront(front=front, mailbox=mailbox, task=task)
-    await asyncio.sleep(0.1)
+    await wait_until(instance.accepts_connections, "callers can connect")
     try:
         yield instance
     finally:
