Tell callers that wait before their bodies to send them

Seen by callers: a request with Expect: 100-continue got no answer, neither an interim nor a final one, until its caller sent the body unasked or gave up.

Cause: the HTTP server answers this header only in its high-level interface, which the gateway does not use.

Change: the interim answer 100 is sent unless the body is too large, which is refused at once, or is there already.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from logbook import Logger
 from result import Err, Ok, Result
 
@@ -32,6 +32,7 @@
 QUIET_TIME_S = 0.05
 # Longest time for the answers to the requests that a planned stop ends.
 LAST_ANSWERS_S = 0.1
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 log = Logger("front")
 
 
@@ -169,6 +170,8 @@
         limit = self.limits.body_bytes_max
         if (request.content_length or 0) > limit:
             return None
+        if expects_continue(request) and not request.content.is_eof():
+            await request.writer.write(CONTINUE)
         chunks = bytearray()
         async for chunk in request.content.iter_any():
             chunks += chunk
@@ -177,6 +180,12 @@
         return bytes(chunks)
 
 
+def expects_continue(request: web.BaseRequest) -> bool:
+    """Whether a caller sends its body only after an interim answer."""
+    expected = request.headers.get("Expect", "").lower() == "100-continue"
+    return expected and request.version >= HttpVersion11
+
+
 def body_too_large(limit: int) -> RequestFailure:
     """Build the failure of a request whose body is too large."""
     return RequestFailure(
--- a/packages/azurefield-entry/tests/gateway/test_gateway_front.py
+++ b/packages/azurefield-entry/tests/gateway/test_gateway_front.py
@@ -27,6 +27,7 @@
     from azurefield_entry.gateway.service import GatewayService
 
 REQUEST = b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+EXPECTING_HEAD = b"POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
 
 
 class PlainCallers:
@@ -143,6 +144,21 @@
         assert all(b"Connection: close" in head for head in heads)
 
 
+async def test_a_caller_that_waits_before_its_body_is_told_to_go_on() -> None:
+    """Guards against callers that send ``Expect: 100-continue`` and wait until they give up."""
+    async with running(SlowGateway(work_s=0.0)) as instance:
+        reader, writer = await instance.connect()
+        for _ in range(2):
+            writer.write(EXPECTING_HEAD)
+            assert await read_head(reader) == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"body")
+            assert (await read_head(reader)).split()[1] == b"200"
+        writer.write(EXPECTING_HEAD + b"body")
+        assert (await read_head(reader)).split()[1] == b"200", "the body is there already"
+        writer.write(EXPECTING_HEAD.replace(b"Length: 4", b"Length: 9999999"))
+        assert (await read_head(reader)).split()[1] == b"502", "the body is too large"
+
+
 async def test_an_unexpected_error_fails_only_its_request() -> None:
     """Guards against one unexpected error that takes the process down."""
     gateway = SlowGateway(work_s=0.0, failing=True)
