--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -15,10 +15,7 @@
 # The end of a chunked answer without trailers, and the begin of another answer.
 NO_TRAILERS = b"\r\n0\r\n\r\nH"
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
-# A status line in a body, or its begin as the last bytes.
-STATUS_LINE_IN_BODY = re.compile(
-    rb"HTTP/(?:[0-9]\.[0-9] [0-9]{3}|(?:[0-9](?:\.(?:[0-9](?: [0-9]{0,2})?)?)?)?\Z)"
-)
+STATUS_LINE_START = b"HTTP/"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -86,14 +83,41 @@
         return self.total == self.answer_start + self.head_length + len(body)
 
 
-def holds_another_answer(message: RawResponseMessage, body: bytes) -> bool:
-    """Whether an answer goes on with another one, of which it holds the status line.
+def describe_confusion(message: RawResponseMessage, body: bytes) -> str | None:
+    """Return where an answer goes on with another one; None if it does not."""
+    if holds_another_head(message):
+        return "the head holds the status line of another answer"
+    if goes_on_with_answer(message, body):
+        return "a body without a length goes on with another answer"
+    return None
 
-    This happens if a head is cut off, or if a body has no length and ends with its connection, and
-    an answer follows on the same connection.
+
+def holds_another_head(message: RawResponseMessage) -> bool:
+    """Whether a head goes on with the status line of another one.
+
+    This happens if a head is cut off and an answer follows on the same connection.
     """
     values = [message.reason, *message.headers.values()]
-    if any("HTTP/" in value and STATUS_LINE.search(value) for value in values):
+    return any("HTTP/" in value and STATUS_LINE.search(value) for value in values)
+
+
+def goes_on_with_answer(message: RawResponseMessage, body: bytes) -> bool:
+    """Whether a body that ends with its connection holds the begin of one more answer.
+
+    Without a length, an answer that is sent twice looks like one answer with a longer body. Only a
+    status line with a header of the same server behind it counts, or the begin of this head at the
+    end of the body, so that a body may hold other examples of HTTP.
+    """
+    if message.chunked or "Content-Length" in message.headers:
+        return False
+    last = body.rfind(STATUS_LINE_START)
+    if last < 0:
+        return False
+    version, first_names = message.version, [name for name, _ in message.raw_headers[:1]]
+    status_line = f"HTTP/{version.major}.{version.minor} {message.code} {message.reason}\r\n"
+    head = b"".join([status_line.encode(errors="surrogateescape"), *first_names])
+    if head.startswith(body[last:]):
         return True
-    has_end = message.chunked or "Content-Length" in message.headers
-    return not has_end and STATUS_LINE_IN_BODY.search(body) is not None
+    names = b"|".join(re.escape(name) for name, _ in message.raw_headers)
+    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*\r\n(?:" + names + rb")[ \t]*:"
+    return re.search(another, body, re.IGNORECASE) is not None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -17,7 +17,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import NO_TRAILERS, holds_another_answer
+from azurefield_entry.gateway.answer_end import NO_TRAILERS, describe_confusion
 from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -237,9 +237,10 @@
                 return
             del exchange.answers[0]
             body = exchange.take_body()
-            if holds_another_answer(message, body):
+            confusion = describe_confusion(message, body)
+            if confusion is not None:
                 self.on_stray_bytes()
-                self.give_up("the answer holds the status line of another one")
+                self.give_up(confusion)
                 return
             if 100 <= message.code < 200:
                 exchange.received.skip_interim_answer()
