Show operators which servers do not name their requests

An operator who sees more connections opened to servers could not tell why: closing a connection behind an answer without an identity left no trace.

What decides whether a connection may be used again is a function of its own.

Result: the tests of the connection and of mixed answers pass; the latter check the counter.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -51,6 +51,7 @@
     :param memory: the memory of the answers that all connections are receiving
     :param on_open: called when the connection is open
     :param on_stray_bytes: called when bytes have arrived that belong to no call
+    :param on_unnamed_answer: called when an answer does not name its call
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "memory",
         "on_open",
         "on_stray_bytes",
+        "on_unnamed_answer",
         "parser",
     )
 
@@ -75,6 +77,7 @@
         memory: AnswerMemory[HttpLeafConnection] | None = None,
         on_open: Callable[[], None] = lambda: None,
         on_stray_bytes: Callable[[], None] = lambda: None,
+        on_unnamed_answer: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(loop=asyncio.get_running_loop())
         self.address = address
@@ -82,6 +85,7 @@
         self.memory = AnswerMemory() if memory is None else memory
         self.on_open = on_open
         self.on_stray_bytes = on_stray_bytes
+        self.on_unnamed_answer = on_unnamed_answer
         self.current_exchange: Exchange | None = None
         self.closed = False
         self.calls_sent = 0
@@ -263,19 +267,36 @@
                     return
                 continue
             self.apply_keep_alive(message)
-            unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
-            if exchange.answers or not exchange.received.end_with(message, body):
-                unexpected = True
-            if unexpected:
-                self.on_stray_bytes()
             named = self.dialect.names_request(headers)
-            reusable = named and not (message.should_close or unexpected or unsent)
+            reusable = self.is_reusable(exchange, message, body, named=named, unexpected=unexpected)
             self.finish_exchange(result, reusable=reusable)
             return
         if unexpected:
             # The call still waits for its own answer, and the connection is not reused after it.
             self.idle_until = float("-inf")
 
+    def is_reusable(
+        self,
+        exchange: Exchange,
+        message: RawResponseMessage,
+        body: bytes,
+        *,
+        named: bool,
+        unexpected: bool,
+    ) -> bool:
+        """Whether another call may be sent behind the answer to this one.
+
+        :param named: whether the answer names its call
+        :param unexpected: whether bytes have arrived that belong to no call
+        """
+        if not named:
+            self.on_unnamed_answer()
+        if unexpected or exchange.answers or not exchange.received.end_with(message, body):
+            self.on_stray_bytes()
+            return False
+        unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
+        return named and not (message.should_close or unsent)
+
     def drop_trailers(self, exchange: Exchange, read: bytes) -> bool:
         """Drop the trailers of an extra answer.
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
@@ -93,6 +93,7 @@
             memory=self.answer_memory,
             on_open=lambda: self.contacts.on_opened(now(), server),
             on_stray_bytes=partial(self.record_stray_bytes, server),
+            on_unnamed_answer=partial(self.record_unnamed_answer, server),
         )
 
     def record_stray_bytes(self, server: str) -> None:
@@ -100,6 +101,14 @@
         self.metrics.stray_bytes.inc()
         log.info("Server {} sent bytes that belong to no call; the connection is closed.", server)
 
+    def record_unnamed_answer(self, server: str) -> None:
+        """Log and count that an answer of a server does not name its request."""
+        self.metrics.unnamed_answers.inc()
+        log.info(
+            "Server {} sent an answer that does not name its request; the connection is closed.",
+            server,
+        )
+
     def retire(self, server: str) -> None:
         """Close the connections to a server; those in use are closed when their calls end."""
         self.contacts.forget(server)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -20,6 +20,7 @@
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     stray_bytes: Counter = field(init=False)
+    unnamed_answers: Counter = field(init=False)
     servers: Gauge = field(init=False)
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
@@ -70,6 +71,11 @@
             "Connections closed because a backend server sent bytes that belong to no call.",
             registry=registry,
         )
+        self.unnamed_answers = Counter(
+            "azurefield_gateway_unnamed_answers",
+            "Connections closed because an answer did not name its request.",
+            registry=registry,
+        )
         self.servers = Gauge(
             "azurefield_gateway_servers", "Backend servers known.", registry=registry
         )
--- a/tests/fleet/test_mixed_answers.py
+++ b/tests/fleet/test_mixed_answers.py
@@ -43,12 +43,14 @@
 
     :param faults: answers that are not the caller's own, or not whole
     :param refused: the identities of the requests that were answered 503
+    :param unnamed_answers: answers that did not name their request, as the gateways counted them
     """
 
     leafs: dict[str, StutteringLeaf]
     statuses: Counter[int] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
+    unnamed_answers: float = 0.0
 
     def add(
         self, request_id: str, status: int, headers: CIMultiDictProxy[str], body: bytes
@@ -140,6 +142,8 @@
         for site in sites.values():
             assert site.process is not None
             assert site.process.running, site.process.tail()
+            counted = await site.metric("azurefield_gateway_unnamed_answers_total")
+            observations.unnamed_answers += counted or 0.0
     assert not observations.faults, observations.faults[:10]
     orders = [request_id for leaf in leafs if leaf.service == "desk" for request_id in leaf.ran]
     runs = Counter(orders)
@@ -163,3 +167,4 @@
     """Guards against a late copy without an identity, and against calls that wait in vain."""
     observations = await call_stuttering_leafs(tmp_path, Stutter.WHOLE_LATE, unnamed=unnamed)
     assert set(observations.statuses) <= {200, 503}, observations.statuses
+    assert observations.unnamed_answers > 0
