Use no connection of the daemon again behind a refusal that names no call

Cause: the daemon accepts a refusal without the identity of its call and kept its connection. A late copy of it that arrives once the next call is sent refuses that call, which the server runs, so a booking that has run is reported as not run.

The new test failed on the code before for the refusal without an identity (one connection for both calls) and passes now; the named refusal keeps its connection before and after.

Change: a connection returns to the pool only behind an answer, or a refusal that names its call.

--- a/packages/azurefield-entry/src/azurefield_entry/backends/dialect.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/dialect.py
@@ -94,10 +94,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class FailedExchange:
-    """A failed exchange, with the server's incarnation if a refusal contained it."""
+    """A failed exchange, with the server's incarnation if a refusal contained it.
+
+    :param names_call: whether the answer names its call; behind one that does not, a late copy of it
+        can't be told from the next answer
+    """
 
     failure: LeafFailure
     incarnation: str | None = None
+    names_call: bool = False
 
 
 def decode_answer(body: bytes) -> Result[LeafAnswer, LeafFailure]:
@@ -132,7 +137,11 @@
         failure = LeafFailure(
             reason=reason, outcome=Outcome.NOT_RUN, detail="the server refused the call"
         )
-        return FailedExchange(failure=failure, incarnation=wire.incarnation)
+        return FailedExchange(
+            failure=failure,
+            incarnation=wire.incarnation,
+            names_call=wire.request_id is not None,
+        )
     return server_error(status)
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
@@ -68,9 +68,9 @@
     """Send a request on a connection of the pool, read the whole answer and decode it.
 
     ``X-Deadline-Ms`` carries the time that is left after the wait for the connection. The
-    connection returns to the pool only after a valid answer or refusal. After any other failure, a
-    timeout or a cancellation it is closed, so that a late answer can't be read as the answer to
-    another call.
+    connection returns to the pool only after a valid answer, or a refusal that names its call. After
+    any other failure, a timeout or a cancellation it is closed, so that a late answer can't be read
+    as the answer to another call.
     """
     latest = request.deadline + DEADLINE_SLACK_S
     match await pool.acquire(priority=request.priority, deadline=latest):
@@ -84,12 +84,17 @@
         if isinstance(answered, Err):
             return Err(FailedExchange(failure=answered.err_value))
         result = decode(answered.ok_value)
-        reusable = result.is_ok() or result.unwrap_err().failure.outcome is Outcome.NOT_RUN
+        reusable = result.is_ok() or is_named_refusal(result.unwrap_err())
         return result
     finally:
         pool.release(connection, reusable=reusable)
 
 
+def is_named_refusal(failed: FailedExchange) -> bool:
+    """Whether a server has refused a call and named it."""
+    return failed.failure.outcome is Outcome.NOT_RUN and failed.names_call
+
+
 async def _send(connection: Connection, request: HttpRequest) -> Result[HttpAnswer, LeafFailure]:
     connection.may_have_sent = False
     remaining_s = request.deadline - asyncio.get_running_loop().time()
--- a/packages/azurefield-entry/tests/backends/test_connections.py
+++ b/packages/azurefield-entry/tests/backends/test_connections.py
@@ -110,6 +110,25 @@
         assert server.accepted == 2
 
 
+@pytest.mark.parametrize(("named", "connections"), [(True, 1), (False, 2)], ids=["named", "not"])
+async def test_a_connection_is_not_used_behind_a_refusal_that_does_not_name_its_call(
+    named: bool, connections: int
+) -> None:
+    """Guards against a late copy of a refusal that refuses the next call, which runs."""
+
+    async def refuse(request: WireRequest) -> None:
+        identity = {"request_id": request.headers["x-request-id"]} if named else {}
+        body = {"reason": "shedding", "outcome": "not_run"} | identity
+        request.send(503, body)
+
+    server = WireServer(script=refuse)
+    async with pool_to(server, ceiling=1) as pool:
+        for number in range(2):
+            ended = await call_leaf(pool, make_call(f"c{number}"))
+            assert ended.result.unwrap_err().outcome is Outcome.NOT_RUN
+        assert server.accepted == connections
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.05], ids=["at-once", "while-idle"])
 async def test_a_second_answer_to_one_call_is_not_used_for_the_next_call(
     delay_s: float,
