Use no connection again behind an answer that can't be read

A head with two values of a decisive header is that of two answers that were joined. Its call failed as malformed, but its connection was kept, and what followed the joined head could reach the next call.

Evidence: the new test failed on the code before (the connection was usable) and passes now.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -268,7 +268,9 @@
                 continue
             self.apply_keep_alive(message)
             named = self.dialect.names_request(headers)
-            reusable = self.is_reusable(exchange, message, body, named=named, unexpected=unexpected)
+            reusable = not is_malformed(result) and self.is_reusable(
+                exchange, message, body, named=named, unexpected=unexpected
+            )
             self.finish_exchange(result, reusable=reusable)
             return
         if unexpected:
@@ -374,3 +376,8 @@
 ) -> LeafFailure:
     """Build the failure of a call without a usable answer."""
     return LeafFailure(reason=reason, outcome=outcome, detail=detail)
+
+
+def is_malformed(result: Result[OpaqueAnswer, LeafFailure]) -> bool:
+    """Whether a whole answer can't be understood, so that what follows it can't be trusted."""
+    return isinstance(result, Err) and result.err_value.reason is LeafFailureReason.MALFORMED
--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -13,7 +13,7 @@
 from azurefield.answer_memory import AnswerMemory
 from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
-from azurefield_entry.gateway.connection import ANSWER_BYTES_MAX, HttpLeafConnection
+from azurefield_entry.gateway.connection import ANSWER_BYTES_MAX, HttpLeafConnection, failure
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
@@ -25,6 +25,11 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from result import Result
+
+    from azurefield.failures import LeafFailure
+    from azurefield_entry.gateway.ports import Headers, OpaqueAnswer
+
 R = LeafFailureReason
 # Four times the size at which a connection gives up on an answer.
 SENT_BYTES_MAX = 4 * ANSWER_BYTES_MAX
@@ -173,6 +178,25 @@
         assert (server.accepted, server.requests) == (1, ["/1", "/2"])
 
 
+class UnreadableDialect(PlainDialect):
+    """Finds no answer readable."""
+
+    def decode(
+        self, call: LeafCall, status: int, headers: Headers, body: bytes, *, reused: bool
+    ) -> Result[OpaqueAnswer, LeafFailure] | None:
+        decoded = super().decode(call, status, headers, body, reused=reused)
+        return decoded and Err(failure(R.MALFORMED))
+
+
+async def test_a_connection_is_not_used_behind_an_answer_that_cannot_be_read() -> None:
+    """Guards against calls behind a head that is joined from those of two answers."""
+    server = ScriptedServer(script=[[answer("/1", b"one")]])
+    async with connected(server) as connection:
+        connection.dialect = UnreadableDialect()
+        assert isinstance(await connection.exchange(call("/1")), Err)
+        assert not connection.usable
+
+
 EXTRA = answer("/1", b"no", "Note: a b\r\n")
 EXTRA_CHUNKED = chunked("/1", b"no")
 
