--- a/packages/azurefield-entry/src/azurefield_entry/backends/dialect.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/dialect.py
@@ -96,8 +96,8 @@
 class FailedExchange:
     """A failed exchange, with the server's incarnation if a refusal contained it.
 
-    :param names_call: whether the answer names its call; behind one that does not, a late copy of it
-        can't be told from the next answer
+    :param names_call: whether the answer names its call; behind one that does not, a late copy of
+        it can't be told from the next answer
     """
 
     failure: LeafFailure
--- a/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
@@ -68,9 +68,9 @@
     """Send a request on a connection of the pool, read the whole answer and decode it.
 
     ``X-Deadline-Ms`` carries the time that is left after the wait for the connection. The
-    connection returns to the pool only after a valid answer, or a refusal that names its call. After
-    any other failure, a timeout or a cancellation it is closed, so that a late answer can't be read
-    as the answer to another call.
+    connection returns to the pool only after a valid answer, or a refusal that names its call.
+    After any other failure, a timeout or a cancellation it is closed, so that a late answer can't
+    be read as the answer to another call.
     """
     latest = request.deadline + DEADLINE_SLACK_S
     match await pool.acquire(priority=request.priority, deadline=latest):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -115,8 +115,8 @@
     ) -> Result[OpaqueAnswer, LeafFailure] | None:
         """Decode a whole answer; None if it belongs to another request.
 
-        :param reused: whether an earlier call used the connection, so that an answer that does not
-            name its request may be a late copy of an earlier one
+        :param reused: whether an earlier call used the connection; an answer that does not name
+            its request then belongs to none, since the answers before it have named theirs
         """
 
     def names_request(self, headers: Headers) -> bool:
