--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 from result import Err, Ok
 
 from azurefield.directory import RegisteredServer
@@ -28,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+LISTING_LIMIT_S = 5.0
 LEAF = LeafStandIn(name="i-1", service="desk", address="192.0.2.1:80")
 
 
@@ -198,3 +200,20 @@
             await stand_in.sent.wait()
             await asyncio.sleep(0.01)
     listener.close()
+
+
+async def test_a_listing_whose_pages_repeat_fails() -> None:
+    """Guards against reading the same page until the memory is full."""
+    page = {"items": [{"key": "servers/x", "value": ""}], "has_more": True, "store_revision": 1}
+
+    async def repeat(request: web.BaseRequest) -> web.StreamResponse:  # noqa: ARG001
+        return web.json_response(page)
+
+    runner = web.ServerRunner(web.Server(repeat))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    async with open_session() as session, asyncio.timeout(LISTING_LIMIT_S):
+        listing = await StoreHttp(address=f"{host}:{port}", session=session).list_all()
+    await runner.cleanup()
+    assert isinstance(listing, Err)
