--- a/tests/fleet/test_odd_replies.py
+++ b/tests/fleet/test_odd_replies.py
@@ -1,4 +1,4 @@
-"""Gateway processes before a store or other instances that send what can't be used."""
+"""Gateway processes before callers, a store or instances that send what can't be used."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from azurefield_entry.gateway.framing import LENGTH_PREFIX_BYTES
 from azurefield_testkit.waiting import wait_until
-from gateway_process import Site, serving_fleet
+from gateway_process import Site, serving, serving_fleet
 from standins import config, route
 
 if TYPE_CHECKING:
@@ -71,3 +71,18 @@
         put_next_version(site)
         await wait_for_next_version(site)
         assert await site.metric("azurefield_gateway_task_failures_total") == 0
+
+
+@pytest.mark.parametrize("identity", [b"\xff", b"q\xe91"])
+async def test_a_request_whose_identity_is_no_text_is_refused_and_not_run(
+    tmp_path: Path, identity: bytes
+) -> None:
+    """Guards against a request whose answer, and whose crash reports, can't be told from others."""
+    async with serving(tmp_path) as site:
+        host, _, port = site.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (b"GET /s/x HTTP/1.1", b"Host: a.example", b"Request-Id: " + identity, b"\r\n")
+        writer.write(b"\r\n".join(head))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+        assert not site.leafs["d1"].requests
+        writer.close()
