--- a/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
@@ -48,3 +48,12 @@
         if lower in names and values.setdefault(lower, value) != value:
             return True
     return False
+
+
+def is_text(value: str) -> bool:
+    """Whether the value of a header was UTF-8; another one can be neither compared nor encoded."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/packages/azurefield-entry/src/azurefield_entry/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/settings.py
@@ -9,14 +9,19 @@
 import msgspec
 from result import Err, Ok, Result
 
+from azurefield_entry.addresses import PORT_MAX
+
 if TYPE_CHECKING:
     from pathlib import Path
 
-PORT_MAX = 65_535
+QUANTITY_MAX = 1e12
 
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=PORT_MAX)]
+# Neither negative nor inf nor nan.
+Quantity = Annotated[float, msgspec.Meta(ge=0, le=QUANTITY_MAX)]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -86,3 +91,8 @@
     except ValueError:
         return False
     return 1 <= int(port) <= PORT_MAX
+
+
+def is_valid_address(address: str) -> bool:
+    """Whether this is ``host:port`` with an IP address and a valid port, in any text."""
+    return address.rpartition(":")[2].isdecimal() and is_address(address)
