--- a/tests/fleet/stuttering_leafs.py
+++ b/tests/fleet/stuttering_leafs.py
@@ -46,6 +46,7 @@
 class StutteringLeaf:
     """Answers with the usual headers, and ``fraction`` of its answers twice.
 
+    :param cut_min: how many bytes a copy that is cut off has at least
     :param ran: the identities of the requests that it has run
     """
 
@@ -54,6 +55,7 @@
     random: Random
     stutter: Stutter
     fraction: float
+    cut_min: int = 1
     address: str = ""
     ran: list[str] = field(default_factory=list)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -67,15 +69,14 @@
         self.writers.add(writer)
         before_next = b""
         with suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
+            while not writer.is_closing():
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
                 headers = {name.lower(): value for name, value in fields.items()}
                 await reader.readexactly(int(headers.get("content-length", "0")))
                 writer.write(before_next)
                 answer = await self.answer(headers["request-id"])
-                repeated = self.random.random() < self.fraction
-                before_next = self.write(writer, answer, repeated=repeated)
+                before_next = await self.send(writer, answer)
         self.writers.discard(writer)
         writer.close()
 
@@ -87,37 +88,55 @@
             return "\r\n".join([*lines, "Content-Length: 0", "\r\n"]).encode()
         self.ran.append(request_id)
         await asyncio.sleep(self.random.uniform(0.001, WORK_MAX_S))
-        body = body_of(self.name, request_id)
         proof = f"Response-Signature: {proof_of(self.name, request_id)}"
-        lines = ["HTTP/1.1 200 OK", proof, *lines, f"Content-Length: {len(body)}", "\r\n"]
-        return "\r\n".join(lines).encode() + body
+        return self.encode(["HTTP/1.1 200 OK", proof, *lines], self.body(request_id))
 
-    def write(self, writer: asyncio.StreamWriter, answer: bytes, *, repeated: bool) -> bytes:
-        """Write an answer and, if ``repeated``, its copy.
+    def body(self, request_id: str) -> bytes:
+        """Return the body of the answer to a request."""
+        return body_of(self.name, request_id)
+
+    def encode(self, lines: list[str], body: bytes) -> bytes:
+        """Encode an answer so that its end is known."""
+        return "\r\n".join([*lines, f"Content-Length: {len(body)}", "\r\n"]).encode() + body
+
+    def copy_of(self, answer: bytes) -> bytes:
+        """Return the second copy of an answer, before it is cut off."""
+        return answer
+
+    async def send(self, writer: asyncio.StreamWriter, answer: bytes) -> bytes:
+        """Send an answer, sometimes twice.
+
+        :return: what is to be written in front of the next answer of the connection
+        """
+        repeated = self.random.random() < self.fraction
+        return self.write(writer, answer, self.copy_of(answer) if repeated else b"")
+
+    def write(self, writer: asyncio.StreamWriter, answer: bytes, copy: bytes) -> bytes:
+        """Write an answer and its second copy, if that is not empty.
 
         :return: what is to be written in front of the next answer of the connection
         """
-        cut = self.random.randrange(1, len(answer))
-        if not repeated:
+        cut = self.random.randrange(self.cut_min, len(copy or answer))
+        if not copy:
             writer.write(answer)
             return b""
         match self.stutter:
             case Stutter.CUT_SAME_WRITE:
-                writer.write(answer + answer[:cut])
+                writer.write(answer + copy[:cut])
             case Stutter.WHOLE_SAME_WRITE:
-                writer.write(answer + answer)
+                writer.write(answer + copy)
             case Stutter.CUT_BEFORE_NEXT:
                 writer.write(answer)
-                return answer[:cut]
+                return copy[:cut]
             case Stutter.CUT_LATE:
                 writer.write(answer)
-                self.write_late(writer, answer[:cut])
+                self.write_late(writer, copy[:cut])
             case Stutter.WHOLE_LATE:
                 writer.write(answer)
-                self.write_late(writer, answer)
+                self.write_late(writer, copy)
             case Stutter.WHOLE_IN_PIECES:
-                writer.write(answer + answer[:cut])
-                self.write_late(writer, answer[cut:])
+                writer.write(answer + copy[:cut])
+                self.write_late(writer, copy[cut:])
         return b""
 
     def write_late(self, writer: asyncio.StreamWriter, data: bytes) -> None:
