Reset connections in the tests where a reset is meant

Cause, shown: transport.abort() sends a FIN, not a RST, unless bytes that were not read are left or SO_LINGER is 0; so leafs and proxies closed connections that they meant to reset, and the proxies passed each reset on as a close. A body without a length that ends with a close is whole by the protocol: the fault was in the harness, and the gateways were right.

Change: leafs, stand-ins and proxies reset with SO_LINGER 0; a proxy ends each side as the other one ended: a reset as a reset, a close after all bytes.

--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -12,6 +10,7 @@
 from result import Ok, Result
 
 from azurefield_entry.gateway.ports import OpaqueAnswer
+from azurefield_testkit.resets import reset
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -19,8 +18,6 @@
     from azurefield.failures import LeafFailure
     from azurefield_entry.gateway.ports import Headers, LeafCall
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # The value of SO_LINGER: on, with a timeout of 0 s.
-
 
 class PlainDialect:
     """A minimal dialect; the header ``Id`` of an answer may name the target of its request."""
@@ -61,9 +58,7 @@
                 self.requests.append(head.split()[1].decode())
                 for segment in segments:
                     if not segment:
-                        sock = writer.get_extra_info("socket")
-                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                        writer.transport.abort()
+                        reset(writer.transport)
                         return
                     writer.write(segment)
                     await writer.drain()
--- a/tests/fleet/crashing_leafs.py
+++ b/tests/fleet/crashing_leafs.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from soak.proxy import address_of, hold_port, reserve_port
 
+from azurefield_testkit.resets import reset
 from gateway_process import Site, serving_fleet
 from standins import LeafStandIn
 
@@ -55,7 +56,7 @@
         if not self.back.is_set():
             await self.back.wait()
             assert request.transport is not None
-            request.transport.abort()
+            reset(request.transport)
             return web.Response()
         if request.raw_path not in self.crash_targets:
             return await LeafStandIn.handle(self, request)
@@ -84,7 +85,7 @@
         assert self.server is not None
         for connection in self.server.connections:
             if connection.transport is not None:
-                connection.transport.abort()
+                reset(connection.transport)
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
--- a/tests/fleet/links.py
+++ b/tests/fleet/links.py
@@ -102,7 +102,7 @@
                 await proxy.listen_again()
             for connection in [*proxy.connections]:
                 if connection.silent:
-                    connection.abort()
+                    connection.reset()
 
     def end_leaf(self, address: str) -> None:
         """Refuse connections to a leaf that has ended, and reset the open ones."""
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from azurefield_testkit.resets import reset
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -212,7 +214,7 @@
                 await asyncio.sleep(0.05)
             case "reset":
                 assert request.transport is not None
-                request.transport.abort()
+                reset(request.transport)
         headers["Response-Signature"] = f"proof-{self.name}-{request.headers['Request-Id']}"
         status = 500 if self.behaviour == "error" else 200
         return web.Response(status=status, body=self.body, headers=headers)
--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -9,8 +9,9 @@
 
 from aiohttp import web
 from soak.history import CRASH_TARGET, History, leaf_records, leaf_signature
-from soak.stutter import Stutter
+from soak.stutter import CHUNK, PIECE, Stutter
 
+from azurefield_testkit.resets import reset
 from standins import server_entry
 
 BEHAVIOURS = ("shed", "error", "slow", "hang", "reset", "lost", "truncated", "extra", "unframed")
@@ -53,7 +54,7 @@
         transport = request.transport
         assert transport is not None
         if self.down:
-            transport.abort()
+            reset(transport)
             return web.Response()
         request_id = request.headers.get("Request-Id", "")
         id_header = {"Request-Id": request_id}
@@ -71,7 +72,7 @@
             self.stutter.repeat(transport, encode_answer(refusal, b"", status=503))
             return web.Response(status=503, headers=refusal)
         if behaviour == "reset":
-            transport.abort()
+            reset(transport)
             return web.Response()
         name = self.name
         self.history.on_run(
@@ -92,9 +93,11 @@
         status = 500 if behaviour == "error" else 200
         answer = leaf_records(name, request_id)
         if self.stutter.is_endless():
-            chunked = headers | {"Transfer-Encoding": "chunked"}
-            head = encode_answer(chunked, b"", with_length=False)
-            await self.stutter.send_without_end(transport, head)
+            piece = PIECE
+            if self.stutter.is_chunked():
+                headers["Transfer-Encoding"], piece = "chunked", CHUNK
+            head = encode_answer(headers, b"", with_length=False)
+            await self.stutter.send_without_end(transport, head, piece)
             return web.Response()
         encoded = encode_answer(headers, answer, status=status)
         self.stutter.repeat(transport, encoded)
@@ -119,7 +122,7 @@
             case "unframed":
                 transport.write(encode_answer(headers, answer, with_length=False))
         if behaviour == "lost":
-            transport.abort()
+            reset(transport)
         else:
             transport.close()
 
--- a/tests/soak/soak/proxy.py
+++ b/tests/soak/soak/proxy.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from azurefield_testkit.resets import reset
+
 READ_BYTES = 65_536
 FORWARDING_DELAY_S = 0.15
 # More connections than the queue of a listener without backlog takes.
@@ -36,10 +38,18 @@
     target: asyncio.StreamWriter
     silent: bool = False
 
-    def abort(self) -> None:
+    def reset(self) -> None:
         """Reset both sides."""
         for writer in (self.caller, self.target):
-            writer.transport.abort()
+            reset(writer.transport)
+
+    async def close(self) -> None:
+        """Close both sides when they have taken all bytes."""
+        for writer in (self.caller, self.target):
+            writer.close()
+        for writer in (self.caller, self.target):
+            with suppress(OSError):
+                await writer.wait_closed()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -88,7 +98,7 @@
     def reset_all(self) -> None:
         """Reset all open connections."""
         for connection in [*self.connections]:
-            connection.abort()
+            connection.reset()
 
     def silence_all(self) -> None:
         """Drop all further bytes of the open connections, without closing them."""
@@ -96,15 +106,15 @@
             connection.silent = True
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Proxy one connection until either side closes it."""
+        """Proxy one connection until either side ends it; the other side is ended alike."""
         if self.fault is ConnectionFault.REFUSE:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         host, _, port = self.target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         connection = ProxiedConnection(caller=writer, target=target_writer)
         self.connections.add(connection)
@@ -117,12 +127,17 @@
             ),
         )
         try:
-            await asyncio.wait(relays, return_when=asyncio.FIRST_COMPLETED)
+            ended, _ = await asyncio.wait(relays, return_when=asyncio.FIRST_COMPLETED)
+            if connection.silent or any(relay.exception() for relay in ended):
+                connection.reset()
+            else:
+                await connection.close()
         finally:
             for relay in relays:
                 relay.cancel()
+            await asyncio.gather(*relays, return_exceptions=True)
             self.connections.discard(connection)
-            connection.abort()
+            connection.reset()
 
     async def relay_bytes(
         self,
@@ -131,17 +146,18 @@
         writer: asyncio.StreamWriter,
         direction_fault: ConnectionFault,
     ) -> None:
-        """Forward the bytes of one direction until it ends."""
-        with suppress(OSError):
-            while data := await reader.read(READ_BYTES):
-                if connection.silent or self.fault in (ConnectionFault.SILENCE, direction_fault):
-                    # Bytes are lost from here on, so the connection must not resume later.
-                    connection.silent = True
-                    continue
-                if self.fault is ConnectionFault.DELAY:
-                    await asyncio.sleep(FORWARDING_DELAY_S)
-                writer.write(data)
-                await writer.drain()
+        """Forward the bytes of one direction until it ends.
+
+        :raises OSError: if either side was reset
+        """
+        while data := await reader.read(READ_BYTES):
+            if connection.silent or self.fault in (ConnectionFault.SILENCE, direction_fault):
+                # Bytes are lost from here on, so the connection must not resume later.
+                connection.silent = True
+                continue
+            if self.fault is ConnectionFault.DELAY:
+                await asyncio.sleep(FORWARDING_DELAY_S)
+            writer.write(data)
             await writer.drain()
 
 
--- a/tests/soak/soak/stutter.py
+++ b/tests/soak/soak/stutter.py
@@ -6,13 +6,19 @@
 from dataclasses import dataclass
 from random import Random
 
+from azurefield_testkit.resets import reset
+
 REPEATED_FRACTION = 0.04
 ENDLESS_FRACTION = 0.01
 # Half of the copies are cut off.
 CUT_FRACTION = 0.5
 LATE_MAX_S = 0.3
-# A chunk: a body without a length that ends with its connection would count as complete.
-PIECE = b"10000\r\n" + bytes(65_536) + b"\r\n"
+# Half of the endless bodies are chunked; the others have no length. Both end with a reset, most of
+# them after a few pieces, before a hedge or the limit of a gateway ends them.
+CHUNKED_FRACTION = 0.5
+PIECES_MAX = 256
+PIECE = bytes(65_536)
+CHUNK = b"10000\r\n" + PIECE + b"\r\n"
 PIECE_INTERVAL_S = 0.002
 
 
@@ -36,13 +42,21 @@
         """Whether the next answer is one without an end."""
         return self.active and self.random.random() < ENDLESS_FRACTION
 
-    async def send_without_end(self, transport: asyncio.Transport, head: bytes) -> None:
-        """Send a body without an end until the other side closes the connection."""
+    def is_chunked(self) -> bool:
+        """Whether the body of an endless answer is chunked."""
+        return self.random.random() < CHUNKED_FRACTION
+
+    async def send_without_end(
+        self, transport: asyncio.Transport, head: bytes, piece: bytes
+    ) -> None:
+        """Send a body without an end; reset the connection unless the other side ends it before."""
         transport.write(head)
-        while self.active and not transport.is_closing():
-            transport.write(PIECE)
+        for _ in range(round(PIECES_MAX ** self.random.random())):
+            if not self.active or transport.is_closing():
+                break
+            transport.write(piece)
             await asyncio.sleep(PIECE_INTERVAL_S)
-        transport.abort()
+        reset(transport)
 
 
 def write_if_open(transport: asyncio.Transport, data: bytes) -> None:
