Count a call as sent only when its connection is open

What callers saw: 504, "may have run", for requests of which no byte was sent: the deadline passed while connections were being opened. Found while looking for the cause of a 504 beside load.

Cause: a call was recorded as sent before its connection was opened, which takes up to 0.2 s at a server that doesn't answer. An order in this state was also not passed on at the begin of a partition, and the call was still sent if the connection opened after the request had ended.

Change: calls have three stages, waiting, connecting and sent. The request runner opens the connection first, and then sends the call only if its request still waits for it. A connecting call goes on for 0.3 s after its request, as before, so that the connection can be used and a failure to connect counts.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -142,9 +142,7 @@
 
     async def exchange(self, call: LeafCall) -> Result[OpaqueAnswer, LeafFailure]:
         """Send a call, connecting first if needed, and wait for its whole answer."""
-        if self.transport is None and not await self.connect():
-            return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
-        if self.closed or self.transport is None:
+        if not await self.open() or self.transport is None:
             return Err(failure(LeafFailureReason.CONNECT_FAILED, Outcome.NOT_RUN))
         parses_bodies = call.request.method != "HEAD"
         if parses_bodies is not self.parses_bodies:
@@ -166,6 +164,12 @@
             self.current_exchange = None
             self.memory.release(self)
 
+    async def open(self) -> bool:
+        """Connect unless that was done before; return whether a call can be sent at once."""
+        if self.transport is None and not await self.connect():
+            return False
+        return not self.closed and self.transport is not None
+
     def new_parser(self) -> HttpResponseParser:
         """Make a parser; it is kept between calls, which end where an answer ends."""
         return HttpResponseParser(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -94,6 +94,9 @@
     def usable(self) -> bool:
         """Whether another call may be sent."""
 
+    async def open(self) -> bool:
+        """Connect unless that was done before; return whether a call can be sent at once."""
+
     async def exchange(self, call: LeafCall) -> Result[OpaqueAnswer, LeafFailure]:
         """Send a call, connecting first if needed, and wait for its whole answer.
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -13,6 +13,7 @@
 from azurefield.crash_evidence import Standing, digest_of
 from azurefield.directory import Directory
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
+from azurefield.leaf_progress import CallStage
 from azurefield.model import Outcome
 from azurefield.query_actions import CancelLeafCall, Finished, SendLeafCall, WakeAt
 from azurefield_entry.clock import now
@@ -22,7 +23,7 @@
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.outcomes import crashing_request_failure, describe
 from azurefield_entry.gateway.planning import RequestPlanner
-from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, OpaqueAnswer
+from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, LeafConnection, OpaqueAnswer
 from azurefield_entry.gateway.quotas import ServerQuotas
 from azurefield_entry.gateway.running import (
     ActiveCall,
@@ -162,7 +163,7 @@
                 case SendLeafCall():
                     task = asyncio.create_task(self.run_leaf_call(running, action))
                     self.active_calls[action.call_id] = ActiveCall(task=task)
-                    running.fan_out.set_waiting(action.call_id, waiting=True)
+                    running.fan_out.set_stage(action.call_id, CallStage.WAITING)
                 case CancelLeafCall(call_id=call_id):
                     self.cancel_call(call_id)
                 case WakeAt(at=at):
@@ -180,13 +181,13 @@
     def cancel_call(self, call_id: str) -> None:
         """Cancel a call whose answer is no longer needed.
 
-        A call that was already sent gets ``SUPERSEDED_CALL_GRACE_S`` to finish, since cancelling it
-        would close its connection.
+        A call that has a connection gets ``SUPERSEDED_CALL_GRACE_S`` to finish, since cancelling it
+        would close the connection.
         """
         call = self.active_calls.get(call_id)
         if call is None:
             return
-        if call.sent_at is not None:
+        if call.connection is not None:
             asyncio.get_running_loop().call_later(
                 policies.SUPERSEDED_CALL_GRACE_S, call.task.cancel
             )
@@ -235,9 +236,9 @@
         """Make one call over a connection from the server's pool."""
         entry = self.directory.servers.get(action.server)
         if entry is None:
-            return Err(LeafFailure(reason=LeafFailureReason.NO_SERVER, outcome=Outcome.NOT_RUN))
+            return Err(not_sent(LeafFailureReason.NO_SERVER))
         if not await self.quotas.acquire(entry, running.route.priority, action.start_by):
-            return Err(LeafFailure(reason=LeafFailureReason.RATE_LIMITED, outcome=Outcome.NOT_RUN))
+            return Err(not_sent(LeafFailureReason.RATE_LIMITED))
         pool = self.connections.pool(entry)
         if running.standing is Standing.SUSPECT:
             connection = pool.open_fresh()
@@ -250,19 +251,32 @@
                     return Err(failure)
                 case Ok(connection):
                     pass
+        self.active_calls[action.call_id].connection = connection
+        running.fan_out.set_stage(action.call_id, CallStage.CONNECTING)
+        try:
+            if not await connection.open():
+                return Err(not_sent(LeafFailureReason.CONNECT_FAILED))
+            if running.fan_out.leaf_of_pending_call(action.call_id) is None:
+                # The request has ended meanwhile, perhaps with the answer that it has not run.
+                return Err(not_sent(LeafFailureReason.CANCELLED))
+            self.record_sent(running, action, connection)
+            call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
+            return await connection.exchange(call)
+        finally:
+            pool.release(connection, reusable=True)
+
+    def record_sent(
+        self, running: RunningRequest, action: SendLeafCall, connection: LeafConnection
+    ) -> None:
+        """Record that a call is sent now, over an open connection."""
         running.carried_by.append(connection)
         active = self.active_calls[action.call_id]
-        active.sent_at, active.connection = now(), connection
-        running.fan_out.set_waiting(action.call_id, waiting=False)
+        active.sent_at = now()
+        running.fan_out.set_stage(action.call_id, CallStage.SENT)
         sent = SentCall(server=action.server, service=action.leaf, sent_at=active.sent_at)
         running.sent_calls[action.call_id] = sent
         running.attempts[action.leaf] += 1
         self.crash_watch.on_call_sent(running, sent, active)
-        call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
-        try:
-            return await connection.exchange(call)
-        finally:
-            pool.release(connection, reusable=True)
 
     def record_limit(
         self, server: str, result: Result[OpaqueAnswer, LeafFailure], sent_at: float
@@ -321,6 +335,11 @@
         )
 
 
+def not_sent(reason: LeafFailureReason) -> LeafFailure:
+    """Build the failure of a call of which no byte was sent."""
+    return LeafFailure(reason=reason, outcome=Outcome.NOT_RUN)
+
+
 def record_reply(
     running: RunningRequest, call_id: str, result: Result[OpaqueAnswer, LeafFailure]
 ) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -41,7 +41,8 @@
 class ActiveCall:
     """A running call.
 
-    :param sent_at: when it was sent; None while it waits for quota or a connection
+    :param sent_at: when it was sent; None while it waits or connects
+    :param connection: the one that it connects or uses; None while it waits
     :param silence_timer: the next check whether its server is silent
     """
 
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -0,0 +1,80 @@
+"""Requests whose deadline passes while the connections for their calls are being opened."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import pytest
+from result import Err, Ok
+
+from azurefield.model import Outcome
+from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.ports import InstanceEntry
+from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
+
+if TYPE_CHECKING:
+    from azurefield_entry.gateway.service import GatewayService
+
+CONNECT_S = 0.15
+DEADLINE_S = 0.05
+
+
+@dataclass(slots=True, kw_only=True)
+class CountingServer:
+    """A server that answers each request, and counts connections and requests."""
+
+    accepted: int = 0
+    targets: list[str] = field(default_factory=list)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        self.accepted += 1
+        while head := await reader.read(65_536):
+            self.targets.append(head.split()[1].decode())
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+
+
+def gateway_to(address: str, *, idempotent: bool) -> GatewayService:
+    route = Route(
+        name="r",
+        host="x",
+        prefix="/",
+        target=SingleService(service="desk"),
+        timeout_s=1.0,
+        idempotent=idempotent,
+    )
+    services = {"desk": ServiceLimits(connections_max=30)}
+    table = RouteTable.build(version=1, routes=[route], services=services, limits=CallerLimits())
+    return make_gateway(table, make_server(address), InstanceEntry(instance="i1"))
+
+
+@pytest.mark.parametrize("idempotent", [True, False], ids=["repeatable", "unsafe"])
+async def test_a_request_whose_connection_opens_after_its_deadline_has_not_run(
+    monkeypatch: pytest.MonkeyPatch, *, idempotent: bool
+) -> None:
+    """Guards against a call that counts as run while it connects, or is sent after its request."""
+    connect = HttpLeafConnection.connect
+
+    async def connect_late(connection: HttpLeafConnection) -> bool:
+        await asyncio.sleep(CONNECT_S)
+        return await connect(connection)
+
+    monkeypatch.setattr(HttpLeafConnection, "connect", connect_late)
+    server = CountingServer()
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    service = gateway_to(address, idempotent=idempotent)
+    result = await service.handle(make_request("/late", deadline=now() + DEADLINE_S))
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.NOT_RUN
+    await asyncio.sleep(2 * CONNECT_S)
+    assert isinstance(await service.handle(make_request("/next")), Ok)
+    assert server.targets == ["/next"]
+    assert server.accepted == 1, "the connection is kept"
+    service.connections.retire_all()
+    listener.close()
--- a/packages/azurefield/src/azurefield/leaf_progress.py
+++ b/packages/azurefield/src/azurefield/leaf_progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Generic, TypeVar
 
 from azurefield.failures import LeafFailureReason
@@ -10,17 +11,27 @@
 A = TypeVar("A")
 
 
+class CallStage(StrEnum):
+    """How far a pending call is; it can have run only if it is ``SENT``.
+
+    ``WAITING``: it waits for quota or a connection. ``CONNECTING``: its connection is being opened.
+    """
+
+    WAITING = "waiting"
+    CONNECTING = "connecting"
+    SENT = "sent"
+
+
 @dataclass(slots=True, kw_only=True)
 class PendingCall:
     """A call that has not ended.
 
     :param sent_at: when it was sent, or began to wait
-    :param waiting: whether it still waits for quota or a connection, so that it has not run
     """
 
     server: str
     sent_at: float
-    waiting: bool = False
+    stage: CallStage = CallStage.SENT
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -12,7 +12,7 @@
     LeafFailureReason,
 )
 from azurefield.hedging import HedgePolicy
-from azurefield.leaf_progress import LeafProgress, PendingCall
+from azurefield.leaf_progress import CallStage, LeafProgress, PendingCall
 from azurefield.loss_containment import LossContainment, RetryDecision
 from azurefield.merge import MergePolicy
 from azurefield.model import Outcome, Snapshot
@@ -179,11 +179,11 @@
         self.progress[leaf].resend_at = None
         self.open_leafs.discard(leaf)
 
-    def set_waiting(self, call_id: str, *, waiting: bool) -> None:
-        """Record whether a pending call waits for quota or a connection before it is sent."""
+    def set_stage(self, call_id: str, stage: CallStage) -> None:
+        """Record how far a pending call is."""
         leaf = self.leaf_of_pending_call(call_id)
         if leaf is not None:
-            self.progress[leaf].pending[call_id].waiting = waiting
+            self.progress[leaf].pending[call_id].stage = stage
 
     def schedule_resend(self, now: float, progress: LeafProgress[A]) -> None:
         """Schedule a repeated call to the servers that did not run a leaf's call.
@@ -368,7 +368,7 @@
     ) -> None:
         """Cancel all pending calls of a leaf."""
         for call_id, call in progress.pending.items():
-            ended = CallResult.NOT_SENT if call.waiting else result
+            ended = CallResult.NOT_SENT if call.stage is CallStage.WAITING else result
             self.router.on_result(now, call.server, ended, now - call.sent_at)
             actions.append(CancelLeafCall(call_id=call_id, server=call.server))
         progress.pending.clear()
@@ -385,7 +385,7 @@
             return actions
         for leaf, progress in self.progress.items():
             if progress.pending:
-                sent = sum(not call.waiting for call in progress.pending.values())
+                sent = sum(call.stage is CallStage.SENT for call in progress.pending.values())
                 if sent or progress.failure is None:
                     progress.failure = LeafFailureReason.TIMEOUT
                 progress.ended_attempts += sent
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -11,6 +11,7 @@
 
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason
 from azurefield.hedging import NoHedging
+from azurefield.leaf_progress import CallStage
 from azurefield.merge import MergedParts, Part, SingleAnswer, TopRecordsMerge
 from azurefield.model import Outcome, Snapshot
 from azurefield.query import RESEND_DELAY_S, FanOut
@@ -223,20 +224,21 @@
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize("stage", [CallStage.WAITING, CallStage.CONNECTING])
 @pytest.mark.parametrize(
     ("failures", "retry_after_s"),
     [([], 1.0), ([DENIED], 0.1)],
     ids=["first-call", "after-a-denied-call"],
 )
 def test_a_call_that_still_waits_at_the_deadline_has_not_run(
-    failures: list[LeafFailure], retry_after_s: float
+    failures: list[LeafFailure], retry_after_s: float, stage: CallStage
 ) -> None:
     """Guards against a request that counts as run although none of its calls was sent."""
     query = fan_out(SingleAnswer(), ("a",))
     [call_id] = sent(query.start(0.0))
     for failure in failures:
         [call_id] = sent(query.on_failure(0.1, call_id, failure))
-    query.set_waiting(call_id, waiting=True)
+    query.set_stage(call_id, stage)
     result = result_of(query.on_tick(1.0))
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.NOT_RUN
@@ -247,8 +249,8 @@
     """Guards against the outcome 'not run' for a call whose wait has ended."""
     query = fan_out(SingleAnswer(), ("a",))
     [call_id] = sent(query.start(0.0))
-    query.set_waiting(call_id, waiting=True)
-    query.set_waiting(call_id, waiting=False)
+    query.set_stage(call_id, CallStage.WAITING)
+    query.set_stage(call_id, CallStage.SENT)
     result = result_of(query.on_tick(1.0))
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
