Leave time for the server to calls that ask for quota again

Cause: calls wait for quota for at most three quarters of their time, but a call that was denied was sent again at any time before the deadline, with three quarters of the rest.

Change: the time for quota counts from the first call of the leaf, however often it asks. A call whose server opens later is refused as not run, with the time to come back.

--- a/packages/azurefield/src/azurefield/leaf_progress.py
+++ b/packages/azurefield/src/azurefield/leaf_progress.py
@@ -8,6 +8,9 @@
 
 from azurefield.failures import LeafFailureReason
 
+# The calls of a leaf wait for quota at most this fraction of its time; its server has the rest.
+QUOTA_WAIT_FRACTION = 0.75
+
 A = TypeVar("A")
 
 
@@ -61,3 +64,8 @@
         if self.answer is not None:
             return True
         return self.failure is not None and not self.pending and self.resend_at is None
+
+    def quota_by(self, now: float, deadline: float) -> float:
+        """Return until when the calls of the leaf may wait for quota, however often they ask."""
+        began = now if self.first_sent_at is None else self.first_sent_at
+        return began + QUOTA_WAIT_FRACTION * (deadline - began)
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -26,9 +26,6 @@
 
 # Delay before a call is sent again to the servers that refused it. Refusals are usually brief.
 RESEND_DELAY_S = 0.05
-# A call waits for quota at most this fraction of its time; the rest is left to its server.
-QUOTA_WAIT_FRACTION = 0.75
-
 
 A = TypeVar("A")
 R = TypeVar("R")
@@ -192,12 +189,14 @@
         """
         opens_at = min(map(self.limits.opens_at, progress.refused_by), default=now)
         at = max(now + RESEND_DELAY_S, opens_at)
+        limited = progress.failure is LeafFailureReason.RATE_LIMITED
+        latest = progress.quota_by(now, self.deadline) if limited else self.deadline
         rerun_forbidden = progress.ended_attempts and not self.idempotent
         if (
             progress.refused_by
             and not rerun_forbidden
             and self.attempts_left(progress)
-            and at < self.deadline
+            and at < latest
         ):
             self.timers.set_resend(progress, at)
 
@@ -334,7 +333,7 @@
             return now
         if self.answer_by is not None and now < self.answer_by:
             deadline = min(deadline, self.answer_by)
-        return now + QUOTA_WAIT_FRACTION * (deadline - now)
+        return max(now, self.progress[leaf].quota_by(now, deadline))
 
     def call_deadline(self, now: float, leaf: str, progress: LeafProgress[A]) -> float:
         """Return the deadline of a call that is sent now."""
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -364,6 +364,27 @@
     assert resent.server == "s2"
 
 
+@pytest.mark.parametrize(("opens_at", "sent_again"), [(0.7, True), (0.76, False), (0.99, False)])
+def test_a_call_that_was_denied_waits_for_quota_no_longer_than_any_other(
+    opens_at: float, *, sent_again: bool
+) -> None:
+    """Guards against a call that is sent so late that its answer misses the deadline."""
+    limits = Limits(opens={"s2": inf, "s3": inf})
+    query = limited(limits)
+    [call] = calls(query.start(0.0))
+    assert call.start_by == pytest.approx(0.75)
+    limits.opens[call.server] = opens_at
+    actions = query.on_failure(0.01, call.call_id, DENIED)
+    if sent_again:
+        [resent] = calls(query.on_tick(opens_at))
+        assert resent.start_by == pytest.approx(0.75)
+    else:
+        result = result_of(actions)
+        assert isinstance(result, Err)
+        assert result.err_value.outcome is Outcome.NOT_RUN
+        assert result.err_value.retry_after_s == pytest.approx(opens_at - 0.01)
+
+
 @pytest.mark.parametrize(
     ("opens", "retry_after_s"),
     [({"s1": 3.0, "s2": 2.5, "s3": 4.0}, 2.5), ({"s1": 1.01, "s2": 1.2, "s3": 1.02}, 1.01)],
