--- a/tests/soak/soak/callers.py
+++ b/tests/soak/soak/callers.py
@@ -148,13 +148,15 @@
         :return: whether the connection can be used again
         """
         planned_restarts_only = self.planned_restarts_only
+        sent_at = asyncio.get_running_loop().time()
         writer.write(encode_request(sent))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 status, headers, body = await read_answer(reader)
-        except (OSError, EOFError):
+        except (OSError, EOFError) as error:
             if planned_restarts_only and self.planned_restarts_only:
-                self.history.on_unanswered(sent)
+                waited_s = asyncio.get_running_loop().time() - sent_at
+                self.history.on_unanswered(sent, f"{error!r} after {waited_s:.3f} s")
             return False
         self.history.on_answer(sent, status, headers, body)
         return headers.get("connection", "").lower() != "close"
--- a/tests/soak/soak/history.py
+++ b/tests/soak/soak/history.py
@@ -152,14 +152,16 @@
         if body != b"".join(sorted(records, reverse=True)[:TOP_K]):
             self.add_violation("MIXED", sent.request_id, "not the greatest records of its parts")
 
-    def on_unanswered(self, sent: SentRequest) -> None:
+    def on_unanswered(self, sent: SentRequest, reason: str) -> None:
         """Check a request that got no answer although there were only planned restarts.
 
         A request that ran must be answered before its gateway exits.
+
+        :param reason: how the caller missed the answer
         """
         if self.runs.get(sent.request_id):
             self.add_violation(
                 "LOST",
                 sent.request_id,
-                f"it ran, but {sent.gateway} closed the connection without an answer",
+                f"it ran, but {sent.gateway} did not answer: {reason}",
             )
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -233,9 +233,8 @@
             callers.running = False
             for task in [*tasks, *supervisors]:
                 task.cancel()
-            report.logs = [
-                line for g in site.gateways.values() if g.process for line in g.process.output
-            ]
+            running = (line for gateway in site.gateways.values() for line in gateway.log_lines())
+            report.logs = [*site.logs, *running]
             await site.stop()
     report.requests = len(history.sent)
     report.answered = sum(sent.status == 200 for sent in history.sent.values())
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -91,6 +91,11 @@
         self.process = ManagedProcess(name=self.name, process=process)
         self.process.reader = asyncio.create_task(self.process.collect())
 
+    def log_lines(self) -> list[str]:
+        """Return what the process has logged, with the name of the gateway in each line."""
+        output = [] if self.process is None else self.process.output
+        return [f"{self.name}: {line}" for line in output]
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal; note if it terminates the process, so that the exit is expected."""
         if number in (signal.SIGTERM, signal.SIGKILL):
@@ -103,8 +108,8 @@
 class Site:
     """All gateways, leafs and the store of one run, with a proxy for each leaf.
 
-    ``crashes`` holds when leafs were ended by a request. ``leaf_count`` counts all leafs that were
-    ever named, so that each name is used only once.
+    ``crashes`` holds when leafs were ended by a request, ``logs`` what ended gateways have logged.
+    ``leaf_count`` counts all leafs that were ever named, so that each name is used only once.
     """
 
     directory: Path
@@ -122,6 +127,7 @@
     supervising: bool = True
     crashes: list[float] = field(default_factory=list)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    logs: list[str] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start the store and the leafs, then the gateways."""
@@ -266,6 +272,7 @@
             code = await gateway.process.process.wait()
             if not self.supervising:
                 return
+            self.logs += gateway.log_lines()
             if not gateway.ended_by_soak:
                 tail = gateway.process.tail()
                 self.history.add_violation(
