Ask an instance that was late for a moment again when it is not

Cause: the only instance that reached servers refused one request because its event loop was late, and got none for 1 s, the time that is meant for an instance that is partitioned or stops. Its message gave "0 ms late", since it left out the tick that was overdue.

Two of three cases of test_pass_on.py failed on the code before; the third, that an instance that stops is not asked again soon, passed.

Change: a refusal for lateness names when the overload ends if all further ticks are punctual, and the instance is asked again then.

Result: the cases pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -174,9 +174,9 @@
 
     def accept(self, link: AcceptedLink, frame: ForwardedRequest) -> None:
         """Start a request, or refuse it."""
-        problem = self.reason_to_refuse(frame)
-        if problem is not None:
-            link.send(RequestRefused(number=frame.number, detail=problem))
+        refusal = self.refuse(frame)
+        if refusal is not None:
+            link.send(refusal)
             return
         self.request_count += 1
         activity_id = str(self.request_count)
@@ -187,17 +187,21 @@
         link.running[frame.number] = task
         task.add_done_callback(lambda _: self.end(link, frame.number, activity_id))
 
-    def reason_to_refuse(self, frame: ForwardedRequest) -> str | None:
-        """Return why a request can't be run here; None if it can."""
+    def refuse(self, frame: ForwardedRequest) -> RequestRefused | None:
+        """Build the refusal of a request that can't be run here; None if it can."""
+        detail, retry_after_s = "", None
         if self.draining:
-            return "a planned stop has begun"
-        if self.partitioned():
-            return "no server can be reached"
-        if self.version() != frame.version:
-            return f"version {self.version()} of the configuration is in force"
-        if self.lag.overloaded(now()):
-            return f"the event loop is {self.lag.lag_s * 1000:.0f} ms late"
-        return None
+            detail = "a planned stop has begun"
+        elif self.partitioned():
+            detail = "no server can be reached"
+        elif self.version() != frame.version:
+            detail = f"version {self.version()} of the configuration is in force"
+        elif self.lag.overloaded(now()):
+            detail = f"the event loop is {self.lag.late_s(now()) * 1000:.0f} ms late"
+            retry_after_s = self.lag.recovery_s(now())
+        else:
+            return None
+        return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
     async def run_accepted(self, link: AcceptedLink, number: int, request: GatewayRequest) -> None:
         """Run a request and send its result."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -167,9 +167,10 @@
             label, result = "answered", sent.ok_value
         else:
             label, result = sent.err_value.problem, Err(lost_failure(sent.err_value))
-        refused = isinstance(sent, Err) and sent.err_value.problem is ForwardProblem.REFUSED
-        if refused:
-            self.peers.on_refused(now(), instance)
+        refused = False
+        if isinstance(sent, Err) and sent.err_value.problem is ForwardProblem.REFUSED:
+            refused = True
+            self.peers.on_refused(now(), instance, sent.err_value.retry_after_s)
         self.metrics.forwarded.labels(label).inc()
         log.info(
             "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -52,10 +52,14 @@
 
 
 class RequestRefused(msgspec.Struct, tag="refused", frozen=True, kw_only=True):
-    """The coordinator has not run the request and will not run it."""
+    """The coordinator has not run the request and will not run it.
+
+    :param retry_after_s: when it expects to accept requests again; None if it does not know
+    """
 
     number: int
     detail: str
+    retry_after_s: float | None = None
 
 
 class RequestAnswered(msgspec.Struct, tag="answered", frozen=True, kw_only=True):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -59,10 +59,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NotForwarded:
-    """There is no result of a forwarded request."""
+    """There is no result of a forwarded request.
+
+    :param retry_after_s: when the instance that refused it expects to accept requests again
+    """
 
     problem: ForwardProblem
     detail: str
+    retry_after_s: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -77,8 +81,10 @@
         match frame:
             case RequestAccepted():
                 set_result(self.accepted, Ok(None))
-            case RequestRefused(detail=detail):
-                refused = NotForwarded(problem=ForwardProblem.REFUSED, detail=detail)
+            case RequestRefused(detail=detail, retry_after_s=retry_after_s):
+                refused = NotForwarded(
+                    problem=ForwardProblem.REFUSED, detail=detail, retry_after_s=retry_after_s
+                )
                 set_result(self.accepted, Err(refused))
             case RequestAnswered() | RequestServed() | RequestFailed():
                 set_result(self.result, Ok(decode_result(frame)))
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_pass_on.py
@@ -0,0 +1,126 @@
+"""Requests that an instance without servers passes on, and the instances that refuse them."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING, Any, cast
+
+import pytest
+from result import Ok
+
+from azurefield.coordinators import CoordinatorView, InstanceProfile
+from azurefield.peer_selection import PeerSelection
+from azurefield.routes import Route, SingleService
+from azurefield.routing import OwnObservationRouter
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.coordinator import CoordinatorService
+from azurefield_entry.gateway.dispatch import RequestDispatcher
+from azurefield_entry.gateway.forwarding import Forwarding
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
+from azurefield_entry.gateway.quota_issuer import QuotaIssuer
+from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_testkit.entry_support.gateway_parts import make_request
+from azurefield_testkit.entry_support.instance import free_address
+from azurefield_testkit.waiting import accepts, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from azurefield_entry.gateway.running import RequestResult
+
+VERSION = 7
+ROUTE = Route(
+    name="r",
+    host="x",
+    prefix="/",
+    target=SingleService(service="desk"),
+    timeout_s=1.0,
+    idempotent=True,
+)
+ANSWER = OpaqueAnswer(status=200, headers=(), body=b"ok", proof="p")
+
+
+@dataclass(slots=True, kw_only=True)
+class Neighbours:
+    """An instance that passes requests on, and the only other one."""
+
+    dispatcher: RequestDispatcher
+    other: CoordinatorService
+
+    async def served(self) -> bool:
+        """Pass one request on; return whether it was run."""
+        request = make_request(deadline=now() + 1.0)
+        return await self.dispatcher.pass_on(request, ROUTE, VERSION) is not None
+
+
+@asynccontextmanager
+async def neighbours() -> AsyncIterator[Neighbours]:
+    """Run the other instance; the first one needs no servers."""
+
+    async def run(_: GatewayRequest) -> RequestResult:
+        return Ok(ANSWER)
+
+    other = CoordinatorService(
+        address=free_address(),
+        version=lambda: VERSION,
+        run_request=run,
+        quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
+        on_crash_report=lambda _: None,
+        partitioned=lambda: False,
+        finish_timeout_s=2.0,
+    )
+    mailbox = Mailbox(name="coordinator")
+    serving = asyncio.create_task(other.run(Kernel(), mailbox))
+    await wait_until(partial(accepts, other.address), "the other instance accepts links")
+    router = OwnObservationRouter(random=Random(1))
+    forwarding = Forwarding(view=CoordinatorView(own="i1"), router=router)
+    forwarding.view.on_profile(
+        InstanceProfile(
+            instance="i2", availability_zone="z", capacity=2.0, coordinator_address=other.address
+        )
+    )
+    unused = cast("Any", None)
+    dispatcher = RequestDispatcher(
+        runner=unused,
+        forwarding=forwarding,
+        peers=PeerSelection(own="i1", own_zone="z", router=router, other_zone_penalty_s=0.0),
+        partition_watch=unused,
+        contacts=unused,
+        metrics=GatewayMetrics(),
+        random=Random(1),
+    )
+    try:
+        yield Neighbours(dispatcher=dispatcher, other=other)
+    finally:
+        forwarding.peers.close()
+        mailbox.send(Stop())
+        await serving
+
+
+@pytest.mark.parametrize(("lag_s", "asked_again_s"), [(0.15, 0.1), (0.3, 0.2)])
+async def test_an_instance_that_was_late_for_a_moment_gets_requests_when_it_is_not(
+    lag_s: float, asked_again_s: float
+) -> None:
+    """Guards against a second without service because the only other instance was late once."""
+    async with neighbours() as pair:
+        assert await pair.served()
+        pair.other.lag.lag_s = lag_s
+        assert not await pair.served()
+        pair.other.lag.lag_s = 0.0
+        await asyncio.sleep(asked_again_s)
+        assert await pair.served()
+
+
+async def test_an_instance_that_stops_is_not_asked_again_soon() -> None:
+    """Guards against requests that each ask an instance which refuses them all."""
+    async with neighbours() as pair:
+        pair.other.draining = True
+        assert not await pair.served()
+        pair.other.draining = False
+        await asyncio.sleep(0.3)
+        assert not await pair.served()
--- a/packages/azurefield/src/azurefield/overload.py
+++ b/packages/azurefield/src/azurefield/overload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import ceil, log
 
 # A process whose event loop is later than this adds more to a request than another attempt costs.
 LAG_MAX_S = 0.1
@@ -31,7 +32,16 @@
             self.lag_s = max(late_s, LAG_DECAY * self.lag_s)
         self.ticked_at = now
 
+    def late_s(self, now: float) -> float:
+        """Return how late the event loop is, or was until shortly before."""
+        overdue_s = 0.0 if self.ticked_at is None else now - self.ticked_at - self.interval_s
+        return max(self.lag_s, overdue_s)
+
     def overloaded(self, now: float) -> bool:
         """Whether work that can be done elsewhere should not be accepted."""
-        overdue_s = 0.0 if self.ticked_at is None else now - self.ticked_at - self.interval_s
-        return max(self.lag_s, overdue_s) > LAG_MAX_S
+        return self.late_s(now) > LAG_MAX_S
+
+    def recovery_s(self, now: float) -> float:
+        """Return how long an overload lasts if all further ticks are punctual."""
+        excess = max(1.0, self.late_s(now) / LAG_MAX_S)
+        return self.interval_s * ceil(log(excess) / log(1 / LAG_DECAY))
--- a/packages/azurefield/src/azurefield/peer_selection.py
+++ b/packages/azurefield/src/azurefield/peer_selection.py
@@ -12,7 +12,7 @@
 
     from azurefield.coordinators import InstanceProfile
 
-# An instance that has refused a request gets none for this time.
+# An instance that has refused a request gets none for this time, or a shorter one that it names.
 AVOID_S = 1.0
 
 
@@ -44,9 +44,13 @@
                 candidates.append(name)
         return self.router.choose(now, tuple(candidates))
 
-    def on_refused(self, now: float, instance: str) -> None:
-        """Avoid an instance that has refused a request."""
-        self.avoided_until[instance] = now + AVOID_S
+    def on_refused(self, now: float, instance: str, retry_after_s: float | None = None) -> None:
+        """Avoid an instance that has refused a request.
+
+        :param retry_after_s: when it expects to accept requests again, if it knows
+        """
+        avoid_s = AVOID_S if retry_after_s is None else min(AVOID_S, retry_after_s)
+        self.avoided_until[instance] = now + avoid_s
 
     def retain_only(self, instances: Collection[str]) -> None:
         """Drop the instances that no longer run."""
--- a/packages/azurefield/tests/test_overload.py
+++ b/packages/azurefield/tests/test_overload.py
@@ -33,3 +33,18 @@
     lag.on_tick(0.0)
     assert not lag.overloaded(0.15)
     assert lag.overloaded(3.0)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.1, 0.11, 0.2, 0.5, 10.0])
+def test_an_overload_is_over_after_the_time_that_was_expected(late_s: float) -> None:
+    """Guards against an instance that is asked too early, or long after it has recovered."""
+    lag = LoopLag(interval_s=0.1)
+    lag.on_tick(0.0)
+    now = lag.interval_s + late_s
+    lag.on_tick(now)
+    recovered_at = now + lag.recovery_s(now)
+    while lag.overloaded(now):
+        assert now < recovered_at - 0.01
+        now += lag.interval_s
+        lag.on_tick(now)
+    assert now == pytest.approx(recovered_at)
