--- a/packages/azurefield/src/azurefield/leaf_progress.py
+++ b/packages/azurefield/src/azurefield/leaf_progress.py
@@ -3,24 +3,38 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Generic, TypeVar
 
 from azurefield.failures import LeafFailureReason
 
+# The calls of a leaf wait for quota at most this fraction of its time; its server has the rest.
+QUOTA_WAIT_FRACTION = 0.75
+
 A = TypeVar("A")
 
 
+class CallStage(StrEnum):
+    """How far a pending call is; it can have run only if it is ``SENT``.
+
+    ``WAITING``: it waits for quota or a connection. ``CONNECTING``: its connection is being opened.
+    """
+
+    WAITING = "waiting"
+    CONNECTING = "connecting"
+    SENT = "sent"
+
+
 @dataclass(slots=True, kw_only=True)
 class PendingCall:
     """A call that has not ended.
 
     :param sent_at: when it was sent, or began to wait
-    :param waiting: whether it still waits for quota or a connection, so that it has not run
     """
 
     server: str
     sent_at: float
-    waiting: bool = False
+    stage: CallStage = CallStage.SENT
 
 
 @dataclass(slots=True, kw_only=True)
@@ -50,3 +64,8 @@
         if self.answer is not None:
             return True
         return self.failure is not None and not self.pending and self.resend_at is None
+
+    def quota_by(self, now: float, deadline: float) -> float:
+        """Return until when the calls of the leaf may wait for quota, however often they ask."""
+        began = now if self.first_sent_at is None else self.first_sent_at
+        return began + QUOTA_WAIT_FRACTION * (deadline - began)
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -12,7 +12,7 @@
     LeafFailureReason,
 )
 from azurefield.hedging import HedgePolicy
-from azurefield.leaf_progress import LeafProgress, PendingCall
+from azurefield.leaf_progress import CallStage, LeafProgress, PendingCall
 from azurefield.loss_containment import LossContainment, RetryDecision
 from azurefield.merge import MergePolicy
 from azurefield.model import Outcome, Snapshot
@@ -26,9 +26,6 @@
 
 # Delay before a call is sent again to the servers that refused it. Refusals are usually brief.
 RESEND_DELAY_S = 0.05
-# A call waits for quota at most this fraction of its time; the rest is left to its server.
-QUOTA_WAIT_FRACTION = 0.75
-
 
 A = TypeVar("A")
 R = TypeVar("R")
@@ -179,11 +176,11 @@
         self.progress[leaf].resend_at = None
         self.open_leafs.discard(leaf)
 
-    def set_waiting(self, call_id: str, *, waiting: bool) -> None:
-        """Record whether a pending call waits for quota or a connection before it is sent."""
+    def set_stage(self, call_id: str, stage: CallStage) -> None:
+        """Record how far a pending call is."""
         leaf = self.leaf_of_pending_call(call_id)
         if leaf is not None:
-            self.progress[leaf].pending[call_id].waiting = waiting
+            self.progress[leaf].pending[call_id].stage = stage
 
     def schedule_resend(self, now: float, progress: LeafProgress[A]) -> None:
         """Schedule a repeated call to the servers that did not run a leaf's call.
@@ -192,12 +189,14 @@
         """
         opens_at = min(map(self.limits.opens_at, progress.refused_by), default=now)
         at = max(now + RESEND_DELAY_S, opens_at)
+        limited = progress.failure is LeafFailureReason.RATE_LIMITED
+        latest = progress.quota_by(now, self.deadline) if limited else self.deadline
         rerun_forbidden = progress.ended_attempts and not self.idempotent
         if (
             progress.refused_by
             and not rerun_forbidden
             and self.attempts_left(progress)
-            and at < self.deadline
+            and at < latest
         ):
             self.timers.set_resend(progress, at)
 
@@ -334,7 +333,7 @@
             return now
         if self.answer_by is not None and now < self.answer_by:
             deadline = min(deadline, self.answer_by)
-        return now + QUOTA_WAIT_FRACTION * (deadline - now)
+        return max(now, self.progress[leaf].quota_by(now, deadline))
 
     def call_deadline(self, now: float, leaf: str, progress: LeafProgress[A]) -> float:
         """Return the deadline of a call that is sent now."""
@@ -368,7 +367,7 @@
     ) -> None:
         """Cancel all pending calls of a leaf."""
         for call_id, call in progress.pending.items():
-            ended = CallResult.NOT_SENT if call.waiting else result
+            ended = CallResult.NOT_SENT if call.stage is CallStage.WAITING else result
             self.router.on_result(now, call.server, ended, now - call.sent_at)
             actions.append(CancelLeafCall(call_id=call_id, server=call.server))
         progress.pending.clear()
@@ -385,7 +384,7 @@
             return actions
         for leaf, progress in self.progress.items():
             if progress.pending:
-                sent = sum(not call.waiting for call in progress.pending.values())
+                sent = sum(call.stage is CallStage.SENT for call in progress.pending.values())
                 if sent or progress.failure is None:
                     progress.failure = LeafFailureReason.TIMEOUT
                 progress.ended_attempts += sent
--- a/packages/azurefield/tests/test_query_limits.py
+++ b/packages/azurefield/tests/test_query_limits.py
@@ -11,6 +11,7 @@
 
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason
 from azurefield.hedging import NoHedging
+from azurefield.leaf_progress import CallStage
 from azurefield.merge import MergedParts, Part, SingleAnswer, TopRecordsMerge
 from azurefield.model import Outcome, Snapshot
 from azurefield.query import RESEND_DELAY_S, FanOut
@@ -223,20 +224,21 @@
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize("stage", [CallStage.WAITING, CallStage.CONNECTING])
 @pytest.mark.parametrize(
     ("failures", "retry_after_s"),
     [([], 1.0), ([DENIED], 0.1)],
     ids=["first-call", "after-a-denied-call"],
 )
 def test_a_call_that_still_waits_at_the_deadline_has_not_run(
-    failures: list[LeafFailure], retry_after_s: float
+    failures: list[LeafFailure], retry_after_s: float, stage: CallStage
 ) -> None:
     """Guards against a request that counts as run although none of its calls was sent."""
     query = fan_out(SingleAnswer(), ("a",))
     [call_id] = sent(query.start(0.0))
     for failure in failures:
         [call_id] = sent(query.on_failure(0.1, call_id, failure))
-    query.set_waiting(call_id, waiting=True)
+    query.set_stage(call_id, stage)
     result = result_of(query.on_tick(1.0))
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.NOT_RUN
@@ -247,8 +249,8 @@
     """Guards against the outcome 'not run' for a call whose wait has ended."""
     query = fan_out(SingleAnswer(), ("a",))
     [call_id] = sent(query.start(0.0))
-    query.set_waiting(call_id, waiting=True)
-    query.set_waiting(call_id, waiting=False)
+    query.set_stage(call_id, CallStage.WAITING)
+    query.set_stage(call_id, CallStage.SENT)
     result = result_of(query.on_tick(1.0))
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
@@ -362,6 +364,27 @@
     assert resent.server == "s2"
 
 
+@pytest.mark.parametrize(("opens_at", "sent_again"), [(0.7, True), (0.76, False), (0.99, False)])
+def test_a_call_that_was_denied_waits_for_quota_no_longer_than_any_other(
+    opens_at: float, *, sent_again: bool
+) -> None:
+    """Guards against a call that is sent so late that its answer misses the deadline."""
+    limits = Limits(opens={"s2": inf, "s3": inf})
+    query = limited(limits)
+    [call] = calls(query.start(0.0))
+    assert call.start_by == pytest.approx(0.75)
+    limits.opens[call.server] = opens_at
+    actions = query.on_failure(0.01, call.call_id, DENIED)
+    if sent_again:
+        [resent] = calls(query.on_tick(opens_at))
+        assert resent.start_by == pytest.approx(0.75)
+    else:
+        result = result_of(actions)
+        assert isinstance(result, Err)
+        assert result.err_value.outcome is Outcome.NOT_RUN
+        assert result.err_value.retry_after_s == pytest.approx(opens_at - 0.01)
+
+
 @pytest.mark.parametrize(
     ("opens", "retry_after_s"),
     [({"s1": 3.0, "s2": 2.5, "s3": 4.0}, 2.5), ({"s1": 1.01, "s2": 1.2, "s3": 1.02}, 1.01)],
