Say "may have run" at the begin of a partition if a server has run a call

A request could be answered 503, "not run", although a server had run it (REFUSED).

Cause: at the begin of a partition the outcome was taken from the calls that were sent and not answered. A malformed answer removes its call from these, so while the next call was connecting, since, or waiting, before it, nothing was left that may have run.

Change: the outcome is taken from the attempts, which count each call until its server denies it. A request that is not idempotent is passed on only without any.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
@@ -132,11 +132,11 @@
         Requests that may not be repeated wait on if they may have run.
         """
         for running in [run for runs in self.running.values() for run in runs]:
-            repeatable = running.route.idempotent or not running.sent_calls
+            repeatable = running.route.idempotent or not running.may_have_run
             if repeatable and not running.answered_services and not running.result_future.done():
                 failure = RequestFailure(
                     kind=FailureKind.LEAF_UNAVAILABLE,
-                    outcome=Outcome.MAY_HAVE_RUN if running.sent_calls else Outcome.NOT_RUN,
+                    outcome=Outcome.MAY_HAVE_RUN if running.may_have_run else Outcome.NOT_RUN,
                     detail="this instance reaches no server",
                 )
                 self.execute_actions(running, running.fan_out.cancel(now()))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/running.py
@@ -103,6 +103,11 @@
     wake_at: float | None = None
     wake_up: asyncio.TimerHandle | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run a call of it."""
+        return self.attempts.total() > 0
+
     def set_wake_up(self, at: float, wake: Callable[[RunningRequest], None]) -> None:
         """Set the wake-up timer, replacing an earlier one."""
         if self.wake_at == at:
--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -4,16 +4,19 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, cast
 
 import pytest
 from result import Err, Ok
 
+from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.ports import InstanceEntry
+from azurefield_entry.gateway.request_runner import record_reply
+from azurefield_entry.gateway.running import RunningRequest, SentCall
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 
 if TYPE_CHECKING:
@@ -39,8 +42,8 @@
         writer.close()
 
 
-def gateway_to(address: str, *, idempotent: bool) -> GatewayService:
-    route = Route(
+def route(*, idempotent: bool) -> Route:
+    return Route(
         name="r",
         host="x",
         prefix="/",
@@ -48,8 +51,13 @@
         timeout_s=1.0,
         idempotent=idempotent,
     )
+
+
+def gateway_to(address: str, *, idempotent: bool) -> GatewayService:
     services = {"desk": ServiceLimits(connections_max=30)}
-    table = RouteTable.build(version=1, routes=[route], services=services, limits=CallerLimits())
+    table = RouteTable.build(
+        version=1, routes=[route(idempotent=idempotent)], services=services, limits=CallerLimits()
+    )
     return make_gateway(table, make_server(address), InstanceEntry(instance="i1"))
 
 
@@ -78,3 +86,29 @@
     assert server.accepted == 1, "the connection is kept"
     service.connections.retire_all()
     listener.close()
+
+
+@pytest.mark.parametrize(
+    ("reason", "outcome", "may_have_run"),
+    [
+        (LeafFailureReason.MALFORMED, Outcome.MAY_HAVE_RUN, True),
+        (LeafFailureReason.CONNECTION_LOST, Outcome.MAY_HAVE_RUN, True),
+        (LeafFailureReason.SHEDDING, Outcome.NOT_RUN, False),
+    ],
+)
+async def test_a_request_may_have_run_until_its_server_denies_it(
+    reason: LeafFailureReason, outcome: Outcome, may_have_run: bool
+) -> None:
+    """Guards against a malformed answer that is forgotten while the next call connects."""
+    running = RunningRequest(
+        request=make_request("/1"),
+        route=route(idempotent=True),
+        version=1,
+        digest="",
+        fan_out=cast("Any", None),
+        result_future=asyncio.get_running_loop().create_future(),
+    )
+    running.attempts["desk"] = 1
+    running.sent_calls["c1"] = SentCall(server="s1", service="desk", sent_at=0.0)
+    record_reply(running, "c1", Err(LeafFailure(reason=reason, outcome=outcome)))
+    assert running.may_have_run is may_have_run
