Bound the search for a copy in a body, and look behind the right end of chunks

The search for another answer in a body without a length took a time that grows with the square of the body: 3 s for 128 KiB of status lines without a line break, in which the event loop stands still. The reason phrase is bounded now; 4 MB in three forms are searched within the test's limit.

An own answer in one read behind an extra answer in chunks got the trailer of that answer if the read held what looks like an end without trailers elsewhere: in an earlier copy or in a body. A trailer Not-Executed made a request that had run a refused one. What follows the first such end is parsed by a parser of its own now; if that is no answer, or no such end is there, the call fails as malformed and may have run. A call whose encoding fails leaves no trace on its connection any more.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -12,10 +12,12 @@
 HEAD_END = b"\r\n\r\n"
 # The last chunk or the last trailer ends with HEAD_END; one more line break is an extra byte.
 EXTRA_LINE_BREAK = b"\n" + HEAD_END
-# The end of a chunked answer without trailers, and the begin of another answer.
-NO_TRAILERS = b"\r\n0\r\n\r\nH"
+# The end of a chunked answer without trailers.
+CHUNKS_END = b"\r\n0\r\n\r\n"
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUS_LINE_START = b"HTTP/"
+# Longest reason phrase of a status line that is looked for in a body.
+REASON_BYTES_MAX = 64
 
 
 @dataclass(slots=True, kw_only=True)
@@ -119,5 +121,7 @@
     if head.startswith(body[last:]):
         return True
     names = b"|".join(re.escape(name) for name, _ in message.raw_headers)
-    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*\r\n(?:" + names + rb")[ \t]*:"
-    return re.search(another, body, re.IGNORECASE) is not None
+    # The bounded reason keeps the time of the search linear in the length of the body.
+    reason = rb"[^\r\n]{0,%d}" % REASON_BYTES_MAX
+    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}" + reason + rb"\r\n(?i:" + names + rb")[ \t]*:"
+    return re.search(another, body) is not None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -17,7 +17,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import NO_TRAILERS, describe_confusion
+from azurefield_entry.gateway.answer_end import CHUNKS_END, describe_confusion
 from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -109,8 +109,8 @@
             result_future=self._loop.create_future(),
         )
         self.calls_sent += 1
-        self.transport.write(self.dialect.encode(call, self._loop.time()))
         try:
+            self.transport.write(self.dialect.encode(call, self._loop.time()))
             return await self.current_exchange.result_future
         except asyncio.CancelledError:
             self.abort()
@@ -266,8 +266,9 @@
             )
             if result is None:
                 unexpected = True
-                if message.chunked and not self.drop_trailers(exchange, read):
-                    self.give_up("an answer follows in one read with the trailers of another one")
+                if message.chunked:
+                    self.idle_until = float("-inf")
+                    self.parse_behind_chunks(exchange, read)
                     return
                 continue
             self.apply_keep_alive(message)
@@ -303,15 +304,21 @@
         unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
         return named and not (message.should_close or unsent)
 
-    def drop_trailers(self, exchange: Exchange, read: bytes) -> bool:
-        """Drop the trailers of an extra answer.
+    def parse_behind_chunks(self, exchange: Exchange, read: bytes) -> None:
+        """Parse what follows an extra answer in chunks, without its trailers.
 
-        :return: whether the answers behind it are free of them
+        :param read: the bytes with which the extra answer was completed
         """
-        if not exchange.answers and exchange.received.ends_with_chunks:
-            self.parser = self.new_parser(exchange.call)
-            return True
-        return NO_TRAILERS in read
+        last_byte = not exchange.answers and exchange.received.ends_with_chunks
+        exchange.answers.clear()
+        self.parser = self.new_parser(exchange.call)
+        if last_byte:
+            return
+        _, chunks_end, rest = read.partition(CHUNKS_END)
+        if not chunks_end:
+            self.give_up("an answer follows in one read with the trailers of another one")
+            return
+        self.parse(exchange, self.parser, rest)
 
     def apply_keep_alive(self, message: RawResponseMessage) -> None:
         """Limit the idle time to the server's ``Keep-Alive`` timeout."""
--- a/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
+++ b/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
@@ -85,3 +85,13 @@
     result = await exchange(ANSWER, b" " + example + b".")
     assert isinstance(result, Ok), result.err_value
     assert result.ok_value.body == b"body " + example + b"."
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("repeated", [b"HTTP/1.1 200 ", b"HTTP/1.1 200 OK\r\nx", b"\r\nProof:"])
+async def test_the_search_for_another_answer_does_not_hold_up_the_event_loop(
+    repeated: bytes,
+) -> None:
+    """Guards against a search whose time grows with the square of the body's length."""
+    result = await exchange(ANSWER, repeated * (4_000_000 // len(repeated)), b".")
+    assert isinstance(result, Ok), result.err_value
--- a/packages/azurefield-entry/tests/gateway/test_extra_answers.py
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -82,6 +82,25 @@
             await connection.close()
 
 
+@pytest.mark.parametrize(
+    "first_copy",
+    [chunked("/1", b"one"), chunked("/1", b"a\r\n0\r\n\r\nHb", TRAILER)],
+    ids=["two-copies", "end-in-body"],
+)
+async def test_what_looks_like_an_end_without_trailers_does_not_hide_a_trailer(
+    first_copy: bytes,
+) -> None:
+    """Guards against a request that has run and is refused for a trailer behind such an end."""
+    copies = first_copy + chunked("/1", b"one", TRAILER)
+    script = [[answer("/1", b"one")], [copies + answer("/2", b"two")]]
+    async with listening(ScriptedServer(script=script)) as address:
+        connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+        assert isinstance(await connection.exchange(call("/1")), Ok)
+        result = await connection.exchange(call("/2"))
+        assert isinstance(result, Err), result.ok_value.headers
+        assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nId: /1\r\n\r\nbody"
 # A copy that is cut off within this can't be told from the body.
 TOO_SHORT = len(b"HTTP")
