Let the only instance left run forwarded requests although it is late

A request of an instance that reaches no server can't be done elsewhere when no other is left. A request that was not accepted within 50 ms, or 0.35 of the goal of its route, got 502 as possibly run, although the other instance would have run it in time and nothing else could be done with it.

Change: an instance that was late is asked when no other is left, with the note that it is the only choice; it then refuses only what could not end in time at its lateness. Coordinators of large fleets are asked as before. Old instances ignore the note.

Ruled out: to run a request that was not accepted elsewhere, since the first instance may still run it, and the attempts would count twice.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -71,7 +71,8 @@
 
     A request is refused, which guarantees that it does not run, while another version of the route
     table is in force here, while this process is overloaded or reaches no server itself, and after
-    a planned stop has begun. It is never passed on again.
+    a planned stop has begun. An overload is no reason if no other instance is left that might run
+    the request and it may still end in time. A request is never passed on again.
 
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
@@ -196,13 +197,18 @@
             detail = "no server can be reached"
         elif self.version() != frame.version:
             detail = f"version {self.version()} of the configuration is in force"
-        elif self.lag.overloaded(now()):
+        elif self.lag.overloaded(now()) and not self.must_run(frame):
             detail = f"the event loop is {self.lag.late_s(now()) * 1000:.0f} ms late"
             retry_after_s = self.lag.recovery_s(now())
         else:
             return None
         return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
+    def must_run(self, frame: ForwardedRequest) -> bool:
+        """Whether a request should run here despite an overload: nowhere else, and in time."""
+        in_time = frame.left_s is None or self.lag.in_time(now(), frame.left_s)
+        return frame.only_choice and in_time
+
     async def run_accepted(self, link: AcceptedLink, number: int, request: GatewayRequest) -> None:
         """Run a request and send its result."""
         link.send(encode_result(number, await self.run_request(request)))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -15,7 +15,12 @@
 from azurefield.peer_selection import PeerSelection
 from azurefield.reachability import ServerContacts
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, lost_failure
+from azurefield_entry.gateway.forwarding import (
+    Forwarding,
+    ForwardProblem,
+    ForwardTarget,
+    lost_failure,
+)
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.outcomes import describe, no_server_reachable_failure, refusal
 from azurefield_entry.gateway.partition_watch import PartitionWatch
@@ -95,23 +100,28 @@
         """Whether servers still answer over connections that were opened before a partition."""
         return max(self.contacts.up_at.values(), default=0.0) > now() - OPEN_CONNECTION_S
 
-    def coordinators(self, route: Route) -> Iterator[str]:
+    def coordinators(self, route: Route) -> Iterator[ForwardTarget]:
         """Choose coordinators one after the other; none if this instance runs the route itself."""
         for _ in range(TARGETS_MAX):
             coordinator = self.forwarding.choose(route)
             if coordinator is None:
                 return
-            yield coordinator
+            yield ForwardTarget(instance=coordinator)
 
-    def other_instances(self, route: Route) -> Iterator[str]:
-        """Choose other instances one after the other, coordinators of the route if it has any."""
+    def other_instances(self, route: Route) -> Iterator[ForwardTarget]:
+        """Choose other instances one after the other, coordinators of the route if it has any.
+
+        One that refuses because it is late may be asked again when no other is left.
+        """
         tried: list[str] = []
-        for _ in range(TARGETS_MAX):
-            name = self.peers.choose(now(), self.forwarding.profiles_for(route), tried)
-            if name is None:
+        for left in reversed(range(TARGETS_MAX)):
+            choice = self.peers.choose(now(), self.forwarding.profiles_for(route), tried)
+            if choice is None:
                 return
-            yield name
-            tried.append(name)
+            only_choice = choice.only or left == 0
+            yield ForwardTarget(instance=choice.instance, patient=True, only_choice=only_choice)
+            if only_choice:
+                tried.append(choice.instance)
 
     async def pass_on(
         self, request: GatewayRequest, route: Route, version: int
@@ -143,26 +153,26 @@
         return repeatable and attempts_left and in_time
 
     async def run_on(
-        self, instances: Iterator[str], request: GatewayRequest, route: Route, version: int
+        self, targets: Iterator[ForwardTarget], request: GatewayRequest, route: Route, version: int
     ) -> RequestResult | None:
         """Let the first of some instances that accepts a request run it.
 
         :return: the result; None if none has accepted it
         """
-        for name in instances:
-            result = await self.forward(name, request, route, version)
+        for target in targets:
+            result = await self.forward(target, request, route, version)
             if result is not None:
                 return result
         return None
 
     async def forward(
-        self, instance: str, request: GatewayRequest, route: Route, version: int
+        self, target: ForwardTarget, request: GatewayRequest, route: Route, version: int
     ) -> RequestResult | None:
         """Let one instance run a request.
 
         :return: the result; None if it was refused, so that it has not run
         """
-        sent = await self.forwarding.forward(instance, request, route, version)
+        sent = await self.forwarding.forward(target, request, route, version)
         if isinstance(sent, Ok):
             label, result = "answered", sent.ok_value
         else:
@@ -170,7 +180,7 @@
         refused = False
         if isinstance(sent, Err) and sent.err_value.problem is ForwardProblem.REFUSED:
             refused = True
-            self.peers.on_refused(now(), instance, sent.err_value.retry_after_s)
+            self.peers.on_refused(now(), target.instance, sent.err_value.retry_after_s)
         self.metrics.forwarded.labels(label).inc()
         log.info(
             "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
@@ -178,7 +188,7 @@
             route.name,
             version,
             (now() - request.arrived_at) * 1000,
-            instance,
+            target.instance,
             refused,
             describe(result),
         )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -24,6 +24,7 @@
     :param elapsed_s: time since the request arrived
     :param left_s: time until the caller stops waiting; None if it gave no deadline
     :param attempts_used: attempts that an earlier run may have made on a service
+    :param only_choice: whether no other instance is left that might run it
     """
 
     number: int
@@ -37,6 +38,7 @@
     elapsed_s: float
     left_s: float | None
     attempts_used: int = 0
+    only_choice: bool = False
 
 
 class CancelRequest(msgspec.Struct, tag="cancel", frozen=True, kw_only=True):
@@ -96,7 +98,7 @@
 
 
 def encode_request(
-    number: int, version: int, request: GatewayRequest, now: float
+    number: int, version: int, request: GatewayRequest, now: float, *, only_choice: bool = False
 ) -> ForwardedRequest:
     """Build the frame of a request."""
     return ForwardedRequest(
@@ -111,6 +113,7 @@
         elapsed_s=max(0.0, now - request.arrived_at),
         left_s=None if request.deadline is None else request.deadline - now,
         attempts_used=request.attempts_used,
+        only_choice=only_choice,
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -36,8 +36,8 @@
     from azurefield_entry.gateway.peer_frames import FromPeer
     from azurefield_entry.gateway.ports import GatewayRequest
 
-# Longest wait for the acceptance of a request, as a fraction of the route's latency goal; at least
-# and, without a goal, exactly the second value.
+# Longest wait until a coordinator accepts a request, as a fraction of the route's latency goal; at
+# least and, without a goal, exactly the second value.
 ACCEPT_WAIT_FRACTION = 0.35
 ACCEPT_WAIT_MIN_S = 0.05
 # A result may arrive this much after the deadline of its request.
@@ -69,6 +69,19 @@
     retry_after_s: float | None = None
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ForwardTarget:
+    """The instance that a request is forwarded to.
+
+    :param patient: whether to wait for its acceptance until the request's deadline
+    :param only_choice: whether no other instance is left that might run the request
+    """
+
+    instance: str
+    patient: bool = False
+    only_choice: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class ForwardedCall:
     """A request that was sent to a coordinator."""
@@ -180,10 +193,11 @@
         return self.router.choose(now(), candidates)
 
     async def forward(
-        self, coordinator: str, request: GatewayRequest, route: Route, version: int
+        self, target: ForwardTarget, request: GatewayRequest, route: Route, version: int
     ) -> Result[RequestResult, NotForwarded]:
-        """Let a coordinator run a request; cancelling this cancels the request there."""
+        """Let another instance run a request; cancelling this cancels the request there."""
         sent_at = now()
+        coordinator = target.instance
         self.router.on_dispatch(sent_at, coordinator)
         call_result = CallResult.CANCELLED
         try:
@@ -194,7 +208,7 @@
                         NotForwarded(problem=ForwardProblem.REFUSED, detail=unreachable.detail)
                     )
                 case Ok(link):
-                    result = await self.exchange(link, request, route, version)
+                    result = await self.exchange(link, target, request, route, version)
             call_result = CallResult.ANSWERED if isinstance(result, Ok) else CallResult.FAILED
             return result
         finally:
@@ -202,15 +216,22 @@
             self.router.on_result(ended_at, coordinator, call_result, ended_at - sent_at)
 
     async def exchange(
-        self, link: PeerLink, request: GatewayRequest, route: Route, version: int
+        self,
+        link: PeerLink,
+        target: ForwardTarget,
+        request: GatewayRequest,
+        route: Route,
+        version: int,
     ) -> Result[RequestResult, NotForwarded]:
         """Send a request over a link and wait for its result."""
         loop = asyncio.get_running_loop()
         call = ForwardedCall(accepted=loop.create_future(), result=loop.create_future())
         number = link.expect(call)
         try:
-            link.send(encode_request(number, version, request, now()))
-            match await wait_for_acceptance(call, route):
+            frame = encode_request(number, version, request, now(), only_choice=target.only_choice)
+            link.send(frame)
+            wait_s = acceptance_wait_s(target, request, route)
+            match await wait_for_acceptance(call, wait_s):
                 case Err(not_forwarded):
                     return Err(not_forwarded)
             return await wait_for_result(call, request, route)
@@ -226,9 +247,15 @@
             self.router.forget(name)
 
 
-async def wait_for_acceptance(call: ForwardedCall, route: Route) -> Result[None, NotForwarded]:
-    """Wait until a coordinator accepts or refuses a request."""
-    wait_s = max(ACCEPT_WAIT_MIN_S, ACCEPT_WAIT_FRACTION * (route.goal_s or 0.0))
+def acceptance_wait_s(target: ForwardTarget, request: GatewayRequest, route: Route) -> float:
+    """Return how long to wait until an instance accepts a request."""
+    if target.patient:
+        return max(0.0, request.deadline_on(route.timeout_s) - now())
+    return max(ACCEPT_WAIT_MIN_S, ACCEPT_WAIT_FRACTION * (route.goal_s or 0.0))
+
+
+async def wait_for_acceptance(call: ForwardedCall, wait_s: float) -> Result[None, NotForwarded]:
+    """Wait until an instance accepts or refuses a request."""
     try:
         async with asyncio.timeout(wait_s):
             return await asyncio.shield(call.accepted)
--- a/packages/azurefield/src/azurefield/overload.py
+++ b/packages/azurefield/src/azurefield/overload.py
@@ -7,6 +7,8 @@
 
 # A process whose event loop is later than this adds more to a request than another attempt costs.
 LAG_MAX_S = 0.1
+# Steps of a request that a late event loop delays: sending its call, and reading the answer.
+DELAYED_STEPS = 2
 # The lag that is remembered falls to this fraction with each punctual tick.
 LAG_DECAY = 0.5
 
@@ -41,6 +43,10 @@
         """Whether work that can be done elsewhere should not be accepted."""
         return self.late_s(now) > LAG_MAX_S
 
+    def in_time(self, now: float, left_s: float) -> bool:
+        """Whether work that can be done nowhere else may still end within a time."""
+        return DELAYED_STEPS * self.late_s(now) <= left_s
+
     def recovery_s(self, now: float) -> float:
         """Return how long an overload lasts if all further ticks are punctual."""
         excess = max(1.0, self.late_s(now) / LAG_MAX_S)
--- a/packages/azurefield/src/azurefield/peer_selection.py
+++ b/packages/azurefield/src/azurefield/peer_selection.py
@@ -16,11 +16,26 @@
 AVOID_S = 1.0
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PeerChoice:
+    """The instance that should run a request.
+
+    :param only: whether no other instance is left that might run it
+    """
+
+    instance: str
+    only: bool
+
+
 @dataclass(slots=True, kw_only=True)
 class PeerSelection:
     """Chooses by the observed time to a result; instances of other zones have a penalty.
 
+    Instances that were late are chosen only when no other is left.
+
     :param other_zone_penalty_s: added to the expected wait for an instance of another zone
+    :param avoided_until: when instances that can't run requests are chosen again
+    :param late_until: when instances that were late expect to be punctual
     """
 
     own: str
@@ -28,10 +43,11 @@
     router: OwnObservationRouter
     other_zone_penalty_s: float
     avoided_until: dict[str, float] = field(default_factory=dict)
+    late_until: dict[str, float] = field(default_factory=dict)
 
     def choose(
         self, now: float, profiles: Iterable[InstanceProfile], tried: Collection[str] = ()
-    ) -> str | None:
+    ) -> PeerChoice | None:
         """Choose an instance that was not tried and has not refused lately; None without one."""
         candidates = []
         for profile in profiles:
@@ -42,20 +58,26 @@
                 penalty_s = self.other_zone_penalty_s if other_zone else 0.0
                 self.router.set_wait_penalty(name, penalty_s)
                 candidates.append(name)
-        return self.router.choose(now, tuple(candidates))
+        punctual = [name for name in candidates if self.late_until.get(name, now) <= now]
+        chosen = self.router.choose(now, tuple(punctual or candidates))
+        if chosen is None:
+            return None
+        return PeerChoice(instance=chosen, only=not punctual or len(candidates) == 1)
 
     def on_refused(self, now: float, instance: str, retry_after_s: float | None = None) -> None:
         """Avoid an instance that has refused a request.
 
-        :param retry_after_s: when it expects to accept requests again, if it knows
+        :param retry_after_s: when it expects to be punctual again, if it refused for being late
         """
-        avoid_s = AVOID_S if retry_after_s is None else min(AVOID_S, retry_after_s)
-        self.avoided_until[instance] = now + avoid_s
+        if retry_after_s is None:
+            self.avoided_until[instance] = now + AVOID_S
+        else:
+            self.late_until[instance] = now + min(AVOID_S, retry_after_s)
 
     def retain_only(self, instances: Collection[str]) -> None:
         """Drop the instances that no longer run."""
-        self.avoided_until = {
-            name: until for name, until in self.avoided_until.items() if name in instances
-        }
+        for times in (self.avoided_until, self.late_until):
+            for name in times.keys() - instances:
+                del times[name]
         for name in [name for name in self.router.views if name not in instances]:
             self.router.forget(name)
--- a/packages/azurefield/tests/test_overload.py
+++ b/packages/azurefield/tests/test_overload.py
@@ -48,3 +48,16 @@
         now += lag.interval_s
         lag.on_tick(now)
     assert now == pytest.approx(recovered_at)
+
+
+@pytest.mark.parametrize(
+    ("late_s", "left_s", "in_time"),
+    [(0.0, 0.0, True), (0.2, 0.41, True), (0.2, 0.39, False), (10.0, 1.0, False)],
+)
+def test_work_is_in_time_if_two_late_steps_fit(late_s: float, left_s: float, in_time: bool) -> None:
+    """Guards against work that is accepted although it can't end in time, or rejected too early."""
+    lag = LoopLag(interval_s=0.1)
+    lag.on_tick(0.0)
+    now = lag.interval_s + late_s
+    lag.on_tick(now)
+    assert lag.in_time(now, left_s) is in_time
