--- a/tests/fleet/test_partitions.py
+++ b/tests/fleet/test_partitions.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections import Counter
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
@@ -13,6 +15,7 @@
 from partitions import PartitionedFleet, partitioned_fleet
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from pathlib import Path
 
     from gateway_process import Site
@@ -24,6 +27,9 @@
 CONTACT_S = 4.0
 COUNTED_S = 3.0
 REQUEST_INTERVAL_S = 0.1
+# An instance that is late does not run for the first of these times within each of the second.
+SUSPENDED_S = 0.2
+SUSPENSION_INTERVAL_S = 0.6
 TARGETS = ("/s/x", "/l/x", "/s/y", "/l/y")
 
 
@@ -63,6 +69,39 @@
             assert statuses[200] >= 0.98 * statuses.total(), f"{name}: {statuses}"
 
 
+@asynccontextmanager
+async def late_again_and_again(site: Site) -> AsyncIterator[None]:
+    """Suspend a gateway for short times until the context ends."""
+    process = site.process
+    assert process is not None
+
+    async def suspend() -> None:
+        try:
+            while True:
+                process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(SUSPENDED_S)
+                process.send_signal(signal.SIGCONT)
+                await asyncio.sleep(SUSPENSION_INTERVAL_S - SUSPENDED_S)
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+    task = asyncio.create_task(suspend())
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait([task])
+
+
+async def test_callers_are_served_while_the_only_instance_with_servers_is_late(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests that are given up although the late instance would serve them."""
+    async with partitioned_fleet(tmp_path, NAMES) as fleet, late_again_and_again(fleet.sites["n3"]):
+        for name, statuses in (await play(fleet, ("n1", "n2"), Cut.RESET)).items():
+            assert statuses[200] >= 0.98 * statuses.total(), f"{name}: {statuses}"
+
+
 async def test_a_fleet_that_is_partitioned_as_a_whole_rejects_at_once_and_recovers(
     tmp_path: Path,
 ) -> None:
