Keep the links of other instances while a planned stop finishes their requests

Found by the review of the forwarding: callers got 502 for a forwarded request of 0.9 s when the instance that ran it began a planned stop, 0.43 s after "Stop", although it would have finished.

Cause: no heartbeats were sent after "Stop", and the other side gives up a link that owes replies and is silent for 0.5 s.

Change: heartbeats go on until the requests have ended. Result: test_a_planned_stop_keeps_the_links_with_running_requests failed before and passes.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -109,7 +109,7 @@
                     self.draining = True
                 case Stop():
                     break
-        left = await self.activity.finish(timeout_s=self.finish_timeout_s)
+        left = await self.finish_running()
         if left:
             log.error("{} forwarded requests did not end in time.", left)
         ticking.cancel()
@@ -119,6 +119,17 @@
         for link in [*self.links]:
             link.writer.close()
 
+    async def finish_running(self) -> int:
+        """Wait for the running requests, at most for ``finish_timeout_s``.
+
+        :return: how many are left
+        """
+        finishing = asyncio.create_task(self.activity.finish(timeout_s=self.finish_timeout_s))
+        while not finishing.done():
+            self.send_heartbeats()
+            await asyncio.wait([finishing], timeout=HEARTBEAT_INTERVAL_S)
+        return finishing.result()
+
     def send_heartbeats(self) -> None:
         """Confirm to each instance that its requests are still running."""
         for link in self.links:
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -286,6 +286,18 @@
     silent.close()
 
 
+async def test_a_planned_stop_keeps_the_links_with_running_requests() -> None:
+    """Guards against 502 for requests that a stopping instance still finishes."""
+    runner = Runner()
+    async with pair(runner) as instances:
+        waiting = asyncio.create_task(instances.forward(request()))
+        await wait_until(lambda: len(runner.started) == 1, what="the request to run")
+        instances.mailbox.send(Stop())
+        await asyncio.sleep(SILENCE_TIMEOUT_S + 0.3)
+        runner.release.set()
+        assert await waiting == Ok(ANSWER)
+
+
 async def test_a_planned_stop_finishes_the_requests_of_other_instances() -> None:
     """Guards against a planned stop that cuts requests which the coordinator has accepted."""
     runner = Runner()
