--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any, cast
 
 import pytest
@@ -11,6 +11,7 @@
 
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
+from azurefield.retry import WindowedBudget
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.connection import HttpLeafConnection
@@ -18,6 +19,8 @@
 from azurefield_entry.gateway.request_runner import record_reply
 from azurefield_entry.gateway.running import RunningRequest, SentCall
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
+from azurefield_testkit.entry_support.scripted_server import ScriptedServer, listening
+from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
     from azurefield_entry.gateway.service import GatewayService
@@ -88,6 +91,49 @@
     listener.close()
 
 
+async def test_a_request_that_a_server_ran_may_have_run_at_the_begin_of_a_partition(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against "not run" for a request that ran while its next call is connecting."""
+    connect = HttpLeafConnection.connect
+    connects = 0
+
+    async def connect_once(connection: HttpLeafConnection) -> bool:
+        nonlocal connects
+        connects += 1
+        if connects > 1:
+            await asyncio.sleep(DEADLINE_S + 1.0)
+        return await connect(connection)
+
+    monkeypatch.setattr(HttpLeafConnection, "connect", connect_once)
+    monkeypatch.setattr(WindowedBudget, "try_spend", lambda *_, **__: True)
+    server = ScriptedServer(script=[[b"garbage\r\n\r\n"]] * 2)
+    async with listening(server) as first, listening(server) as second:
+        desk = replace(route(idempotent=True), attempts_max=3)
+        table = RouteTable.build(
+            version=1,
+            routes=[desk],
+            services={"desk": ServiceLimits(connections_max=30)},
+            limits=CallerLimits(),
+        )
+        service = make_gateway(
+            table,
+            make_server(first, "s1"),
+            make_server(second, "s2"),
+            InstanceEntry(instance="i1"),
+            further_calls_allowance=50.0,
+        )
+        runner = service.dispatcher.runner
+        request = make_request("/1", deadline=now() + 1.0)
+        running = asyncio.create_task(runner.run(request, desk, 1))
+        await wait_until(lambda: connects == 2, "the second call connects")
+        runner.abandon_unreachable()
+        result = await running
+        assert isinstance(result, Err)
+        assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+        assert len(server.requests) == 1
+
+
 @pytest.mark.parametrize(
     ("reason", "outcome", "may_have_run"),
     [
