Bound what an instance that is late accepts as the only choice

Cause: the only limit was half of the time left. A lasting overload, one whose ticks are late again before it has passed, now accepts nothing of others until the lag is below 0.05 s. - Without a deadline, or with one beyond the route's time, lateness was no limit. The frame now carries the time until the deadline on the route. - A suspended instance held every request for up to 0.5 s. - "The only choice" was also said to the last of several instances asked. - A request whose time is over was still sent.

Result: six of the cases of test_pass_on.py fail without the change and pass with it. An overloaded coordinator is now also tested at 0.4 s, since only 10 s was.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -71,8 +71,8 @@
 
     A request is refused, which guarantees that it does not run, while another version of the route
     table is in force here, while this process is overloaded or reaches no server itself, and after
-    a planned stop has begun. An overload is no reason if no other instance is left that might run
-    the request and it may still end in time. A request is never passed on again.
+    a planned stop has begun. A momentary overload is no reason if no other instance is left that
+    might run the request and it may still end in time. A request is never passed on again.
 
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
@@ -216,9 +216,9 @@
         return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
     def must_run(self, frame: ForwardedRequest) -> bool:
-        """Whether a request should run here despite an overload: nowhere else, and in time."""
-        in_time = frame.left_s is None or self.lag.in_time(now(), frame.left_s)
-        return frame.only_choice and in_time
+        """Whether a request runs here in spite of an overload, since it can run nowhere else."""
+        left_s = frame.must_end_in_s
+        return left_s is not None and self.lag.accepts_necessary(now(), left_s)
 
     async def run_accepted(self, link: AcceptedLink, number: int, request: GatewayRequest) -> None:
         """Run a request and send its result."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -114,19 +114,22 @@
         One that refuses because it is late may be asked again when no other is left.
         """
         tried: list[str] = []
-        for left in reversed(range(TARGETS_MAX)):
+        for _ in range(TARGETS_MAX):
             choice = self.peers.choose(now(), self.forwarding.profiles_for(route), tried)
             if choice is None:
                 return
-            only_choice = choice.only or left == 0
-            yield ForwardTarget(instance=choice.instance, patient=True, only_choice=only_choice)
-            if only_choice:
+            yield ForwardTarget(
+                instance=choice.instance, accepts_until_deadline=True, only_choice=choice.only
+            )
+            if choice.only:
                 tried.append(choice.instance)
 
     async def pass_on(
         self, request: GatewayRequest, route: Route, version: int
     ) -> RequestResult | None:
         """Let another instance run a request; None if none has accepted it."""
+        if now() + TIME_LEFT_MIN_S >= request.deadline_on(route.timeout_s):
+            return None
         result = await self.run_on(self.other_instances(route), request, route, version)
         self.found_no_instance = result is None
         return result
@@ -178,9 +181,11 @@
         else:
             label, result = sent.err_value.problem, Err(lost_failure(sent.err_value))
         refused = False
-        if isinstance(sent, Err) and sent.err_value.problem is ForwardProblem.REFUSED:
-            refused = True
-            self.peers.on_refused(now(), target.instance, sent.err_value.retry_after_s)
+        if isinstance(sent, Err):
+            problem = sent.err_value
+            refused = problem.problem is ForwardProblem.REFUSED
+            if refused or problem.link_lost:
+                self.peers.on_refused(now(), target.instance, problem.retry_after_s)
         self.metrics.forwarded.labels(label).inc()
         log.info(
             "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -24,7 +24,8 @@
     :param elapsed_s: time since the request arrived
     :param left_s: time until the caller stops waiting; None if it gave no deadline
     :param attempts_used: attempts that an earlier run may have made on a service
-    :param only_choice: whether no other instance is left that might run it
+    :param must_end_in_s: set if no other instance is left that might run it: the time until its
+        deadline
     """
 
     number: int
@@ -38,7 +39,7 @@
     elapsed_s: float
     left_s: float | None
     attempts_used: int = 0
-    only_choice: bool = False
+    must_end_in_s: float | None = None
 
 
 class CancelRequest(msgspec.Struct, tag="cancel", frozen=True, kw_only=True):
@@ -98,7 +99,12 @@
 
 
 def encode_request(
-    number: int, version: int, request: GatewayRequest, now: float, *, only_choice: bool = False
+    number: int,
+    version: int,
+    request: GatewayRequest,
+    now: float,
+    *,
+    must_end_in_s: float | None = None,
 ) -> ForwardedRequest:
     """Build the frame of a request."""
     return ForwardedRequest(
@@ -113,7 +119,7 @@
         elapsed_s=max(0.0, now - request.arrived_at),
         left_s=None if request.deadline is None else request.deadline - now,
         attempts_used=request.attempts_used,
-        only_choice=only_choice,
+        must_end_in_s=must_end_in_s,
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -62,23 +62,25 @@
     """There is no result of a forwarded request.
 
     :param retry_after_s: when the instance that refused it expects to accept requests again
+    :param link_lost: whether the link to the instance has ended
     """
 
     problem: ForwardProblem
     detail: str
     retry_after_s: float | None = None
+    link_lost: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ForwardTarget:
     """The instance that a request is forwarded to.
 
-    :param patient: whether to wait for its acceptance until the request's deadline
+    :param accepts_until_deadline: whether its acceptance may come until the request's deadline
     :param only_choice: whether no other instance is left that might run the request
     """
 
     instance: str
-    patient: bool = False
+    accepts_until_deadline: bool = False
     only_choice: bool = False
 
 
@@ -104,9 +106,10 @@
 
     def on_lost(self, detail: str) -> None:
         """Record that the link has ended; the request may have run."""
-        unanswered = NotForwarded(problem=ForwardProblem.UNANSWERED, detail=detail)
+        unanswered = NotForwarded(problem=ForwardProblem.UNANSWERED, detail=detail, link_lost=True)
         set_result(self.accepted, Err(unanswered))
-        set_result(self.result, Err(NotForwarded(problem=ForwardProblem.LOST, detail=detail)))
+        lost = NotForwarded(problem=ForwardProblem.LOST, detail=detail, link_lost=True)
+        set_result(self.result, Err(lost))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -228,9 +231,10 @@
         call = ForwardedCall(accepted=loop.create_future(), result=loop.create_future())
         number = link.expect(call)
         try:
-            frame = encode_request(number, version, request, now(), only_choice=target.only_choice)
-            link.send(frame)
-            wait_s = acceptance_wait_s(target, request, route)
+            left_s = max(0.0, request.deadline_on(route.timeout_s) - now())
+            must_end_in_s = left_s if target.only_choice else None
+            link.send(encode_request(number, version, request, now(), must_end_in_s=must_end_in_s))
+            wait_s = left_s if target.accepts_until_deadline else acceptance_wait_s(route)
             match await wait_for_acceptance(call, wait_s):
                 case Err(not_forwarded):
                     return Err(not_forwarded)
@@ -247,10 +251,8 @@
             self.router.forget(name)
 
 
-def acceptance_wait_s(target: ForwardTarget, request: GatewayRequest, route: Route) -> float:
-    """Return how long to wait until an instance accepts a request."""
-    if target.patient:
-        return max(0.0, request.deadline_on(route.timeout_s) - now())
+def acceptance_wait_s(route: Route) -> float:
+    """Return how long to wait until a coordinator accepts a request."""
     return max(ACCEPT_WAIT_MIN_S, ACCEPT_WAIT_FRACTION * (route.goal_s or 0.0))
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
@@ -132,7 +132,10 @@
             connecting = asyncio.create_task(self.connect(instance))
             self.connecting[instance] = connecting
             connecting.add_done_callback(lambda _: self.connecting.pop(instance, None))
-        return await asyncio.shield(connecting)
+        opened = await asyncio.shield(connecting)
+        if isinstance(opened, Ok) and opened.ok_value.closed:
+            return Err(PeerUnreachable(detail="closed at once"))
+        return opened
 
     async def connect(self, instance: str) -> Result[PeerLink, PeerUnreachable]:
         """Connect to an instance."""
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -189,11 +189,14 @@
     assert runner.started == []
 
 
-async def test_an_overloaded_coordinator_leaves_requests_to_the_instance_that_has_them() -> None:
+@pytest.mark.parametrize("lag_s", [0.4, 10.0])
+async def test_an_overloaded_coordinator_leaves_requests_to_the_instance_that_has_them(
+    lag_s: float,
+) -> None:
     """Guards against a few slow coordinators that make all queries of the fleet late."""
     runner = Runner()
     async with pair(runner) as instances:
-        instances.coordinator.lag.lag_s = 10.0
+        instances.coordinator.lag.lag_s = lag_s
         refused = await instances.forward(request())
         assert isinstance(refused, Err)
         assert refused.err_value.problem is ForwardProblem.REFUSED
--- a/packages/azurefield-entry/tests/gateway/test_pass_on.py
+++ b/packages/azurefield-entry/tests/gateway/test_pass_on.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.peer_selection import PeerSelection
@@ -21,6 +21,7 @@
 from azurefield_entry.gateway.dispatch import RequestDispatcher
 from azurefield_entry.gateway.forwarding import Forwarding
 from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peer_links import SILENCE_TIMEOUT_S, PeerLinks
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
 from azurefield_entry.gateway.quota_issuer import QuotaIssuer
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
@@ -29,7 +30,7 @@
 from azurefield_testkit.waiting import accepts, wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from azurefield_entry.gateway.running import RequestResult
 
@@ -54,10 +55,20 @@
     dispatcher: RequestDispatcher
     other: CoordinatorService
 
-    async def served(self, time_s: float = 1.0) -> bool:
+    async def served(self, time_s: float | None = 1.0) -> bool:
         """Pass one request on; return whether it was run."""
-        request = make_request(deadline=now() + time_s)
-        return await self.dispatcher.pass_on(request, ROUTE, VERSION) is not None
+        return isinstance(await self.pass_on(time_s), Ok)
+
+    async def pass_on(self, time_s: float | None = 1.0) -> RequestResult | None:
+        """Pass one request on and return its result."""
+        request = make_request(deadline=None if time_s is None else now() + time_s)
+        return await self.dispatcher.pass_on(request, ROUTE, VERSION)
+
+
+def profile(address: str) -> InstanceProfile:
+    return InstanceProfile(
+        instance="i2", availability_zone="z", capacity=2.0, coordinator_address=address
+    )
 
 
 @asynccontextmanager
@@ -81,11 +92,7 @@
     await wait_until(partial(accepts, other.address), "the other instance accepts links")
     router = OwnObservationRouter(random=Random(1))
     forwarding = Forwarding(view=CoordinatorView(own="i1"), router=router)
-    forwarding.view.on_profile(
-        InstanceProfile(
-            instance="i2", availability_zone="z", capacity=2.0, coordinator_address=other.address
-        )
-    )
+    forwarding.view.on_profile(profile(other.address))
     unused = cast("Any", None)
     dispatcher = RequestDispatcher(
         runner=unused,
@@ -136,8 +143,74 @@
 
     monkeypatch.setattr(CoordinatorService, "accept", accept_late)
     async with neighbours() as pair:
-        request = make_request(deadline=now() + 1.0)
-        assert await pair.dispatcher.pass_on(request, ROUTE, VERSION) == Ok(ANSWER)
+        assert await pair.pass_on() == Ok(ANSWER)
+
+
+@pytest.mark.parametrize("lag_s", [0.15, 0.3])
+async def test_an_instance_whose_overload_lasts_runs_no_requests_of_others(lag_s: float) -> None:
+    """Guards against callers of the only instance with servers that wait behind those of others."""
+    async with neighbours() as pair:
+        pair.other.lag.lag_s, pair.other.lag.lasting = lag_s, True
+        assert not await pair.served()
+
+
+async def test_a_request_without_a_deadline_has_the_time_of_its_route() -> None:
+    """Guards against an instance that is late without limit and accepts all the same."""
+    async with neighbours() as pair:
+        pair.other.lag.lag_s = 5.0
+        assert not await pair.served(time_s=None)
+
+
+async def test_a_request_whose_time_is_over_is_not_passed_on() -> None:
+    """Guards against calls for a caller that has left, and an instance that is then not ready."""
+    async with neighbours() as pair:
+        assert await pair.pass_on(time_s=0.0) is None
+        assert pair.other.request_count == 0
+        assert not pair.dispatcher.found_no_instance
+
+
+@asynccontextmanager
+async def replaced_by(
+    pair: Neighbours, serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+) -> AsyncIterator[None]:
+    """Let another listener take the place of the other instance."""
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    pair.dispatcher.forwarding.view.on_profile(profile(address))
+    yield
+    listener.close()
+
+
+async def test_a_link_that_is_closed_at_once_refuses_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait for a reply on a link that ended before they used it."""
+    connect = PeerLinks.connect
+
+    async def connect_and_lose(links: PeerLinks, instance: str) -> Any:
+        opened = await connect(links, instance)
+        opened.unwrap().close("reset")
+        return opened
+
+    monkeypatch.setattr(PeerLinks, "connect", connect_and_lose)
+    async with neighbours() as pair:
+        began = now()
+        assert await pair.pass_on() is None
+        assert now() - began < SILENCE_TIMEOUT_S
+
+
+async def test_a_silent_instance_gets_no_further_requests_for_a_while() -> None:
+    """Guards against requests that all wait for an instance which is suspended."""
+
+    async def be_silent(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+        while await reader.read(65_536):
+            pass
+
+    async with neighbours() as pair, replaced_by(pair, be_silent):
+        assert isinstance(await pair.pass_on(), Err)
+        began = now()
+        assert await pair.pass_on() is None
+        assert now() - began < SILENCE_TIMEOUT_S / 2
 
 
 async def test_an_instance_that_stops_is_not_asked_again_soon() -> None:
