Split the service query by queries, bookings and convictions

Cause: query/service.py had 412 lines and one class for two subjects, the fan-outs of queries and the dispatch of bookings, and also the handling of convictions and of the calls of both.

Change: no change in behaviour. QueryRunner runs the fan-outs, BookingRunner the bookings, ConvictionHandler applies convictions, LeafCalls sends the calls of both and records how they end, and Admission holds the checks that both had before their start. QueryService passes each message to its handler. WakeSuspects moves to running.py, beside WakeQuery. No test is changed.

The tests of the fleet and the soak were not run.

--- a/packages/azurefield-entry/src/azurefield_entry/query/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/running.py
@@ -30,6 +30,11 @@
     request_id: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WakeSuspects:
+    """To ``query`` itself: the deadline of a queued suspect has passed."""
+
+
 @dataclass(slots=True, kw_only=True)
 class RunningQuery:
     """A running fan-out and the future of its caller.
