Parse the bytes behind an extra answer in chunks once

Change: a read is split behind each end of chunks before it is parsed, so that what follows an extra answer is parsed by the new parser only. If bytes behind an extra answer were parsed with it, because it has trailers or stands behind the 256th such end of its read, the call fails as malformed. An own answer in chunks with garbage behind it in one read is now returned, as it was before if the garbage came in a later read; the connection is closed.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -4,16 +4,23 @@
 
 import re
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from aiohttp.http import RawResponseMessage
 
-HEAD_END = b"\r\n\r\n"
+LINE_BREAK = b"\r\n"
+HEAD_END = LINE_BREAK * 2
 # The last chunk or the last trailer ends with HEAD_END; one more line break is an extra byte.
 EXTRA_LINE_BREAK = b"\n" + HEAD_END
 # The end of a chunked answer without trailers.
 CHUNKS_END = b"\r\n0\r\n\r\n"
+# Ends of chunks that one read is split at. Each takes 5 us, and a body may hold 37,000 in a read of
+# 256 KiB.
+ENDS_PER_READ_MAX = 256
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUS_LINE_START = b"HTTP/"
 # Longest reason phrase of a status line that is looked for in a body.
@@ -85,6 +92,26 @@
         return self.total == self.answer_start + self.head_length + len(body)
 
 
+def split_behind_chunks(data: bytes, length_max: int) -> Iterator[bytes]:
+    """Split a read behind each end of chunks without trailers, and into bounded pieces.
+
+    Behind ``ENDS_PER_READ_MAX`` such ends it is only split into bounded pieces.
+
+    :param length_max: length of the longest piece
+    """
+    bounds, position = [0], 0
+    while len(bounds) <= ENDS_PER_READ_MAX:
+        position = data.find(CHUNKS_END, position)
+        if position < 0:
+            break
+        bounds.append(position + len(CHUNKS_END))
+        # The last line break of this end may be the first one of the next.
+        position = bounds[-1] - len(LINE_BREAK)
+    for start, end in pairwise([*bounds, len(data)]):
+        for begin in range(start, end, length_max):
+            yield data[begin : min(begin + length_max, end)]
+
+
 def describe_confusion(message: RawResponseMessage, body: bytes) -> str | None:
     """Return where an answer goes on with another one; None if it does not."""
     if holds_another_head(message):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -17,7 +17,7 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import CHUNKS_END, describe_confusion
+from azurefield_entry.gateway.answer_end import describe_confusion, split_behind_chunks
 from azurefield_entry.gateway.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -181,15 +181,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that no call waits for close the connection."""
-        for start in range(0, len(data), PARSED_BYTES_MAX):
+        exchange = self.current_exchange
+        for piece in split_behind_chunks(data, PARSED_BYTES_MAX):
             if self.closed:
                 return
-            exchange = self.current_exchange
             if exchange is None or exchange.result_future.done() or self.parser is None:
                 self.on_stray_bytes()
                 self.abort()
                 return
-            self.parse(exchange, self.parser, data[start : start + PARSED_BYTES_MAX])
+            self.parse(exchange, self.parser, piece)
 
     def parse(self, exchange: Exchange, parser: HttpResponseParser, data: bytes) -> None:
         """Parse bytes of an answer that a call waits for."""
@@ -202,7 +202,7 @@
             return
         exchange.answers += answers
         exchange.received.add(data)
-        self.process_answers(exchange, extra=bool(tail), read=data)
+        self.process_answers(exchange, extra=bool(tail))
         if not exchange.result_future.done():
             self.limit_size(exchange)
 
@@ -224,11 +224,10 @@
         problem = failure(LeafFailureReason.MALFORMED, detail=detail)
         self.finish_exchange(Err(problem), reusable=False)
 
-    def process_answers(self, exchange: Exchange, *, extra: bool, read: bytes) -> None:
+    def process_answers(self, exchange: Exchange, *, extra: bool) -> None:
         """Finish the call with the first whole answer that belongs to it.
 
         :param extra: whether bytes follow that are no part of an answer
-        :param read: the bytes with which these answers were completed
         """
         unexpected = extra
         while exchange.answers:
@@ -268,7 +267,7 @@
                 unexpected = True
                 if message.chunked:
                     self.idle_until = float("-inf")
-                    self.parse_behind_chunks(exchange, read)
+                    self.skip_chunks(exchange)
                     return
                 continue
             self.apply_keep_alive(message)
@@ -304,21 +303,15 @@
         unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
         return named and not (message.should_close or unsent)
 
-    def parse_behind_chunks(self, exchange: Exchange, read: bytes) -> None:
-        """Parse what follows an extra answer in chunks, without its trailers.
+    def skip_chunks(self, exchange: Exchange) -> None:
+        """Parse what follows an extra answer in chunks by a new parser, without its trailers.
 
-        :param read: the bytes with which the extra answer was completed
+        The call fails if a part of that was parsed together with the extra answer.
         """
-        last_byte = not exchange.answers and exchange.received.ends_with_chunks
-        exchange.answers.clear()
-        self.parser = self.new_parser(exchange.call)
-        if last_byte:
+        if exchange.answers or not exchange.received.ends_with_chunks:
+            self.give_up("bytes follow an extra answer whose end is not known")
             return
-        _, chunks_end, rest = read.partition(CHUNKS_END)
-        if not chunks_end:
-            self.give_up("an answer follows in one read with the trailers of another one")
-            return
-        self.parse(exchange, self.parser, rest)
+        self.parser = self.new_parser(exchange.call)
 
     def apply_keep_alive(self, message: RawResponseMessage) -> None:
         """Limit the idle time to the server's ``Keep-Alive`` timeout."""
@@ -341,7 +334,7 @@
                 Err(failure(LeafFailureReason.TRUNCATED, detail=str(error))), reusable=False
             )
         else:
-            self.process_answers(exchange, extra=False, read=b"")
+            self.process_answers(exchange, extra=False)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the waiting call; its request may have run."""
--- a/packages/azurefield-entry/tests/gateway/test_extra_answers.py
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 from result import Err, Ok
 
 from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
+from azurefield_entry.gateway.answer_end import ENDS_PER_READ_MAX
 from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
 from azurefield_testkit.entry_support.scripted_server import (
@@ -15,6 +18,11 @@
     listening,
 )
 
+if TYPE_CHECKING:
+    from aiohttp.http import HttpResponseParser
+
+    from azurefield_entry.gateway.exchange import Exchange
+
 
 def call(target: str) -> LeafCall:
     request = GatewayRequest(
@@ -101,6 +109,40 @@
         assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+class CountingConnection(HttpLeafConnection):
+    """Counts the bytes that are parsed."""
+
+    parsed_bytes = 0
+
+    def parse(self, exchange: Exchange, parser: HttpResponseParser, data: bytes) -> None:
+        """Count the bytes."""
+        self.parsed_bytes += len(data)
+        super().parse(exchange, parser, data)
+
+
+SHORT_COPY = b"HTTP/1.1 200 \r\nTransfer-Encoding:chunked\r\n\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize("copies", [1, 10, 100, 250, 500, 1000])
+async def test_many_extra_answers_in_one_read_are_parsed_once(copies: int) -> None:
+    """Guards against parsing that is quadratic or recurses in the number of extra answers."""
+    first, extra, own = answer("/1", b"one"), SHORT_COPY * copies, answer("/2", b"two")
+    async with listening(ScriptedServer(script=[[first], [extra + own]])) as address:
+        connection = CountingConnection(address=address, dialect=PlainDialect())
+        assert isinstance(await connection.exchange(call("/1")), Ok)
+        result = await connection.exchange(call("/2"))
+        assert not connection.usable
+        await connection.close()
+    assert connection.parsed_bytes <= len(first + extra + own)
+    if copies < ENDS_PER_READ_MAX:
+        assert isinstance(result, Ok), result.err_value
+        assert result.ok_value.body == b"two"
+    else:
+        assert isinstance(result, Err), result.ok_value
+        assert result.err_value.reason is LeafFailureReason.MALFORMED
+        assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nId: /1\r\n\r\nbody"
 # A copy that is cut off within this can't be told from the body.
 TOO_SHORT = len(b"HTTP")
