Find the end of an extra answer's chunks that two reads share

Cause: only the last read was searched for the end of the extra answer's chunks. If it began in the read before, or in the piece of 64 KiB before, or was hidden by trailers, the first match was the end of the call's own chunks. The own answer was thrown away, and the call waited until its deadline.

Change: the last bytes of the read before are searched with each read.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -21,6 +21,8 @@
 # Ends of chunks that one read is split at. Each takes 5 us, and a body may hold 37,000 in a read of
 # 256 KiB.
 ENDS_PER_READ_MAX = 256
+# Bytes of CHUNKS_END that the read before may hold.
+LAST_BYTES = len(CHUNKS_END) - 1
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUS_LINE_START = b"HTTP/"
 # Longest reason phrase of a status line that is looked for in a body.
@@ -49,7 +51,7 @@
     def add(self, data: bytes) -> None:
         """Count bytes that have arrived."""
         self.total += len(data)
-        self.last = (self.last + data[-len(EXTRA_LINE_BREAK) :])[-len(EXTRA_LINE_BREAK) :]
+        self.last = (self.last + data[-LAST_BYTES:])[-LAST_BYTES:]
         if self.head_length is None:
             searched = len(self.head)
             self.head += data
@@ -69,7 +71,7 @@
     @property
     def ends_with_chunks(self) -> bool:
         """Whether the last byte is the last one of a chunked answer, if one has just ended."""
-        return self.last.endswith(HEAD_END) and self.last != EXTRA_LINE_BREAK
+        return self.last.endswith(HEAD_END) and not self.last.endswith(EXTRA_LINE_BREAK)
 
     def skip_interim_answer(self) -> None:
         """Continue with the answer behind an interim answer, which is only a head."""
@@ -92,24 +94,26 @@
         return self.total == self.answer_start + self.head_length + len(body)
 
 
-def split_behind_chunks(data: bytes, length_max: int) -> Iterator[bytes]:
+def split_behind_chunks(before: bytes, data: bytes, length_max: int) -> Iterator[bytes]:
     """Split a read behind each end of chunks without trailers, and into bounded pieces.
 
     Behind ``ENDS_PER_READ_MAX`` such ends it is only split into bounded pieces.
 
+    :param before: the last bytes of the read before, at most ``LAST_BYTES``
     :param length_max: length of the longest piece
     """
-    bounds, position = [0], 0
+    joined = before + data
+    bounds, position = [len(before)], 0
     while len(bounds) <= ENDS_PER_READ_MAX:
-        position = data.find(CHUNKS_END, position)
+        position = joined.find(CHUNKS_END, position)
         if position < 0:
             break
         bounds.append(position + len(CHUNKS_END))
         # The last line break of this end may be the first one of the next.
         position = bounds[-1] - len(LINE_BREAK)
-    for start, end in pairwise([*bounds, len(data)]):
+    for start, end in pairwise([*bounds, len(joined)]):
         for begin in range(start, end, length_max):
-            yield data[begin : min(begin + length_max, end)]
+            yield joined[begin : min(begin + length_max, end)]
 
 
 def describe_confusion(message: RawResponseMessage, body: bytes) -> str | None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -182,7 +182,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that no call waits for close the connection."""
         exchange = self.current_exchange
-        for piece in split_behind_chunks(data, PARSED_BYTES_MAX):
+        before = b"" if exchange is None else exchange.received.last
+        for piece in split_behind_chunks(before, data, PARSED_BYTES_MAX):
             if self.closed:
                 return
             if exchange is None or exchange.result_future.done() or self.parser is None:
--- a/packages/azurefield-entry/tests/gateway/test_extra_answers.py
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
@@ -9,8 +10,8 @@
 
 from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
-from azurefield_entry.gateway.answer_end import ENDS_PER_READ_MAX
-from azurefield_entry.gateway.connection import HttpLeafConnection
+from azurefield_entry.gateway.answer_end import CHUNKS_END, ENDS_PER_READ_MAX
+from azurefield_entry.gateway.connection import PARSED_BYTES_MAX, HttpLeafConnection
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
@@ -48,6 +49,8 @@
     return f"{head}{len(body):x}\r\n{body.decode()}\r\n0\r\n{trailer}\r\n".encode()
 
 
+# Only a call that hangs takes this long.
+ANSWERED_S = 5.0
 TRAILER = "Not-Executed: 1\r\n"
 
 
@@ -109,6 +112,82 @@
         assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+OWN_ANSWERS = {"chunks": chunked("/2", b"two"), "length": answer("/2", b"two")}
+
+
+@pytest.mark.parametrize("own", OWN_ANSWERS.values(), ids=OWN_ANSWERS)
+@pytest.mark.parametrize(
+    "copy",
+    [
+        chunked("/1", b"one"),
+        chunked("/1", b"").removesuffix(b"0\r\n\r\n"),
+        chunked("/1", b"one\r\n0\r\n"),
+        chunked("/1", b"one") * 2,
+        chunked("/1", b"x" * 1000),
+    ],
+    ids=["one", "empty", "ends-overlap", "two-copies", "long"],
+)
+async def test_an_extra_answer_whose_end_is_cut_does_not_hide_the_answer_behind_it(
+    copy: bytes, own: bytes
+) -> None:
+    """Guards against taking the end of the call's own chunks for the one of the extra answer.
+
+    The own answer is then thrown away, and the call waits until its deadline.
+    """
+    for cut in range(len(copy) - 12, len(copy) + 1):
+        segments = [copy[:cut], copy[cut:] + own]
+        async with listening(ScriptedServer(script=[[answer("/1", b"1")], segments])) as address:
+            connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            async with asyncio.timeout(ANSWERED_S):
+                result = await connection.exchange(call("/2"))
+            assert isinstance(result, Ok), result.err_value
+            assert result.ok_value.body == b"two"
+            assert not connection.usable
+            await connection.close()
+
+
+@pytest.mark.parametrize("own", OWN_ANSWERS.values(), ids=OWN_ANSWERS)
+async def test_an_extra_answer_that_ends_at_a_limit_of_the_parsed_bytes_hides_nothing(
+    own: bytes,
+) -> None:
+    """Guards against the same for one read that is parsed in several pieces."""
+    shortest = len(chunked("/1", b"x" * PARSED_BYTES_MAX)) - PARSED_BYTES_MAX
+    for behind in range(len(CHUNKS_END) + 1):
+        copy = chunked("/1", b"x" * (PARSED_BYTES_MAX - shortest + behind))
+        script = [[answer("/1", b"1")], [copy + own]]
+        async with listening(ScriptedServer(script=script)) as address:
+            connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            async with asyncio.timeout(ANSWERED_S):
+                result = await connection.exchange(call("/2"))
+            assert isinstance(result, Ok), result.err_value
+            assert result.ok_value.body == b"two"
+            await connection.close()
+
+
+@pytest.mark.parametrize("own", OWN_ANSWERS.values(), ids=OWN_ANSWERS)
+async def test_an_answer_behind_the_trailers_of_an_extra_one_is_not_waited_for(own: bytes) -> None:
+    """Guards against the same for an extra answer whose end can't be told from its trailers."""
+    copy = chunked("/1", b"one", TRAILER)
+    for cut in range(len(copy) - len(TRAILER) - 8, len(copy) + 1):
+        segments = [copy[:cut], copy[cut:] + own]
+        async with listening(ScriptedServer(script=[[answer("/1", b"1")], segments])) as address:
+            connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            async with asyncio.timeout(ANSWERED_S):
+                result = await connection.exchange(call("/2"))
+            if cut == len(copy):
+                assert isinstance(result, Ok), result.err_value
+                assert result.ok_value.body == b"two"
+                assert "Not-Executed" not in dict(result.ok_value.headers)
+            else:
+                assert isinstance(result, Err), result.ok_value
+                assert result.err_value.reason is LeafFailureReason.MALFORMED
+                assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+            await connection.close()
+
+
 class CountingConnection(HttpLeafConnection):
     """Counts the bytes that are parsed."""
 
