Find a copy behind a body whatever the length of its reason phrase

Cause: the search for another answer in a body without a length looked for reason phrases of at most 63 characters. Behind a longer one the copy was returned as a part of the body.

Change: the reason phrase is not bounded. Each match of the search takes its whole line, so that no line is searched twice.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -25,8 +25,6 @@
 LAST_BYTES = len(CHUNKS_END) - 1
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUS_LINE_START = b"HTTP/"
-# Longest reason phrase of a status line that is looked for in a body.
-REASON_BYTES_MAX = 64
 
 
 @dataclass(slots=True, kw_only=True)
@@ -152,7 +150,8 @@
     if head.startswith(body[last:]):
         return True
     names = b"|".join(re.escape(name) for name, _ in message.raw_headers)
-    # The bounded reason keeps the time of the search linear in the length of the body.
-    reason = rb"[^\r\n]{0,%d}" % REASON_BYTES_MAX
-    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}" + reason + rb"\r\n(?i:" + names + rb")[ \t]*:"
-    return re.search(another, body) is not None
+    # Each match takes its whole line, so that the time is linear in the length of the body, however
+    # long a reason phrase may be.
+    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*"
+    lines = re.finditer(another + rb"(\r\n(?i:" + names + rb")[ \t]*:)?", body)
+    return any(line[1] is not None for line in lines)
--- a/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
+++ b/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
@@ -70,6 +70,22 @@
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize("reason_length", [0, 1, 62, 63, 64, 65, 100, 1000, 8000])
+@pytest.mark.parametrize("only_copy", [True, False], ids=["one", "both"])
+async def test_a_copy_is_found_whatever_the_length_of_its_reason_phrase(
+    reason_length: int, only_copy: bool
+) -> None:
+    """Guards against a body that goes on with a copy whose status line is long.
+
+    The copy has the long reason, or both have it.
+    """
+    copy = ANSWER.replace(b"OK", b"x" * reason_length)
+    result = await exchange(ANSWER if only_copy else copy, copy)
+    assert isinstance(result, Err), len(result.ok_value.body)
+    assert result.err_value.reason is LeafFailureReason.MALFORMED
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize(
     "example",
     [
@@ -88,7 +104,17 @@
 
 
 @pytest.mark.timeout(60)
-@pytest.mark.parametrize("repeated", [b"HTTP/1.1 200 ", b"HTTP/1.1 200 OK\r\nx", b"\r\nProof:"])
+@pytest.mark.parametrize(
+    "repeated",
+    [
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\nx",
+        b"\r\nProof:",
+        b"HTTP/1.1 \r\nProof:",
+        b"HTTP/1.1 200\r\nProof \t",
+        b"HTTP/1.1 200\r",
+    ],
+)
 async def test_the_search_for_another_answer_does_not_hold_up_the_event_loop(
     repeated: bytes,
 ) -> None:
