Don't reuse a connection if the own answer ends in a later read

Cause: an extra answer with a length closes its connection for further calls only if the loop over the answers of its read comes to its end. It returns early if the own answer has begun in the same read. An own answer in chunks does not show at its end that bytes came before it, so the connection was reused.

Change: any extra answer closes its connection for further calls at once.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -266,8 +266,8 @@
             )
             if result is None:
                 unexpected = True
+                self.idle_until = float("-inf")
                 if message.chunked:
-                    self.idle_until = float("-inf")
                     self.skip_chunks(exchange)
                     return
                 continue
--- a/packages/azurefield-entry/tests/gateway/test_extra_answers.py
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -188,6 +188,24 @@
             await connection.close()
 
 
+@pytest.mark.parametrize("own", OWN_ANSWERS.values(), ids=OWN_ANSWERS)
+@pytest.mark.parametrize("copy", [chunked("/1", b"one"), answer("/1", b"one")], ids=OWN_ANSWERS)
+async def test_a_connection_is_not_reused_if_the_own_answer_ends_in_a_later_read(
+    copy: bytes, own: bytes
+) -> None:
+    """Guards against forgetting the extra answer that was read with the begin of the own one."""
+    for cut in range(1, len(own)):
+        segments = [copy + own[:cut], own[cut:]]
+        async with listening(ScriptedServer(script=[[answer("/1", b"1")], segments])) as address:
+            connection = HttpLeafConnection(address=address, dialect=PlainDialect())
+            assert isinstance(await connection.exchange(call("/1")), Ok)
+            result = await connection.exchange(call("/2"))
+            assert isinstance(result, Ok), result.err_value
+            assert result.ok_value.body == b"two"
+            assert not connection.usable, cut
+            await connection.close()
+
+
 class CountingConnection(HttpLeafConnection):
     """Counts the bytes that are parsed."""
 
