--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -18,8 +18,7 @@
 EXTRA_LINE_BREAK = b"\n" + HEAD_END
 # The end of a chunked answer without trailers.
 CHUNKS_END = b"\r\n0\r\n\r\n"
-# Ends of chunks that one read is split at. Each takes 5 us, and a body may hold 37,000 in a read of
-# 256 KiB.
+# Ends of chunks that one read is split at; a body may hold any number of them.
 ENDS_PER_READ_MAX = 256
 # Bytes of CHUNKS_END that the read before may hold.
 LAST_BYTES = len(CHUNKS_END) - 1
