Search a body for each header name of its answer once

Cause: the search tried equal names one after the other. Change: names are unique, whatever their case. Also renames skip_chunks, which replaces the parser.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/answer_end.py
@@ -148,9 +148,8 @@
     head = b"".join([status_line.encode(errors="surrogateescape"), *first_names])
     if head.startswith(body[last:]):
         return True
-    names = b"|".join(re.escape(name) for name, _ in message.raw_headers)
-    # Each match takes its whole line, so that the time is linear in the length of the body, however
-    # long a reason phrase may be.
+    names = b"|".join(sorted({re.escape(name.lower()) for name, _ in message.raw_headers}))
+    # Each match takes its whole line, so that the time is linear in the length of the body.
     another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*"
     lines = re.finditer(another + rb"(\r\n(?i:" + names + rb")[ \t]*:)?", body)
     return any(line[1] is not None for line in lines)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
@@ -268,7 +268,7 @@
                 unexpected = True
                 self.idle_until = float("-inf")
                 if message.chunked:
-                    self.skip_chunks(exchange)
+                    self.renew_parser(exchange)
                     return
                 continue
             self.apply_keep_alive(message)
@@ -304,8 +304,8 @@
         unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
         return named and not (message.should_close or unsent)
 
-    def skip_chunks(self, exchange: Exchange) -> None:
-        """Parse what follows an extra answer in chunks by a new parser, without its trailers.
+    def renew_parser(self, exchange: Exchange) -> None:
+        """Use a new parser for what follows an extra answer in chunks, without its trailers.
 
         The call fails if a part of that was parsed together with the extra answer.
         """
