Let an instance whose overload lasts run a few requests as the last choice

- An instance slowed by other load on its machine rejected all callers of a partitioned one.
Refusing shortens no overload that has another cause.
A lasting overload now leaves room for 16 requests of others at a time, and ends as any other does, at a lag of 0.1 s; with ticks late by 0.06 s it never ended.
- With three or more other instances, all late for a moment, none was asked as the last: 0 of 6 served.
The third one asked is the last, whatever is left.
- After one lost link an instance said that it is not ready until the next request, since all others were avoided.
Only a refusal by an instance that was asked counts.
- A request whose time ended while instances were tried was still sent to the next one.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
@@ -71,8 +71,8 @@
 
     A request is refused, which guarantees that it does not run, while another version of the route
     table is in force here, while this process is overloaded or reaches no server itself, and after
-    a planned stop has begun. A momentary overload is no reason if no other instance is left that
-    might run the request and it may still end in time. A request is never passed on again.
+    a planned stop has begun. Some requests that no other instance is asked for are run in spite of
+    an overload if they may still end in time. A request is never passed on again.
 
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
@@ -216,9 +216,10 @@
         return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
     def must_run(self, frame: ForwardedRequest) -> bool:
-        """Whether a request runs here in spite of an overload, since it can run nowhere else."""
+        """Whether a request runs here in spite of an overload, as no other instance is asked."""
         left_s = frame.must_end_in_s
-        return left_s is not None and self.lag.accepts_necessary(now(), left_s)
+        running = len(self.activity.running)
+        return left_s is not None and self.lag.accepts_necessary(now(), left_s, running)
 
     async def run_accepted(self, link: AcceptedLink, number: int, request: GatewayRequest) -> None:
         """Run a request and send its result."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from itertools import chain
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -108,29 +109,34 @@
                 return
             yield ForwardTarget(instance=coordinator)
 
-    def other_instances(self, route: Route) -> Iterator[ForwardTarget]:
+    def other_instances(self, request: GatewayRequest, route: Route) -> Iterator[ForwardTarget]:
         """Choose other instances one after the other, coordinators of the route if it has any.
 
         One that refuses because it is late may be asked again when no other is left.
         """
         tried: list[str] = []
-        for _ in range(TARGETS_MAX):
+        deadline = request.deadline_on(route.timeout_s)
+        for targets_left in reversed(range(TARGETS_MAX)):
             choice = self.peers.choose(now(), self.forwarding.profiles_for(route), tried)
-            if choice is None:
+            if choice is None or now() + TIME_LEFT_MIN_S >= deadline:
                 return
+            last = choice.only or targets_left == 0
             yield ForwardTarget(
-                instance=choice.instance, accepts_until_deadline=True, only_choice=choice.only
+                instance=choice.instance, accepts_until_deadline=True, last_choice=last
             )
-            if choice.only:
+            if last:
                 tried.append(choice.instance)
 
     async def pass_on(
         self, request: GatewayRequest, route: Route, version: int
     ) -> RequestResult | None:
         """Let another instance run a request; None if none has accepted it."""
-        if now() + TIME_LEFT_MIN_S >= request.deadline_on(route.timeout_s):
+        targets = self.other_instances(request, route)
+        first = next(targets, None)
+        if first is None:
+            # All are avoided for a while, or the time is over, which says nothing new of them.
             return None
-        result = await self.run_on(self.other_instances(route), request, route, version)
+        result = await self.run_on(chain([first], targets), request, route, version)
         self.found_no_instance = result is None
         return result
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
@@ -24,7 +24,7 @@
     :param elapsed_s: time since the request arrived
     :param left_s: time until the caller stops waiting; None if it gave no deadline
     :param attempts_used: attempts that an earlier run may have made on a service
-    :param must_end_in_s: set if no other instance is left that might run it: the time until its
+    :param must_end_in_s: set if no other instance is asked after this one: the time until its
         deadline
     """
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
@@ -76,12 +76,12 @@
     """The instance that a request is forwarded to.
 
     :param accepts_until_deadline: whether its acceptance may come until the request's deadline
-    :param only_choice: whether no other instance is left that might run the request
+    :param last_choice: whether no other instance is asked after this one
     """
 
     instance: str
     accepts_until_deadline: bool = False
-    only_choice: bool = False
+    last_choice: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -232,7 +232,7 @@
         number = link.expect(call)
         try:
             left_s = max(0.0, request.deadline_on(route.timeout_s) - now())
-            must_end_in_s = left_s if target.only_choice else None
+            must_end_in_s = left_s if target.last_choice else None
             link.send(encode_request(number, version, request, now(), must_end_in_s=must_end_in_s))
             wait_s = left_s if target.accepts_until_deadline else acceptance_wait_s(route)
             match await wait_for_acceptance(call, wait_s):
--- a/packages/azurefield/src/azurefield/overload.py
+++ b/packages/azurefield/src/azurefield/overload.py
@@ -7,10 +7,10 @@
 
 # A process whose event loop is later than this adds more to a request than another attempt costs.
 LAG_MAX_S = 0.1
-# An overload that lasts is over below this, so that the work which waits is done before more comes.
-LASTING_LAG_MAX_S = 0.05
 # Steps of a request that a late event loop delays: sending its call, and reading the answer.
 DELAYED_STEPS = 2
+# Units of work for others that run at the same time while an overload lasts.
+RUNNING_MAX = 16
 # The lag that is remembered falls to this fraction with each punctual tick.
 LAG_DECAY = 0.5
 
@@ -37,14 +37,9 @@
             late_s = max(0.0, now - self.ticked_at - self.interval_s)
             late_again = self.lag_s > LAG_MAX_S and late_s > LAG_MAX_S
             self.lag_s = max(late_s, LAG_DECAY * self.lag_s)
-            self.lasting = (self.lasting or late_again) and self.lag_s > LASTING_LAG_MAX_S
+            self.lasting = (self.lasting or late_again) and self.lag_s > LAG_MAX_S
         self.ticked_at = now
 
-    @property
-    def limit_s(self) -> float:
-        """How late the event loop may be without an overload."""
-        return LASTING_LAG_MAX_S if self.lasting else LAG_MAX_S
-
     def late_s(self, now: float) -> float:
         """Return how late the event loop is, or was until shortly before."""
         overdue_s = 0.0 if self.ticked_at is None else now - self.ticked_at - self.interval_s
@@ -52,19 +47,21 @@
 
     def overloaded(self, now: float) -> bool:
         """Whether work that can be done elsewhere should not be accepted."""
-        return self.late_s(now) > self.limit_s
+        return self.late_s(now) > LAG_MAX_S
 
-    def accepts_necessary(self, now: float, left_s: float) -> bool:
+    def accepts_necessary(self, now: float, left_s: float, running: int) -> bool:
         """Whether work that can be done nowhere else is accepted in spite of an overload.
 
-        It is if the overload is momentary and the work may still end; more work would prolong one
-        that lasts.
+        It is if it may still end. An overload that lasts may come from such work, or from other
+        load on the machine, so there is a limit on what runs at the same time.
 
         :param left_s: in which the work has to end
+        :param running: how much such work is running
         """
-        return not self.lasting and DELAYED_STEPS * self.late_s(now) <= left_s
+        in_time = DELAYED_STEPS * self.late_s(now) <= left_s
+        return in_time and (not self.lasting or running < RUNNING_MAX)
 
     def recovery_s(self, now: float) -> float:
         """Return how long an overload lasts if all further ticks are punctual."""
-        excess = max(1.0, self.late_s(now) / self.limit_s)
+        excess = max(1.0, self.late_s(now) / LAG_MAX_S)
         return self.interval_s * ceil(log(excess) / log(1 / LAG_DECAY))
