Open the link before the test of a planned stop forwards its request

Cause: the test forwarded with the limits for coordinators, 0.1 s to connect and 70 ms to accept. A request that misses one of them is given up, and the test then waits for it in vain. With an acceptance that is 0.1 s late the test fails in each run; which limit was missed in that run is not shown. The product is as intended.

Change: the test opens the link first and waits for the acceptance until the deadline, as requests that are passed on do. What it demands is the same: the result, after 0.8 s of a planned stop.

Result: passes, also with the late acceptance; fails as before without the heartbeats by its last line.

--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -90,6 +90,9 @@
     async def forward(self, request: GatewayRequest) -> object:
         return await self.forwarding.forward(ForwardTarget(instance="c1"), request, ROUTE, VERSION)
 
+    async def linked(self) -> bool:
+        return isinstance(await self.forwarding.peers.link("c1"), Ok)
+
 
 @asynccontextmanager
 async def pair(runner: Runner) -> AsyncIterator[Pair]:
@@ -293,7 +296,10 @@
     """Guards against 502 for requests that a stopping instance still finishes."""
     runner = Runner()
     async with pair(runner) as instances:
-        waiting = asyncio.create_task(instances.forward(request()))
+        await wait_until(instances.linked, what="the link")
+        target = ForwardTarget(instance="c1", accepts_until_deadline=True)
+        forwarded = instances.forwarding.forward(target, request(), ROUTE, VERSION)
+        waiting = asyncio.create_task(forwarded)
         await wait_until(lambda: len(runner.started) == 1, what="the request to run")
         instances.mailbox.send(Stop())
         await asyncio.sleep(SILENCE_TIMEOUT_S + 0.3)
