Divide the gateway's modules into folders by concern

The folder gateway held 40 modules, and workspaces, quotas and the pace of servers would add a dozen. The modules move to callers, servers, requests, crashes, peers, metadata and quotas; no logic changes. mypy and the 287 tests of the gateway pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -14,7 +14,7 @@
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits
 from azurefield_entry.front.activity import Activity
-from azurefield_entry.gateway.caller_server import CallerServer
+from azurefield_entry.gateway.callers.server import CallerServer
 from azurefield_entry.gateway.messages import RouteTableChanged
 from azurefield_entry.gateway.ports import CallerDialect
 from azurefield_entry.gateway.service import GatewayService
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence of requests that end backend servers, shared by all instances."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crash_broadcast.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/broadcast.py
@@ -11,8 +11,8 @@
 
 from azurefield.dissemination import broadcast_groups
 from azurefield_entry.background import BackgroundTasks
-from azurefield_entry.gateway.crash_frames import CrashReportFrame, encode_report
-from azurefield_entry.gateway.peer_links import PeerLinks
+from azurefield_entry.gateway.crashes.frames import CrashReportFrame, encode_report
+from azurefield_entry.gateway.peers.links import PeerLinks
 
 if TYPE_CHECKING:
     from azurefield.crash_evidence import CrashReport
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crash_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/watch.py
@@ -20,10 +20,10 @@
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.server_checker import ServerChecker
+from azurefield_entry.gateway.servers.checker import ServerChecker
 
 if TYPE_CHECKING:
-    from azurefield_entry.gateway.running import ActiveCall, RunningRequest, SentCall
+    from azurefield_entry.gateway.requests.running import ActiveCall, RunningRequest, SentCall
 
 # A call without an answer leads to a check of its server once that has been silent for this time.
 SILENCE_S = 0.5
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/own_entries.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/own_entries.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 from result import Err, Ok
 
-from azurefield_entry.gateway.crash_report_writer import CrashReportWriter
+from azurefield_entry.gateway.crashes.report_writer import CrashReportWriter
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
     InstanceEntry,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
@@ -19,8 +19,8 @@
 from azurefield.store_position import StorePosition
 from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.framing import encode, listen_for_instances, read_frame
 from azurefield_entry.gateway.messages import StoreReplyReceived, StoreWatchEnded, Tick
+from azurefield_entry.gateway.peers.framing import encode, listen_for_instances, read_frame
 from azurefield_entry.kernel import Stop, send_every
 
 if TYPE_CHECKING:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -22,8 +22,9 @@
     StoreWatchEnded,
     WriteCrashReport,
 )
+from azurefield_entry.gateway.metadata.own_entries import OwnEntries
+from azurefield_entry.gateway.metadata.relay import RelayFrame, RelayLost, open_relay
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.own_entries import OwnEntries
 from azurefield_entry.gateway.ports import (
     Changes,
     HistoryLost,
@@ -33,7 +34,6 @@
     MetadataStore,
     Removed,
 )
-from azurefield_entry.gateway.relay import RelayFrame, RelayLost, open_relay
 from azurefield_entry.kernel import Stop
 from azurefield_entry.notify import notify
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -14,12 +14,13 @@
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield_entry.clock import now
 from azurefield_entry.front.activity import Activity
-from azurefield_entry.gateway.crash_frames import (
+from azurefield_entry.gateway.crashes.frames import (
     CrashReportFrame,
     RequestAnsweredFrame,
     ServerEndedFrame,
 )
-from azurefield_entry.gateway.forward_frames import (
+from azurefield_entry.gateway.messages import Tick
+from azurefield_entry.gateway.peers.forward_frames import (
     CancelRequest,
     ForwardedRequest,
     RequestAccepted,
@@ -27,19 +28,18 @@
     decode_request,
     encode_result,
 )
-from azurefield_entry.gateway.framing import encode, listen_for_instances, read_frame
-from azurefield_entry.gateway.messages import Tick
-from azurefield_entry.gateway.peer_frames import TO_PEER, FromPeer, Heartbeat
+from azurefield_entry.gateway.peers.frames import TO_PEER, FromPeer, Heartbeat
+from azurefield_entry.gateway.peers.framing import encode, listen_for_instances, read_frame
 from azurefield_entry.gateway.ports import GatewayRequest
-from azurefield_entry.gateway.quota_frames import (
+from azurefield_entry.gateway.quotas.frames import (
     LimitEnded,
     QuotaAsked,
     QuotaGiven,
     QuotaRefused,
     QuotaWithdrawn,
 )
-from azurefield_entry.gateway.quota_issuer import QuotaIssuer
-from azurefield_entry.gateway.running import RequestResult
+from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Stop, send_every
 
 if TYPE_CHECKING:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
@@ -13,7 +13,7 @@
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
 
 if TYPE_CHECKING:
-    from azurefield_entry.gateway.running import RequestResult
+    from azurefield_entry.gateway.requests.running import RequestResult
 
 
 class ForwardedRequest(msgspec.Struct, tag="request", frozen=True, kw_only=True):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -16,7 +16,7 @@
 from azurefield.routes import ShardSet
 from azurefield.routing import CallResult, OwnObservationRouter
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.forward_frames import (
+from azurefield_entry.gateway.peers.forward_frames import (
     CancelRequest,
     RequestAccepted,
     RequestAnswered,
@@ -26,14 +26,14 @@
     decode_result,
     encode_request,
 )
-from azurefield_entry.gateway.peer_links import PeerLink, PeerLinks
-from azurefield_entry.gateway.running import RequestResult
+from azurefield_entry.gateway.peers.links import PeerLink, PeerLinks
+from azurefield_entry.gateway.requests.running import RequestResult
 
 if TYPE_CHECKING:
     from azurefield.coordinators import InstanceProfile
     from azurefield.directory import Directory
     from azurefield.routes import Route, RouteTable
-    from azurefield_entry.gateway.peer_frames import FromPeer
+    from azurefield_entry.gateway.peers.frames import FromPeer
     from azurefield_entry.gateway.ports import GatewayRequest
 
 # Longest wait until a coordinator accepts a request, as a fraction of the route's latency goal; at
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peer_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/frames.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from azurefield_entry.gateway.crash_frames import CrashReportFrame
-from azurefield_entry.gateway.forward_frames import FromCoordinator, ToCoordinator
-from azurefield_entry.gateway.quota_frames import FromIssuer, ToIssuer
+from azurefield_entry.gateway.crashes.frames import CrashReportFrame
+from azurefield_entry.gateway.peers.forward_frames import FromCoordinator, ToCoordinator
+from azurefield_entry.gateway.quotas.frames import FromIssuer, ToIssuer
 
 
 class Heartbeat(msgspec.Struct, tag="heartbeat", frozen=True, kw_only=True):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peer_links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
@@ -17,8 +17,8 @@
 from azurefield_entry.addresses import split_address
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.framing import encode, read_frame
-from azurefield_entry.gateway.peer_frames import FROM_PEER, FromPeer, Heartbeat, ToPeer
+from azurefield_entry.gateway.peers.frames import FROM_PEER, FromPeer, Heartbeat, ToPeer
+from azurefield_entry.gateway.peers.framing import encode, read_frame
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas that hold for all instances together."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quota_issuer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/issuer.py
@@ -12,7 +12,7 @@
 from azurefield_entry.clock import now
 
 if TYPE_CHECKING:
-    from azurefield_entry.gateway.quota_frames import QuotaAsked
+    from azurefield_entry.gateway.quotas.frames import QuotaAsked
 
 Reply = Callable[[QuotaDecision], None]
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -22,19 +22,19 @@
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.peer_links import PeerLinks
-from azurefield_entry.gateway.quota_frames import (
+from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.frames import (
     LimitEnded,
     QuotaAsked,
     QuotaGiven,
     QuotaRefused,
     QuotaWithdrawn,
 )
-from azurefield_entry.gateway.quota_issuer import QuotaIssuer
+from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
-    from azurefield_entry.gateway.peer_frames import FromPeer
+    from azurefield_entry.gateway.peers.frames import FromPeer
 
 # Another instance that has not replied for this time counts as unreachable, unless the request may
 # wait for longer.
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request through the gateway: where it runs, its plan and its calls."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -16,23 +16,27 @@
 from azurefield.peer_selection import PeerSelection
 from azurefield.reachability import ServerContacts
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.forwarding import (
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peers.forwarding import (
     Forwarding,
     ForwardProblem,
     ForwardTarget,
     lost_failure,
 )
-from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.outcomes import describe, no_server_reachable_failure, refusal
-from azurefield_entry.gateway.partition_watch import PartitionWatch
-from azurefield_entry.gateway.request_runner import RequestRunner
+from azurefield_entry.gateway.requests.outcomes import (
+    describe,
+    no_server_reachable_failure,
+    refusal,
+)
+from azurefield_entry.gateway.requests.runner import RequestRunner
+from azurefield_entry.gateway.servers.partition_watch import PartitionWatch
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from azurefield.routes import Route
     from azurefield_entry.gateway.ports import GatewayRequest
-    from azurefield_entry.gateway.running import RequestResult
+    from azurefield_entry.gateway.requests.running import RequestResult
 
 # Coordinators, or other instances, that are asked to run one request.
 TARGETS_MAX = 3
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
@@ -15,7 +15,7 @@
 from azurefield.server_choice import Holders
 from azurefield.server_limits import RouteServerLimits, ServerLimits
 from azurefield_entry.gateway import policies
-from azurefield_entry.gateway.answers import PassThrough, ShardMerge
+from azurefield_entry.gateway.requests.answers import PassThrough, ShardMerge
 
 if TYPE_CHECKING:
     from azurefield.routes import Route, RouteTable
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/request_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -18,20 +18,20 @@
 from azurefield.query_actions import CancelLeafCall, Finished, SendLeafCall, WakeAt
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
-from azurefield_entry.gateway.connections import ServerConnections
-from azurefield_entry.gateway.crash_watch import CrashWatch
+from azurefield_entry.gateway.crashes.watch import CrashWatch
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.outcomes import crashing_request_failure, describe
-from azurefield_entry.gateway.planning import RequestPlanner
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, LeafConnection, OpaqueAnswer
-from azurefield_entry.gateway.quotas import ServerQuotas
-from azurefield_entry.gateway.running import (
+from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
+from azurefield_entry.gateway.requests.outcomes import crashing_request_failure, describe
+from azurefield_entry.gateway.requests.planning import RequestPlanner
+from azurefield_entry.gateway.requests.running import (
     ActiveCall,
     CompletedRun,
     RequestResult,
     RunningRequest,
     SentCall,
 )
+from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_entry.logs import describe_error
 
 if TYPE_CHECKING:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/server_checker.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/checker.py
@@ -18,7 +18,7 @@
 )
 from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.connection import CONNECT_TIMEOUT_S
+from azurefield_entry.gateway.servers.connection import CONNECT_TIMEOUT_S
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -17,8 +17,8 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.answer_end import describe_confusion, split_behind_chunks
-from azurefield_entry.gateway.exchange import Exchange
+from azurefield_entry.gateway.servers.answer_end import describe_confusion, split_behind_chunks
+from azurefield_entry.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
@@ -16,9 +16,9 @@
 from azurefield_entry.backends.pool import ConnectionPool
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
-from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import LeafConnection, LeafDialect
+from azurefield_entry.gateway.servers.connection import HttpLeafConnection
 
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/exchange.py
@@ -10,8 +10,8 @@
 from result import Result
 
 from azurefield.failures import LeafFailure
-from azurefield_entry.gateway.answer_end import ReceivedBytes
 from azurefield_entry.gateway.ports import LeafCall, OpaqueAnswer
+from azurefield_entry.gateway.servers.answer_end import ReceivedBytes
 
 # Longest head of an answer, interim answers included.
 HEAD_BYTES_MAX = 64 * 1024
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/partition_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/partition_watch.py
@@ -17,7 +17,7 @@
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.server_checker import ServerChecker
+from azurefield_entry.gateway.servers.checker import ServerChecker
 
 log = Logger("partition")
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -22,11 +22,8 @@
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_limits import ServerLimits
 from azurefield_entry.gateway import policies
-from azurefield_entry.gateway.connections import ServerConnections
-from azurefield_entry.gateway.crash_broadcast import CrashBroadcast
-from azurefield_entry.gateway.crash_watch import CrashWatch
-from azurefield_entry.gateway.dispatch import RequestDispatcher
-from azurefield_entry.gateway.forwarding import Forwarding
+from azurefield_entry.gateway.crashes.broadcast import CrashBroadcast
+from azurefield_entry.gateway.crashes.watch import CrashWatch
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
@@ -36,9 +33,7 @@
     WriteCrashReport,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.outcomes import refusal
-from azurefield_entry.gateway.partition_watch import PartitionWatch
-from azurefield_entry.gateway.planning import RequestPlanner
+from azurefield_entry.gateway.peers.forwarding import Forwarding
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
     GatewayRequest,
@@ -49,15 +44,20 @@
     Removed,
     ServerKey,
 )
-from azurefield_entry.gateway.quotas import ServerQuotas
-from azurefield_entry.gateway.request_runner import RequestRunner
-from azurefield_entry.gateway.server_checker import ServerChecker
+from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
+from azurefield_entry.gateway.requests.dispatch import RequestDispatcher
+from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.gateway.requests.planning import RequestPlanner
+from azurefield_entry.gateway.requests.runner import RequestRunner
+from azurefield_entry.gateway.servers.checker import ServerChecker
+from azurefield_entry.gateway.servers.connections import ServerConnections
+from azurefield_entry.gateway.servers.partition_watch import PartitionWatch
 from azurefield_entry.kernel import Kernel, Stop, send_every
 from azurefield_entry.notify import notify, notify_all
 
 if TYPE_CHECKING:
-    from azurefield_entry.gateway.crash_frames import CrashReportFrame
-    from azurefield_entry.gateway.running import RequestResult
+    from azurefield_entry.gateway.crashes.frames import CrashReportFrame
+    from azurefield_entry.gateway.requests.running import RequestResult
     from azurefield_entry.kernel import Mailbox
 
 log = Logger("gateway")
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -10,10 +10,11 @@
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.background import FAILURE_LISTENERS
 from azurefield_entry.gateway.admin import GatewayAdmin
-from azurefield_entry.gateway.coordinator import CoordinatorService
-from azurefield_entry.gateway.front import GatewayFront
-from azurefield_entry.gateway.metadata import MetadataService
+from azurefield_entry.gateway.callers.front import GatewayFront
+from azurefield_entry.gateway.metadata.relay import RelayService
+from azurefield_entry.gateway.metadata.service import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.policies import FAILURE_COST_S, FURTHER_CALLS_RATIO_FRACTION
 from azurefield_entry.gateway.ports import (
     CallerDialect,
@@ -21,7 +22,6 @@
     LeafDialect,
     MetadataStore,
 )
-from azurefield_entry.gateway.relay import RelayService
 from azurefield_entry.gateway.reload import ReloadService
 from azurefield_entry.gateway.service import GatewayService
 from azurefield_entry.kernel import Kernel, Service
--- a/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
+++ b/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
@@ -9,8 +9,8 @@
 
 from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
-from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
+from azurefield_entry.gateway.servers.connection import HttpLeafConnection
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
     ScriptedServer,
--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -13,8 +13,12 @@
 from azurefield.answer_memory import AnswerMemory
 from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
-from azurefield_entry.gateway.connection import ANSWER_BYTES_MAX, HttpLeafConnection, failure
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
+from azurefield_entry.gateway.servers.connection import (
+    ANSWER_BYTES_MAX,
+    HttpLeafConnection,
+    failure,
+)
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
     ScriptedServer,
--- a/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
+++ b/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
@@ -13,10 +13,10 @@
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.crash_evidence import CrashReport, RequestAnswered, ServerEnded
 from azurefield.dissemination import DIRECT_MAX
-from azurefield_entry.gateway.coordinator import CoordinatorService
-from azurefield_entry.gateway.crash_broadcast import CrashBroadcast
-from azurefield_entry.gateway.peer_links import PeerLinks
-from azurefield_entry.gateway.quota_issuer import QuotaIssuer
+from azurefield_entry.gateway.crashes.broadcast import CrashBroadcast
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.processes import Processes
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from azurefield_entry.gateway.crash_frames import CrashReportFrame
+    from azurefield_entry.gateway.crashes.frames import CrashReportFrame
 
 ENDED = ServerEnded(request="r", service="s", server="i-1", incarnation="7", run="q1", suspect=True)
 ANSWERED = RequestAnswered(request="r", service="s")
--- a/packages/azurefield-entry/tests/gateway/test_dispatch.py
+++ b/packages/azurefield-entry/tests/gateway/test_dispatch.py
@@ -14,9 +14,9 @@
 from azurefield.routes import Route, SingleService
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.dispatch import RequestDispatcher
-from azurefield_entry.gateway.forward_frames import decode_request, encode_request
-from azurefield_entry.gateway.planning import RequestPlanner
+from azurefield_entry.gateway.peers.forward_frames import decode_request, encode_request
+from azurefield_entry.gateway.requests.dispatch import RequestDispatcher
+from azurefield_entry.gateway.requests.planning import RequestPlanner
 from azurefield_testkit.entry_support.gateway_parts import make_request
 
 ROUTE = Route(
--- a/packages/azurefield-entry/tests/gateway/test_extra_answers.py
+++ b/packages/azurefield-entry/tests/gateway/test_extra_answers.py
@@ -10,9 +10,9 @@
 
 from azurefield.failures import LeafFailureReason
 from azurefield.model import Outcome
-from azurefield_entry.gateway.answer_end import CHUNKS_END, ENDS_PER_READ_MAX
-from azurefield_entry.gateway.connection import PARSED_BYTES_MAX, HttpLeafConnection
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
+from azurefield_entry.gateway.servers.answer_end import CHUNKS_END, ENDS_PER_READ_MAX
+from azurefield_entry.gateway.servers.connection import PARSED_BYTES_MAX, HttpLeafConnection
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
     ScriptedServer,
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from aiohttp.http import HttpResponseParser
 
-    from azurefield_entry.gateway.exchange import Exchange
+    from azurefield_entry.gateway.servers.exchange import Exchange
 
 
 def call(target: str) -> LeafCall:
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -19,12 +19,12 @@
 from azurefield.model import Outcome
 from azurefield.routes import Route, ShardSet
 from azurefield.routing import OwnObservationRouter
-from azurefield_entry.gateway.coordinator import CoordinatorService
-from azurefield_entry.gateway.forwarding import Forwarding, ForwardProblem, ForwardTarget
-from azurefield_entry.gateway.peer_links import SILENCE_TIMEOUT_S
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+from azurefield_entry.gateway.peers.forwarding import Forwarding, ForwardProblem, ForwardTarget
+from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
 from azurefield_entry.gateway.ports import GatewayRequest
-from azurefield_entry.gateway.quota_issuer import QuotaIssuer
-from azurefield_entry.gateway.running import RequestResult
+from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.waiting import accepts, wait_until
--- a/packages/azurefield-entry/tests/gateway/test_gateway_front.py
+++ b/packages/azurefield-entry/tests/gateway/test_gateway_front.py
@@ -12,7 +12,7 @@
 from result import Ok
 
 from azurefield.routes import CallerLimits
-from azurefield_entry.gateway.front import GatewayFront
+from azurefield_entry.gateway.callers.front import GatewayFront
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
 from azurefield_entry.kernel import BeginDrain, Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
@@ -23,7 +23,7 @@
 
     from result import Result
 
-    from azurefield_entry.gateway.running import RequestResult
+    from azurefield_entry.gateway.requests.running import RequestResult
     from azurefield_entry.gateway.service import GatewayService
 
 REQUEST = b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/packages/azurefield-entry/tests/gateway/test_metadata.py
+++ b/packages/azurefield-entry/tests/gateway/test_metadata.py
@@ -7,7 +7,7 @@
 import pytest
 from result import Ok, Result
 
-from azurefield_entry.gateway.metadata import MetadataService
+from azurefield_entry.gateway.metadata.service import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
     Changes,
--- a/packages/azurefield-entry/tests/gateway/test_pass_on.py
+++ b/packages/azurefield-entry/tests/gateway/test_pass_on.py
@@ -18,18 +18,18 @@
 from azurefield.routes import Route, SingleService
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.coordinator import CoordinatorService
-from azurefield_entry.gateway.dispatch import TARGETS_MAX, RequestDispatcher
-from azurefield_entry.gateway.forwarding import (
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+from azurefield_entry.gateway.peers.forwarding import (
     Forwarding,
     ForwardProblem,
     ForwardTarget,
     NotForwarded,
 )
-from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.peer_links import SILENCE_TIMEOUT_S, PeerLinks
+from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S, PeerLinks
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
-from azurefield_entry.gateway.quota_issuer import QuotaIssuer
+from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+from azurefield_entry.gateway.requests.dispatch import TARGETS_MAX, RequestDispatcher
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.gateway_parts import make_request
 from azurefield_testkit.entry_support.instance import free_address
@@ -38,7 +38,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-    from azurefield_entry.gateway.running import RequestResult
+    from azurefield_entry.gateway.requests.running import RequestResult
 
 VERSION = 7
 # How late an instance reads a request; longer than the wait for a coordinator.
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -15,10 +15,10 @@
 from azurefield.quota import issuer_order
 from azurefield.server_limits import NO_LIMIT, NamedLimit, ServerLimits
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.coordinator import CoordinatorService
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.peer_links import PeerLinks
-from azurefield_entry.gateway.quotas import ServerQuotas
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.waiting import accepts, wait_until
--- a/packages/azurefield-entry/tests/gateway/test_relay.py
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -10,16 +10,25 @@
 
 from azurefield.crash_evidence import RequestAnswered
 from azurefield.store_position import StorePosition
-from azurefield_entry.gateway.framing import encode, read_frame
 from azurefield_entry.gateway.messages import (
     MetadataChanged,
     MetadataListed,
     StoreReplyReceived,
     StoreWatchEnded,
 )
-from azurefield_entry.gateway.metadata import MetadataService
+from azurefield_entry.gateway.metadata.own_entries import OwnEntries
+from azurefield_entry.gateway.metadata.relay import (
+    FOLLOW_REQUEST,
+    HEARTBEAT_INTERVAL_S,
+    RelayFrame,
+    RelayLink,
+    RelayLost,
+    RelayService,
+    open_relay,
+)
+from azurefield_entry.gateway.metadata.service import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.own_entries import OwnEntries
+from azurefield_entry.gateway.peers.framing import encode, read_frame
 from azurefield_entry.gateway.ports import (
     Changes,
     CrashReportEntry,
@@ -31,15 +40,6 @@
     Listing,
     Removed,
 )
-from azurefield_entry.gateway.relay import (
-    FOLLOW_REQUEST,
-    HEARTBEAT_INTERVAL_S,
-    RelayFrame,
-    RelayLink,
-    RelayLost,
-    RelayService,
-    open_relay,
-)
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_platform.failures import MalformedReply, PlatformUnavailable
 from azurefield_testkit.waiting import wait_until
--- a/packages/azurefield-entry/tests/gateway/test_server_checker.py
+++ b/packages/azurefield-entry/tests/gateway/test_server_checker.py
@@ -12,7 +12,7 @@
 from azurefield.reachability import ServerContacts
 from azurefield.server_check import ServerState
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.server_checker import ServerChecker
+from azurefield_entry.gateway.servers.checker import ServerChecker
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.entry_support.scripted_server import ScriptedServer, listening
 
--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -14,10 +14,10 @@
 from azurefield.retry import WindowedBudget
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.connection import HttpLeafConnection
 from azurefield_entry.gateway.ports import InstanceEntry
-from azurefield_entry.gateway.request_runner import record_reply
-from azurefield_entry.gateway.running import RunningRequest, SentCall
+from azurefield_entry.gateway.requests.runner import record_reply
+from azurefield_entry.gateway.requests.running import RunningRequest, SentCall
+from azurefield_entry.gateway.servers.connection import HttpLeafConnection
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 from azurefield_testkit.entry_support.scripted_server import ScriptedServer, listening
 from azurefield_testkit.waiting import wait_until
--- a/tests/fleet/test_odd_replies.py
+++ b/tests/fleet/test_odd_replies.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from azurefield_entry.gateway.framing import LENGTH_PREFIX_BYTES
+from azurefield_entry.gateway.peers.framing import LENGTH_PREFIX_BYTES
 from azurefield_testkit.waiting import wait_until
 from gateway_process import Site, serving, serving_fleet
 from standins import config, route
