--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -10,6 +10,7 @@
 from azurefield.directory import RegisteredServer
 from azurefield.routes import RouteTable
 from azurefield.server_limits import NO_LIMIT
+from azurefield.workspaces import Workspace
 
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest, Response
@@ -36,6 +37,8 @@
     :param deadline: when the caller stops waiting; None if it gave no deadline
     :param stops_at: when this instance stops and ends the request; None while no stop is near
     :param attempts_used: attempts that earlier runs for the same caller may have made on a service
+    :param workspace: the workspace of the caller's key; None on routes that need no key, and while
+        the configuration has no workspaces
     """
 
     request_id: str
@@ -48,6 +51,7 @@
     deadline: float | None
     stops_at: float | None = None
     attempts_used: int = 0
+    workspace: Workspace | None = None
 
     def deadline_on(self, timeout_s: float) -> float:
         """Return when the request has to end on a route with a timeout."""
