Give up all silent connections to the store after one lost reply

A call on a silent connection waited for the time of a new connection too (4.3 s for a watch), and the next one took the other silent connection of the session, 1.3 s more. After a reply that does not come in time no open connection is used again, and an open one waits only for the reply.

--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
+from weakref import WeakKeyDictionary
 
 import aiohttp
 import msgspec
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientRequest
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
@@ -39,19 +41,32 @@
 
 
 class CheckedConnector(aiohttp.TCPConnector):
-    """Uses no kept connection on which something has arrived since its last reply.
+    """Uses no kept connection that may be silent, or on which something has arrived unasked.
 
     aiohttp would return it as the reply to the next request, and would wait for the rest of an
     incomplete one without a timeout.
     """
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.silences = 0
+        self.silences_at_begin: WeakKeyDictionary[ResponseHandler, int] = WeakKeyDictionary()
+
+    def abandon_kept(self) -> None:
+        """Use none of the open connections again, since one of them is silent."""
+        self.silences += 1
+
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
         """Take a kept connection, or open a new one."""
         while True:
             connection = await super().connect(req, traces, timeout)
-            if connection.protocol is None or not connection.protocol.should_close:
+            protocol = connection.protocol
+            if protocol is None:
+                return connection
+            begun = self.silences_at_begin.setdefault(protocol, self.silences)
+            if begun == self.silences and not protocol.should_close:
                 return connection
             connection.close()
 
@@ -63,7 +78,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class PlatformHttp:
-    """Sends requests to one platform address over a session of ``open_session``."""
+    """Sends requests to one platform address over a session of ``open_session``.
+
+    After a reply that did not come in time, the next calls open new connections: the network may
+    have dropped the state of all open ones.
+    """
 
     base_url: str
     session: aiohttp.ClientSession
@@ -88,6 +107,7 @@
             ) as response:
                 body = await read_bounded(response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.abandon_silent(error)
             return Err(PlatformUnavailable(detail=describe(error)))
         if len(body) > REPLY_BYTES_MAX:
             return Err(MalformedReply(detail=f"reply of more than {REPLY_BYTES_MAX} bytes"))
@@ -123,6 +143,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(PlatformUnavailable(detail=describe(error)))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.abandon_silent(error)
             return Err(ReplyLost(detail=describe(error)))
         if len(reply.body) > REPLY_BYTES_MAX:
             return Err(ReplyLost(detail=f"reply of more than {REPLY_BYTES_MAX} bytes"))
@@ -136,11 +157,18 @@
         """Build a URL without decoding the percent-encoded path."""
         return URL(str(self.base).rstrip("/") + path, encoded=True)
 
+    def abandon_silent(self, error: BaseException) -> None:
+        """Use no open connection again after a reply that did not come in time."""
+        connector = self.session.connector
+        if isinstance(error, TimeoutError) and isinstance(connector, CheckedConnector):
+            connector.abandon_kept()
+
     def timeout(self, extra_s: float) -> aiohttp.ClientTimeout:
-        """Build the timeouts of connection set-up and of the whole call."""
+        """Build the timeouts of connection set-up, of a silent connection and of the whole call."""
         return aiohttp.ClientTimeout(
             total=self.connect_timeout_s + self.reply_timeout_s + extra_s,
             sock_connect=self.connect_timeout_s,
+            sock_read=self.reply_timeout_s + extra_s,
         )
 
 
