Find refusals behind bodies without a length

A body that ends with its connection and goes on with the cut head of a late refusal counted as whole: the search for another head knew only the names of the headers of the answer at hand, and only the first header behind a status line. It now also finds heads that name a request, heads that the body ends in, and status lines that are cut off. The search stays linear in the length of the body; examples of HTTP inside a body are no mixed answers.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/answer_end.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import TYPE_CHECKING
@@ -22,8 +21,6 @@
 ENDS_PER_READ_MAX = 256
 # Bytes of CHUNKS_END that the read before may hold.
 LAST_BYTES = len(CHUNKS_END) - 1
-STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
-STATUS_LINE_START = b"HTTP/"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -111,45 +108,3 @@
     for start, end in pairwise([*bounds, len(joined)]):
         for begin in range(start, end, length_max):
             yield joined[begin : min(begin + length_max, end)]
-
-
-def describe_confusion(message: RawResponseMessage, body: bytes) -> str | None:
-    """Return where an answer goes on with another one; None if it does not."""
-    if holds_another_head(message):
-        return "the head holds the status line of another answer"
-    if goes_on_with_answer(message, body):
-        return "a body without a length goes on with another answer"
-    return None
-
-
-def holds_another_head(message: RawResponseMessage) -> bool:
-    """Whether a head goes on with the status line of another one.
-
-    This happens if a head is cut off and an answer follows on the same connection.
-    """
-    values = [message.reason, *message.headers.values()]
-    return any("HTTP/" in value and STATUS_LINE.search(value) for value in values)
-
-
-def goes_on_with_answer(message: RawResponseMessage, body: bytes) -> bool:
-    """Whether a body that ends with its connection holds the begin of one more answer.
-
-    Without a length, an answer that is sent twice looks like one answer with a longer body. Only a
-    status line with a header of the same server behind it counts, or the begin of this head at the
-    end of the body, so that a body may hold other examples of HTTP.
-    """
-    if message.chunked or "Content-Length" in message.headers:
-        return False
-    last = body.rfind(STATUS_LINE_START)
-    if last < 0:
-        return False
-    version, first_names = message.version, [name for name, _ in message.raw_headers[:1]]
-    status_line = f"HTTP/{version.major}.{version.minor} {message.code} {message.reason}\r\n"
-    head = b"".join([status_line.encode(errors="surrogateescape"), *first_names])
-    if head.startswith(body[last:]):
-        return True
-    names = b"|".join(sorted({re.escape(name.lower()) for name, _ in message.raw_headers}))
-    # Each match takes its whole line, so that the time is linear in the length of the body.
-    another = rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*"
-    lines = re.finditer(another + rb"(\r\n(?i:" + names + rb")[ \t]*:)?", body)
-    return any(line[1] is not None for line in lines)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -17,7 +17,8 @@
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
-from azurefield_entry.gateway.servers.answer_end import describe_confusion, split_behind_chunks
+from azurefield_entry.gateway.servers.answer_confusion import describe_confusion
+from azurefield_entry.gateway.servers.answer_end import split_behind_chunks
 from azurefield_entry.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -245,7 +246,7 @@
                 return
             del exchange.answers[0]
             body = exchange.take_body()
-            confusion = describe_confusion(message, body)
+            confusion = describe_confusion(message, body, self.dialect.names_request)
             if confusion is not None:
                 self.on_stray_bytes()
                 self.give_up(confusion)
--- a/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
+++ b/packages/azurefield-entry/tests/gateway/test_answers_without_length.py
@@ -25,6 +25,9 @@
 
 ANSWER = b"HTTP/1.1 200 OK\r\nId: /1\r\nProof: p\r\n\r\nbody"
 EARLIER = b"HTTP/1.1 503 Service Unavailable\r\nId: /0\r\nContent-Length: 0\r\n\r\n"
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nId: /0\r\nContent-Length: 4\r\n\r\nbusy"
+)
 # A shorter begin of a status line can't be told from a body.
 CUTS = (5, 8, 12, 15, 16, 17, 19, 20, 24, len(ANSWER) - 4, len(ANSWER) - 1)
 
@@ -70,6 +73,15 @@
     assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize("cut", range(len(b"HTTP/"), len(REFUSAL) + 1))
+async def test_a_refusal_is_no_part_of_a_body_without_a_length(cut: int) -> None:
+    """Guards against bodies that go on with a refusal whose first header their answers lack."""
+    result = await exchange(ANSWER, REFUSAL[:cut])
+    assert isinstance(result, Err), result.ok_value
+    assert result.err_value.reason is LeafFailureReason.MALFORMED
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize("reason_length", [0, 1, 62, 63, 64, 65, 100, 1000, 8000])
 @pytest.mark.parametrize("only_copy", [True, False], ids=["one", "both"])
 async def test_a_copy_is_found_whatever_the_length_of_its_reason_phrase(
@@ -91,10 +103,12 @@
     [
         b"GET /1 HTTP/1.1\r\nId: /1\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nServer: example\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nServer: example\r\nProof: q\r\n\r\n",
         b"HTTP/1.1 200 OK",
+        b"HTTP/1.1 404 Not Found\r\nthe page is gone",
         b"see HTTP/1.1 and HTTP/2",
     ],
-    ids=["request", "other-server", "status-line", "names"],
+    ids=["request", "other-server", "more-headers", "status-line", "text-below", "names"],
 )
 async def test_a_body_without_a_length_may_hold_examples_of_http(example: bytes) -> None:
     """Guards against whole answers that are refused because of what their bodies say."""
@@ -113,6 +127,9 @@
         b"HTTP/1.1 \r\nProof:",
         b"HTTP/1.1 200\r\nProof \t",
         b"HTTP/1.1 200\r",
+        b"HTTP/1.1 200\r\nServer: s\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"Server: s\r\n" * 10 + b"\r\n",
+        b"A:\r\n",
     ],
 )
 async def test_the_search_for_another_answer_does_not_hold_up_the_event_loop(
