Take odd statuses for no answer on any path

An answer of a server in trouble with status 000, 007, 099, 600 or 999 was passed on to the caller with the server's headers, and 101 made a call wait until its deadline. One module of the library now says which statuses an answer can have. Any other ends the call as malformed and as one that may have run, so that a request that may not be repeated is not refused with 503, and its connection. The same holds for calls of the daemon, replies of the store and answers that another instance forwards.

--- a/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
@@ -19,6 +19,7 @@
 from yarl import URL
 
 from azurefield.failures import LeafFailure, LeafFailureReason
+from azurefield.http_status import is_final_status
 from azurefield.model import Outcome
 from azurefield_entry.backends.connection import TrackedResponse
 from azurefield_entry.backends.dialect import FailedExchange
@@ -120,22 +121,25 @@
 
 
 async def _read(response: ClientResponse) -> Result[HttpAnswer, LeafFailure]:
+    if not is_final_status(response.status):
+        return Err(malformed(f"status {response.status} is none of an answer"))
     chunks: list[bytes] = []
     size = 0
     async for chunk in response.content.iter_any():
         size += len(chunk)
         if size > ANSWER_BYTES_MAX:
-            return Err(
-                LeafFailure(
-                    reason=LeafFailureReason.MALFORMED,
-                    outcome=Outcome.MAY_HAVE_RUN,
-                    detail=f"the answer is larger than {ANSWER_BYTES_MAX} bytes",
-                )
-            )
+            return Err(malformed(f"the answer is larger than {ANSWER_BYTES_MAX} bytes"))
         chunks.append(chunk)
     return Ok(HttpAnswer(status=response.status, body=b"".join(chunks)))
 
 
+def malformed(detail: str) -> LeafFailure:
+    """Build the failure of a call whose answer can't be used."""
+    return LeafFailure(
+        reason=LeafFailureReason.MALFORMED, outcome=Outcome.MAY_HAVE_RUN, detail=detail
+    )
+
+
 def failure_of(error: Exception, *, may_have_sent: bool) -> LeafFailure:
     """Map an exception of aiohttp or a timeout to a leaf failure.
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
@@ -8,8 +8,9 @@
 from result import Err, Ok
 
 from azurefield.failures import FailureKind, RequestFailure
+from azurefield.http_status import is_final_status
 from azurefield.merge import MergedParts
-from azurefield.model import Outcome  # noqa: TC001 - msgspec resolves it at run time
+from azurefield.model import Outcome
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
 
 if TYPE_CHECKING:
@@ -170,6 +171,14 @@
     match frame:
         case RequestAnswered(proofs=proofs, missing=missing, body=body):
             return Ok(MergedParts(proofs=proofs, missing=missing, body=body))
+        case RequestServed(status=status) if not is_final_status(status):
+            return Err(
+                RequestFailure(
+                    kind=FailureKind.LEAF_UNAVAILABLE,
+                    outcome=Outcome.MAY_HAVE_RUN,
+                    detail=f"status {status} is none of an answer",
+                )
+            )
         case RequestServed():
             return Ok(
                 OpaqueAnswer(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -15,6 +15,7 @@
 
 from azurefield.answer_memory import AnswerMemory
 from azurefield.failures import LeafFailure, LeafFailureReason
+from azurefield.http_status import is_final_status, is_interim_status
 from azurefield.model import Outcome
 from azurefield_entry.addresses import split_address
 from azurefield_entry.gateway.servers.answer_confusion import describe_confusion
@@ -234,6 +235,10 @@
         unexpected = extra
         while exchange.answers:
             message, payload = exchange.answers[0]
+            interim = is_interim_status(message.code)
+            if not interim and not is_final_status(message.code):
+                self.give_up(f"status {message.code} is none of an answer")
+                return
             problem = payload.exception()
             if problem is not None:
                 self.finish_exchange(
@@ -251,7 +256,7 @@
                 self.on_stray_bytes()
                 self.give_up(confusion)
                 return
-            if 100 <= message.code < 200:
+            if interim:
                 exchange.received.skip_interim_answer()
                 continue
             headers = tuple(
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -20,6 +20,7 @@
 from azurefield.routes import Route, ShardSet
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+from azurefield_entry.gateway.peers.forward_frames import RequestServed, decode_result
 from azurefield_entry.gateway.peers.forwarding import Forwarding, ForwardProblem, ForwardTarget
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
 from azurefield_entry.gateway.ports import GatewayRequest
@@ -141,6 +142,15 @@
     )
 
 
+@pytest.mark.parametrize("status", [-1, 0, 7, 99, 101, 199, 600, 999])
+def test_an_answer_with_an_odd_status_is_none_and_may_have_run(status: int) -> None:
+    """Guards against a caller that gets what an instance of another version forwards."""
+    frame = RequestServed(number=1, status=status, headers=(), body=b"", proof="p")
+    result = decode_result(frame)
+    assert isinstance(result, Err), result.ok_value
+    assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize("result", [ANSWER, FAILURE], ids=["answered", "failed"])
 async def test_the_result_of_a_forwarded_request_comes_back_unchanged(
     result: RequestResult,
--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from azurefield.http_status import is_final_status
 from azurefield_platform.failures import MalformedReply, PlatformUnavailable, ReplyLost
 
 if TYPE_CHECKING:
@@ -145,7 +146,18 @@
 
 
 async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
-    """Read a body; the rest of one of more than ``REPLY_BYTES_MAX`` bytes is not read."""
+    """Read a body; the rest of one of more than ``REPLY_BYTES_MAX`` bytes is not read.
+
+    :raises aiohttp.ClientResponseError: if the status is none of a reply
+    """
+    if not is_final_status(response.status):
+        response.close()
+        raise aiohttp.ClientResponseError(
+            response.request_info,
+            response.history,
+            status=response.status,
+            message="the status is none of a reply",
+        )
     body = await response.content.read(REPLY_BYTES_MAX + 1)
     while len(body) <= REPLY_BYTES_MAX and (chunk := await response.content.readany()):
         body += chunk
--- a/packages/azurefield-platform/tests/test_clients.py
+++ b/packages/azurefield-platform/tests/test_clients.py
@@ -154,6 +154,25 @@
     assert fake.values[KEY] == (("2", 2) if applied else ("1", 1))
 
 
+@pytest.mark.parametrize("status", ["000", "007", "099", "00", "0200", "600", "101"])
+async def test_a_reply_with_an_odd_status_is_none(status: str) -> None:
+    """Guards against a write that may be applied but counts as refused, and a reply believed."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    base_url = f"http://127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    async with aiohttp.ClientSession() as session:
+        http = PlatformHttp(base_url=base_url, session=session, reply_timeout_s=0.3)
+        assert isinstance((await http.read("/x")).err(), PlatformUnavailable)
+        assert isinstance((await http.write("/x", b"{}", {})).err(), ReplyLost)
+    listener.close()
+
+
 async def test_a_refused_connection_and_a_large_value_are_surely_not_applied() -> None:
     """Guards against a write that was never sent but is reported as possibly applied."""
     async with aiohttp.ClientSession() as session:
