--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -43,8 +43,8 @@
     from azurefield_platform.failures import MalformedReply
 
 # Longest wait of one watch. A watch returns even without changes, so a connection on which nothing
-# arrives is noticed.
-WATCH_WAIT_S = 3.0
+# arrives is noticed, and the store has been read over another one within 4 s.
+WATCH_WAIT_S = 2.5
 # Pause after a change, so that changes close together are read with one call. Each call to the
 # store has a cost.
 CHANGE_BATCH_S = 0.25
