--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,10 @@
 	$(BIN)/mypy packages/*/src platform/src platform/run.py
 	set -e; for tests in packages/*/tests tests/fleet tests/soak; do $(BIN)/mypy $$tests; done
 
+# The tests of crowds measure one process, so they run one at a time and apart from the others.
 unit: setup
-	$(BIN)/pytest
+	$(BIN)/pytest -m "not crowd"
+	$(BIN)/pytest -n 0 -m crowd
 
 check: lint types
 
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -48,6 +48,7 @@
     :param store_address: where the process reaches the store, if not at its own address
     :param first_port: first of two ports for other instances; None for no range of ports
     :param connections_max: connections that each leaf accepts
+    :param body_bytes_max: how large a caller's body may be
     :param limits: further lines of the settings' table of limits
     """
 
@@ -58,6 +59,7 @@
     zone: str = "one"
     store_address: str = ""
     connections_max: int = 30
+    body_bytes_max: int = 1000
     limits: str = ""
     store: StoreStandIn = field(default_factory=StoreStandIn)
     leafs: dict[str, LeafStandIn] = field(default_factory=dict)
@@ -106,7 +108,13 @@
             route("nowhere", "/n/", service="none"),
         )
         services = ("a", "b", "desk", "none")
-        entry = config(version, *routes, services=services, connections_max=self.connections_max)
+        entry = config(
+            version,
+            *routes,
+            services=services,
+            connections_max=self.connections_max,
+            body_bytes_max=self.body_bytes_max,
+        )
         self.store.put("op/config", entry)
 
     async def start(self, settings: str | None = None, python_path: str = "") -> None:
@@ -195,10 +203,12 @@
 
 
 @asynccontextmanager
-async def serving(directory: Path, *, limits: str = "") -> AsyncIterator[Site]:
+async def serving(
+    directory: Path, *, limits: str = "", body_bytes_max: int = 1000
+) -> AsyncIterator[Site]:
     """Run one gateway process, with further lines in the settings' table of limits."""
     PORTS.used_ports.clear()
-    site = Site(directory=directory, limits=limits)
+    site = Site(directory=directory, limits=limits, body_bytes_max=body_bytes_max)
     async with running(site.store, *site.leafs.values()), aiohttp.ClientSession() as session:
         site.session = session
         site.put_config()
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -282,6 +282,7 @@
     *routes: dict[str, object],
     services: tuple[str, ...],
     connections_max: int = 30,
+    body_bytes_max: int = 1000,
 ) -> dict[str, object]:
     """Build the operator's configuration."""
     return {
@@ -299,7 +300,7 @@
         ],
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 1000,
+            "max_body_bytes": body_bytes_max,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
