--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
@@ -192,6 +192,25 @@
     assert runner.started == []
 
 
+async def test_a_coordinator_refuses_bodies_for_which_it_has_no_room() -> None:
+    """Guards against forwarded bodies that take a coordinator over its memory."""
+    runner = Runner()
+    async with pair(runner) as instances:
+        load = instances.coordinator.load
+        load.set_limits(memory_bytes=250_000)
+        large = replace(request(1), body=bytes(100_000))
+        running = asyncio.create_task(instances.forward(large))
+        await wait_until(lambda: len(runner.started) == 1, what="the first request runs")
+        refused = await instances.forward(replace(large, request_id="q2"))
+        assert isinstance(refused, Err)
+        assert refused.err_value.problem is ForwardProblem.REFUSED
+        runner.release.set()
+        assert await running == Ok(ANSWER)
+        assert await instances.forward(replace(large, request_id="q3")) == Ok(ANSWER)
+        await wait_until(lambda: load.memory.total_bytes == 0, what="nothing is held")
+    assert [ran.request_id for ran in runner.started] == ["q1", "q3"]
+
+
 @pytest.mark.parametrize("lag_s", [0.4, 10.0])
 async def test_an_overloaded_coordinator_leaves_requests_to_the_instance_that_has_them(
     lag_s: float,
