Find the workspace of each request by its key, where it arrives

Cause: the gateway ignored the configuration's workspaces. It passed keys on to servers, named no workspace to them and let requests without a known key run.

Change: RequestAccess finds route and workspace in one version of the configuration. Only the workspace travels on, also to coordinators; keys are kept as digests.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/http_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -9,6 +10,8 @@
 
     from azurefield_entry.gateway.ports import Headers
 
+# A longer time can't be told from no limit.
+MILLISECONDS = re.compile(r"[0-9]{1,9}")
 # Hop-by-hop headers, which concern only one connection.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -50,6 +53,11 @@
     return False
 
 
+def parse_milliseconds(value: str) -> float | None:
+    """Return a time in seconds; None if the value is no whole number of milliseconds."""
+    return int(value) / 1000 if MILLISECONDS.fullmatch(value) else None
+
+
 def is_text(value: str) -> bool:
     """Whether the value of a header was UTF-8; another one can be neither compared nor encoded."""
     try:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -16,6 +16,7 @@
     registry: CollectorRegistry = field(default_factory=CollectorRegistry)
     requests: Counter = field(init=False)
     request_seconds: Histogram = field(init=False)
+    key_lookups: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
@@ -44,11 +45,17 @@
         )
         self.request_seconds = Histogram(
             "azurefield_gateway_request_seconds",
-            "Time from arrival to answer, by priority of the route.",
+            "Time from arrival to answer, by priority.",
             ("priority",),
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.key_lookups = Counter(
+            "azurefield_gateway_key_lookups",
+            "Look-ups of a request's key by how they ended, while there are workspaces.",
+            ("result",),
+            registry=registry,
+        )
         self.forwarded = Counter(
             "azurefield_gateway_forwarded",
             "Requests forwarded to a coordinator by how that ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
@@ -10,6 +10,7 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome  # noqa: TC001 - msgspec resolves it at run time
+from azurefield.workspaces import Workspace
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     :param elapsed_s: time since the request arrived
     :param left_s: time until the caller stops waiting; None if it gave no deadline
     :param attempts_used: attempts that an earlier run may have made on a service
+    :param workspace: the name of the request's workspace; None if it has none
     :param must_end_in_s: set if no other instance is asked after this one: the time until its
         deadline
     """
@@ -40,6 +42,7 @@
     left_s: float | None
     attempts_used: int = 0
     must_end_in_s: float | None = None
+    workspace: str | None = None
 
 
 class CancelRequest(msgspec.Struct, tag="cancel", frozen=True, kw_only=True):
@@ -120,11 +123,15 @@
         left_s=None if request.deadline is None else request.deadline - now,
         attempts_used=request.attempts_used,
         must_end_in_s=must_end_in_s,
+        workspace=None if request.workspace is None else request.workspace.name,
     )
 
 
 def decode_request(frame: ForwardedRequest, now: float) -> GatewayRequest:
-    """Rebuild a request from its frame, with times of the coordinator's clock."""
+    """Rebuild a request from its frame, with times of the coordinator's clock.
+
+    Of its workspace only the name is known; the rest is in the coordinator's route table.
+    """
     return GatewayRequest(
         request_id=frame.request_id,
         method=frame.method,
@@ -135,6 +142,7 @@
         arrived_at=now - frame.elapsed_s,
         deadline=None if frame.left_s is None else now + frame.left_s,
         attempts_used=frame.attempts_used,
+        workspace=None if frame.workspace is None else Workspace(name=frame.workspace),
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from azurefield.coordinators import InstanceProfile
-from azurefield.crash_evidence import CrashReport
+from azurefield.crash_evidence import CrashReport, digest_of
 from azurefield.directory import RegisteredServer
 from azurefield.routes import RouteTable
 from azurefield.server_limits import NO_LIMIT
@@ -28,17 +28,32 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerKey:
+    """What a caller says of its identity; it is never logged, and never leaves this instance.
+
+    :param value: the key of a workspace; None if the caller sent none, or two different ones
+    :param headers: the headers that it was taken from, and those in which the caller named a
+        workspace itself
+    """
+
+    value: str | None = field(repr=False)
+    headers: Headers = field(default=(), repr=False)
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class GatewayRequest:
     """A caller's whole request; times are those of the event loop's clock.
 
     :param target: path and query as received
-    :param headers: without hop-by-hop headers, which concern only one connection
+    :param headers: without hop-by-hop headers, which concern only one connection, and without
+        those of ``caller_key``
     :param deadline: when the caller stops waiting; None if it gave no deadline
     :param stops_at: when this instance stops and ends the request; None while no stop is near
     :param attempts_used: attempts that earlier runs for the same caller may have made on a service
     :param workspace: the workspace of the caller's key; None on routes that need no key, and while
         the configuration has no workspaces
+    :param caller_key: None if the caller sent no such header, and once the request is admitted
     """
 
     request_id: str
@@ -52,6 +67,18 @@
     stops_at: float | None = None
     attempts_used: int = 0
     workspace: Workspace | None = None
+    caller_key: CallerKey | None = None
+
+    @property
+    def content_digest(self) -> str:
+        """Identifies the content and the workspace of the request, whatever its request id."""
+        workspace = () if self.workspace is None else (self.workspace.name,)
+        return digest_of(self.method, self.host, self.target, self.body, *workspace)
+
+    @property
+    def workspace_name(self) -> str:
+        """The name of the workspace for the log; ``-`` if there is none."""
+        return "-" if self.workspace is None else self.workspace.name
 
     def deadline_on(self, timeout_s: float) -> float:
         """Return when the request has to end on a route with a timeout."""
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -0,0 +1,183 @@
+"""Finds the route and the workspace of each request, where a caller's request arrives."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+from result import Err, Ok, Result
+
+from azurefield.failures import FailureKind, RequestFailure
+from azurefield.model import Outcome
+from azurefield.routes import Route
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.log_limit import LineLimit
+
+if TYPE_CHECKING:
+    from azurefield.routes import RouteTable
+    from azurefield.workspaces import Workspace, WorkspaceKeys
+
+# While the store was last heard of longer ago than this, an unknown key may be a new one. A watch
+# of the store is answered at least once a second.
+KEYS_STALE_S = 2.0
+# Log lines for requests without a known key.
+REFUSED_LINES_PER_S = 10.0
+log = Logger("gateway")
+
+
+class KeyLookup(StrEnum):
+    """How the look-up of a request's key ended."""
+
+    FOUND = "found"
+    PUBLIC = "public"
+    MISSING = "missing"
+    UNKNOWN = "unknown"
+    STALE = "stale"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AdmittedRequest:
+    """A request with its route and its workspace, all of one version.
+
+    :param route: with the priority of the workspace's requests
+    """
+
+    request: GatewayRequest
+    route: Route
+    version: int
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestAccess:
+    """Admits the requests that match a route and, where it needs one, have a workspace's key.
+
+    Keys go no further than this class: an admitted request has its workspace instead.
+
+    :param store_age_s: returns the time since the store last answered
+    """
+
+    metrics: GatewayMetrics
+    store_age_s: Callable[[], float]
+    refused_lines: LineLimit = field(
+        default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
+    )
+
+    def admit(
+        self, request: GatewayRequest, table: RouteTable | None
+    ) -> Result[AdmittedRequest, RequestFailure]:
+        """Find the route and the workspace of a caller's request.
+
+        :param table: None while no configuration and no servers are known
+        """
+        if table is None:
+            return Err(no_configuration_failure())
+        route = table.match(request.host, request.target)
+        if route is None:
+            return Err(no_route_failure(table.version))
+        if table.workspaces is None:
+            return Ok(admitted(pass_identity_on(request), route, table, None))
+        lookup, workspace = self.look_up(request, route, table.workspaces)
+        self.metrics.key_lookups.labels(lookup).inc()
+        request = replace(request, caller_key=None)
+        if lookup in (KeyLookup.FOUND, KeyLookup.PUBLIC):
+            return Ok(admitted(request, route, table, workspace))
+        self.log_refused(request, route, table.version, lookup)
+        return Err(key_failure(lookup))
+
+    def look_up(
+        self, request: GatewayRequest, route: Route, workspaces: WorkspaceKeys
+    ) -> tuple[KeyLookup, Workspace | None]:
+        """Look the key of a request up; on public routes it does not matter."""
+        if route.public:
+            return KeyLookup.PUBLIC, None
+        key = None if request.caller_key is None else request.caller_key.value
+        if not key:
+            return KeyLookup.MISSING, None
+        workspace = workspaces.find(key)
+        if workspace is not None:
+            return KeyLookup.FOUND, workspace
+        stale = self.store_age_s() > KEYS_STALE_S
+        return KeyLookup.STALE if stale else KeyLookup.UNKNOWN, None
+
+    def readmit(
+        self, request: GatewayRequest, table: RouteTable | None
+    ) -> Result[AdmittedRequest, RequestFailure]:
+        """Find the route of a request that another instance has admitted and forwarded.
+
+        Its workspace is found by name. It is refused as not run if the version in force here would
+        not have admitted it.
+        """
+        if table is None:
+            return Err(no_configuration_failure())
+        route = table.match(request.host, request.target)
+        if route is None:
+            return Err(refusal(FailureKind.NOT_READY, "no route of the coordinator matches"))
+        keys = None if route.public else table.workspaces
+        named = request.workspace
+        workspace = None if keys is None or named is None else keys.by_name.get(named.name)
+        if workspace is None and (keys is not None or named is not None):
+            return Err(refusal(FailureKind.NOT_READY, "no workspace of the coordinator matches"))
+        return Ok(admitted(request, route, table, workspace))
+
+    def log_refused(
+        self, request: GatewayRequest, route: Route, version: int, lookup: KeyLookup
+    ) -> None:
+        """Log a request without a known key; a flood of them gets few lines."""
+        if self.refused_lines.allow(now()):
+            log.info(
+                "Request id={} route={} version={} is refused: key {}, store_age_ms={:.0f}.",
+                request.request_id,
+                route.name,
+                version,
+                lookup,
+                self.store_age_s() * 1000,
+            )
+
+
+def admitted(
+    request: GatewayRequest, route: Route, table: RouteTable, workspace: Workspace | None
+) -> AdmittedRequest:
+    """Build an admitted request."""
+    if workspace is not request.workspace:
+        request = replace(request, workspace=workspace)
+    return AdmittedRequest(
+        request=request, route=table.prioritize(route, workspace), version=table.version
+    )
+
+
+def pass_identity_on(request: GatewayRequest) -> GatewayRequest:
+    """Return a request with all its headers, for a version without workspaces."""
+    if request.caller_key is None:
+        return request
+    return replace(request, headers=request.headers + request.caller_key.headers, caller_key=None)
+
+
+def no_configuration_failure() -> RequestFailure:
+    """Build the failure of a request that arrives before the first configuration."""
+    return refusal(FailureKind.NOT_READY, "no configuration has been loaded yet")
+
+
+def no_route_failure(version: int) -> RequestFailure:
+    """Build the failure of a request that matches no route."""
+    return RequestFailure(
+        kind=FailureKind.UNKNOWN_SERVICE,
+        outcome=Outcome.NOT_RUN,
+        detail=f"no route of configuration version {version} matches",
+    )
+
+
+def key_failure(lookup: KeyLookup) -> RequestFailure:
+    """Build the failure of a request without a known key; it shows nothing of what was sent."""
+    if lookup is KeyLookup.STALE:
+        return refusal(FailureKind.NOT_READY, "the key may be newer than this instance knows")
+    return RequestFailure(
+        kind=FailureKind.UNAUTHORIZED,
+        outcome=Outcome.NOT_RUN,
+        detail="the key is missing or unknown",
+    )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 from result import Err, Ok
 
-from azurefield.crash_evidence import Standing, digest_of
+from azurefield.crash_evidence import Standing
 from azurefield.failures import FailureKind
 from azurefield.model import Outcome
 from azurefield.peer_selection import PeerSelection
@@ -90,8 +90,7 @@
         crash_watch = self.runner.crash_watch
         if not crash_watch.evidence.requests:
             return False
-        digest = digest_of(request.method, request.host, request.target, request.body)
-        return crash_watch.standing(digest) is Standing.REFUSED
+        return crash_watch.standing(request.content_digest) is Standing.REFUSED
 
     def passes_on(self) -> bool:
         """Whether another instance should run the next request.
@@ -198,10 +197,12 @@
                 self.peers.on_refused(now(), target.instance, problem.retry_after_s)
         self.metrics.forwarded.labels(label).inc()
         log.info(
-            "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
+            "Request id={} route={} version={} workspace={} ms={:.0f} forwarded_to={} refused={}"
+            " result={}",
             request.request_id,
             route.name,
             version,
+            request.workspace_name,
             (now() - request.arrived_at) * 1000,
             target.instance,
             refused,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 from result import Err, Ok, Result
 
-from azurefield.crash_evidence import Standing, digest_of
+from azurefield.crash_evidence import Standing
 from azurefield.directory import Directory
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.leaf_progress import CallStage
@@ -72,7 +72,7 @@
     ) -> CompletedRun:
         """Run a request and count its attempts."""
         started_at = now()
-        digest = digest_of(request.method, request.host, request.target, request.body)
+        digest = request.content_digest
         standing = self.crash_watch.standing(digest)
         if standing is Standing.REFUSED:
             return CompletedRun(result=Err(self.refusal(request, digest)))
@@ -324,10 +324,12 @@
         self.metrics.requests.labels(result.partition(" ")[0]).inc()
         self.metrics.request_seconds.labels(str(running.route.priority)).observe(elapsed_s)
         log.info(
-            "Request id={} route={} version={} store_age_ms={:.0f} ms={:.0f} result={} calls={}",
+            "Request id={} route={} version={} workspace={} store_age_ms={:.0f} ms={:.0f} result={}"
+            " calls={}",
             running.request.request_id,
             running.route.name,
             running.version,
+            running.request.workspace_name,
             self.store_age_s() * 1000,
             elapsed_s * 1000,
             result,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -8,14 +8,12 @@
 from typing import TYPE_CHECKING
 
 from logbook import Logger
-from result import Err
+from result import Err, Ok
 
 from azurefield.coordinators import CoordinatorView
 from azurefield.crash_evidence import CrashEvidence, CrashReport
 from azurefield.directory import Directory, DirectoryChange, DirectoryChangeKind, RegisteredServer
-from azurefield.failures import FailureKind, RequestFailure
 from azurefield.instances import RunningInstances
-from azurefield.model import Outcome
 from azurefield.peer_selection import PeerSelection
 from azurefield.retry import WindowedBudget
 from azurefield.routes import RouteTable
@@ -45,8 +43,8 @@
     ServerKey,
 )
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
+from azurefield_entry.gateway.requests.access import AdmittedRequest, RequestAccess
 from azurefield_entry.gateway.requests.dispatch import RequestDispatcher
-from azurefield_entry.gateway.requests.outcomes import refusal
 from azurefield_entry.gateway.requests.planning import RequestPlanner
 from azurefield_entry.gateway.requests.runner import RequestRunner
 from azurefield_entry.gateway.servers.checker import ServerChecker
@@ -95,6 +93,7 @@
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
     quotas: ServerQuotas = field(init=False)
+    access: RequestAccess = field(init=False)
     planner: RequestPlanner = field(init=False)
     runner: RequestRunner = field(init=False)
     dispatcher: RequestDispatcher = field(init=False)
@@ -142,6 +141,7 @@
             publish=self.publish_crash_report,
             refuse_running=lambda request: self.runner.refuse(request),
         )
+        self.access = RequestAccess(metrics=self.metrics, store_age_s=self.store_age_s)
         self.planner = RequestPlanner(
             holders=self.directory,
             router=self.router,
@@ -278,6 +278,8 @@
         log.info(
             "Configuration version {} is in force with {} routes.", table.version, len(table.routes)
         )
+        if table.workspaces is not None and table.workspaces.left_out:
+            log.warning("Version {} has unusable {}.", table.version, table.workspaces.left_out)
         if self.kernel is not None:
             notify_all(self.kernel, RouteTableChanged(table=table))
 
@@ -351,27 +353,23 @@
         """
         if not self.ready:
             await self.wait_until_ready(request)
-        table = self.table
-        if table is None or not self.listing_received:
-            return Err(refusal(FailureKind.NOT_READY, "no configuration has been loaded yet"))
-        route = table.match(request.host, request.target)
-        if route is None:
-            return Err(
-                RequestFailure(
-                    kind=FailureKind.UNKNOWN_SERVICE,
-                    outcome=Outcome.NOT_RUN,
-                    detail=f"no route of configuration version {table.version} matches",
-                )
-            )
-        return await self.dispatcher.dispatch(request, route, table.version)
+        match self.access.admit(request, self.table if self.listing_received else None):
+            case Err(failure):
+                return Err(failure)
+            case Ok(admitted):
+                return await self.run_admitted(admitted)
+
+    async def run_admitted(self, admitted: AdmittedRequest) -> RequestResult:
+        """Run an admitted request, here or on another instance."""
+        return await self.dispatcher.dispatch(admitted.request, admitted.route, admitted.version)
 
     async def run_forwarded(self, request: GatewayRequest) -> RequestResult:
         """Run a request that another instance has forwarded under the version in force here."""
-        table = self.table
-        route = None if table is None else table.match(request.host, request.target)
-        if table is None or route is None:
-            return Err(refusal(FailureKind.NOT_READY, "no route of the coordinator matches"))
-        return await self.runner.run(request, route, table.version)
+        match self.access.readmit(request, self.table):
+            case Err(failure):
+                return Err(failure)
+            case Ok(admitted):
+                return await self.runner.run(admitted.request, admitted.route, admitted.version)
 
     async def wait_until_ready(self, request: GatewayRequest) -> None:
         """Wait a bounded time for the first configuration, which a new process has yet to read."""
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+from azurefield.workspaces import Workspace, WorkspaceKeys
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -44,6 +46,7 @@
     :param goal_s: the target latency, after which an answer is worth less; None without a target
     :param attempts_max: the maximum number of servers of a service on which one request may run
     :param priority: priority among the routes, 0 first
+    :param public: whether requests need no key of a workspace
     """
 
     name: str
@@ -55,6 +58,7 @@
     goal_s: float | None = None
     attempts_max: int = 1
     priority: int = 0
+    public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -90,7 +94,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class RouteTable:
-    """All routes of one version, found by host and longest prefix.
+    """All routes of one version, found by host and longest prefix, and its workspaces.
+
+    :param workspaces: None if the version has no workspaces, so that no request needs a key
 
     >>> route = Route(name="r", host="a", prefix="/x/", target=SingleService(service="s"),
     ...               idempotent=True, timeout_s=1.0)
@@ -103,6 +109,8 @@
     services: dict[str, ServiceLimits]
     limits: CallerLimits
     by_host: dict[str, dict[str, Route]] = field(default_factory=dict)
+    workspaces: WorkspaceKeys | None = None
+    route_priorities: tuple[int, ...] = ()
 
     @classmethod
     def build(
@@ -112,9 +120,16 @@
         routes: list[Route],
         services: dict[str, ServiceLimits],
         limits: CallerLimits,
+        workspaces: WorkspaceKeys | None = None,
     ) -> RouteTable:
         """Build the table of a version, indexed by host and prefix."""
-        table = cls(version=version, services=services, limits=limits)
+        table = cls(
+            version=version,
+            services=services,
+            limits=limits,
+            workspaces=workspaces,
+            route_priorities=tuple(sorted({route.priority for route in routes})),
+        )
         for route in routes:
             table.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
         return table
@@ -141,6 +156,19 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def prioritize(self, route: Route, workspace: Workspace | None) -> Route:
+        """Return a route with the rank of a workspace's requests as its priority.
+
+        The priority of the workspace decides first, that of the route among equal ones. Without
+        workspaces, the route is unchanged.
+        """
+        if self.workspaces is None:
+            return route
+        priority = None if workspace is None else workspace.priority
+        first = route.priority if priority is None else priority
+        second = self.route_priorities.index(route.priority)
+        return replace(route, priority=first * len(self.route_priorities) + second)
+
 
 @dataclass(slots=True, kw_only=True)
 class WeightedRoundRobin:
--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -2,7 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import re
+from collections import Counter
+from dataclasses import dataclass, field
+from hashlib import sha256
+from math import isfinite
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Names and keys are values of headers: visible ASCII, with spaces only inside.
+HEADER_VALUE = re.compile(r"[!-~]([ -~]*[!-~])?")
+NAME_CHARACTERS_MAX = 256
+# No deployment reaches it, and sums and products of two such numbers stay exact enough.
+QUOTA_MAX = 1e9
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -18,15 +32,117 @@
     rate_per_s: float
     burst: float
 
+    @classmethod
+    def build(cls, rate_per_s: float, burst: float) -> RequestQuota | None:
+        """Build a quota with bounded numbers; None if the rate is 0, which means no quota.
+
+        :raises ValueError: if a number is negative or not finite
+        """
+        if not (isfinite(rate_per_s) and isfinite(burst)) or rate_per_s < 0 or burst < 0:
+            raise ValueError("rate and burst of a quota must be finite and 0 or more")
+        if rate_per_s == 0:
+            return None
+        return cls(rate_per_s=min(rate_per_s, QUOTA_MAX), burst=min(burst, QUOTA_MAX))
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Workspace:
     """A workspace of one version of the configuration.
 
-    :param priority: replaces the priority of the routes, 0 first; None to keep theirs
+    :param priority: decides before the priority of the routes, 0 first; None to keep theirs
     :param quota: None if any number of requests may run
     """
 
     name: str
     priority: int | None = None
     quota: RequestQuota | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WorkspaceEntry:
+    """A workspace with its keys, as configured."""
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)
+    priority: int | None = None
+    quota: RequestQuota | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LeftOutEntries:
+    """How many entries of a configuration give no access because they can't be used.
+
+    :param workspaces: workspaces whose name can't be used or is given twice
+    :param unusable_keys: keys that no header can carry unchanged
+    :param shared_keys: keys of several workspaces
+    """
+
+    workspaces: int = 0
+    unusable_keys: int = 0
+    shared_keys: int = 0
+
+    def __bool__(self) -> bool:
+        return self != LeftOutEntries()
+
+
+@dataclass(slots=True, kw_only=True)
+class WorkspaceKeys:
+    """The workspaces of one version, found by key or by name.
+
+    Only digests of the keys are kept, so that nothing that is written of this object shows a key.
+
+    >>> entry = WorkspaceEntry(name="w", keys=("secret",))
+    >>> workspaces = WorkspaceKeys.build([entry])
+    >>> workspaces.find("secret").name, workspaces.find("other"), "secret" in repr(workspaces)
+    ('w', None, False)
+    """
+
+    by_name: dict[str, Workspace] = field(default_factory=dict)
+    by_digest: dict[bytes, Workspace] = field(default_factory=dict, repr=False)
+    left_out: LeftOutEntries = field(default_factory=LeftOutEntries)
+
+    @classmethod
+    def build(cls, entries: Iterable[WorkspaceEntry]) -> WorkspaceKeys:
+        """Index the workspaces; what can't be used or is ambiguous gives no access."""
+        entries = tuple(entries)
+        names = Counter(entry.name for entry in entries)
+        used = [entry for entry in entries if is_usable_name(entry.name) and names[entry.name] == 1]
+        holders = Counter(key for entry in entries for key in frozenset(entry.keys))
+        usable = {key for key in holders if is_usable_key(key)}
+        by_name = {
+            entry.name: Workspace(name=entry.name, priority=entry.priority, quota=entry.quota)
+            for entry in used
+        }
+        return cls(
+            by_name=by_name,
+            by_digest={
+                digest_of_key(key): by_name[entry.name]
+                for entry in used
+                for key in entry.keys
+                if key in usable and holders[key] == 1
+            },
+            left_out=LeftOutEntries(
+                workspaces=len(entries) - len(used),
+                unusable_keys=len(holders) - len(usable),
+                shared_keys=sum(holders[key] > 1 for key in usable),
+            ),
+        )
+
+    def find(self, key: str) -> Workspace | None:
+        """Return the workspace of a key; None if none has it."""
+        return self.by_digest.get(digest_of_key(key))
+
+
+def digest_of_key(key: str) -> bytes:
+    """Hash a key, which may hold any characters."""
+    return sha256(key.encode(errors="surrogatepass")).digest()
+
+
+def is_usable_key(key: str) -> bool:
+    """Whether a header can carry a key unchanged."""
+    return HEADER_VALUE.fullmatch(key) is not None
+
+
+def is_usable_name(name: str) -> bool:
+    """Whether a header can carry a name unchanged."""
+    return len(name) <= NAME_CHARACTERS_MAX and HEADER_VALUE.fullmatch(name) is not None
