Add the decisions on quotas of workspaces over all instances

Cause: a workspace's quota holds for all instances together, and nothing in the library kept a sum of requests to it.

Change: shares of a quota, the issuer slots whose holders issue them under leases of the store, and a fleet on virtual time that draws faults and checks every window.

--- /dev/null
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -0,0 +1,183 @@
+"""Decides which issuer slots an instance claims in the store.
+
+A slot has one key in the store, written under a lease. The store decides between claims, so what an
+instance knows of the others only decides who tries first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from azurefield.quota import issuer_order
+from azurefield.quota_shares import ISSUER_SLOTS
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# Instances that start together should know of each other before the first one claims a slot.
+SETTLE_S = 2.0
+# The next instance in the order claims a slot that stays free for this time.
+CLAIM_STEP_S = 2.0
+# Long enough for the usual outage of the store; a holder that was lost for good keeps its slots so
+# long.
+SLOT_LEASE_S = 30.0
+# Part of a lease's length that its holder does not use, as its clock may be slow.
+LEASE_MARGIN_FRACTION = 0.01
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SlotKey:
+    """The key of a slot as the store holds it.
+
+    :param instance: the instance that wrote it
+    :param lease: the lease under which it was written
+    :param revision: the store's revision of the write
+    """
+
+    slot: int
+    instance: str
+    lease: int
+    revision: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SlotClaim:
+    """A slot to claim, by a write under the condition that its key is unchanged.
+
+    :param revision: the revision that the key must have; 0 if it must not exist
+    """
+
+    slot: int
+    revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotClaims:
+    """What one instance knows of the slots, and which ones it claims.
+
+    :param own: the name of this instance
+    :param free_since: when each slot without a key was first seen free
+    :param ranks: for each slot, the instances for which the rank of this one was computed, and it
+    """
+
+    own: str
+    keys: dict[int, SlotKey] = field(default_factory=dict)
+    free_since: dict[int, float] = field(default_factory=dict)
+    ranks: dict[int, tuple[frozenset[str], int]] = field(default_factory=dict)
+
+    def on_listing(self, now: float, keys: Collection[SlotKey]) -> None:
+        """Apply a complete listing of the keys."""
+        listed = {key.slot: key for key in keys if 0 <= key.slot < ISSUER_SLOTS}
+        for slot in range(ISSUER_SLOTS):
+            if slot in listed:
+                self.on_key(listed[slot])
+            else:
+                self.on_removed(now, slot)
+
+    def on_key(self, key: SlotKey) -> None:
+        """Record that a key was written."""
+        self.keys[key.slot] = key
+        self.free_since.pop(key.slot, None)
+
+    def on_removed(self, now: float, slot: int) -> None:
+        """Record that a key does not exist."""
+        self.keys.pop(slot, None)
+        self.free_since.setdefault(slot, now)
+
+    def holder(self, slot: int) -> str | None:
+        """Return the instance that holds a slot as far as is known."""
+        key = self.keys.get(slot)
+        return None if key is None else key.instance
+
+    def wanted(
+        self, now: float, instances: frozenset[str], held: Collection[int]
+    ) -> list[SlotClaim]:
+        """List the slots to claim now.
+
+        A key of this instance that it does not hold is one of an earlier process.
+
+        :param instances: the instances that can issue
+        :param held: the slots that this instance holds
+        """
+        claims = [
+            SlotClaim(slot=slot, revision=key.revision)
+            for slot, key in self.keys.items()
+            if key.instance == self.own and slot not in held
+        ]
+        return claims + [
+            SlotClaim(slot=slot)
+            for slot, since in self.free_since.items()
+            if slot not in held and self.may_claim(now - since, slot, instances)
+        ]
+
+    def may_claim(self, free_s: float, slot: int, instances: frozenset[str]) -> bool:
+        """Whether it is this instance's turn to claim a slot that was free for a time."""
+        if free_s < SETTLE_S:
+            return False
+        return free_s >= SETTLE_S + CLAIM_STEP_S * self.rank(slot, instances)
+
+    def rank(self, slot: int, instances: frozenset[str]) -> int:
+        """Return the position of this instance in the order of claims for a slot."""
+        known = self.ranks.get(slot)
+        if known is None or known[0] != instances:
+            order = issuer_order(f"issuer-slot/{slot}", instances | {self.own})
+            known = self.ranks[slot] = (instances, order.index(self.own))
+        return known[1]
+
+
+@dataclass(slots=True, kw_only=True)
+class SlotTenure:
+    """The lease of one instance and the slots that it holds under it.
+
+    :param own: the name of this instance
+    :param lease_s: length of the lease
+    :param lease: the number of the lease; None if there is none
+    :param lease_until: when the slots count as no longer held unless the lease is renewed
+    :param claims_from: before this time no slot is claimed
+    """
+
+    own: str
+    lease_s: float = SLOT_LEASE_S
+    lease: int | None = None
+    lease_until: float = float("-inf")
+    claims_from: float = float("-inf")
+    held: set[int] = field(default_factory=set)
+
+    def on_granted(self, lease: int, asked_at: float) -> None:
+        """Record a new lease, which was asked for at a time."""
+        self.on_ended()
+        self.lease = lease
+        self.on_renewed(asked_at)
+
+    def on_renewed(self, asked_at: float) -> None:
+        """Record that the store has renewed the lease, at some time after it was asked to."""
+        until = asked_at + self.lease_s * (1 - LEASE_MARGIN_FRACTION)
+        self.lease_until = max(self.lease_until, until)
+
+    def on_ended(self) -> None:
+        """Record that the lease has ended or is unknown to the store."""
+        self.lease = None
+        self.lease_until = float("-inf")
+        self.held.clear()
+
+    def on_claimed(self, slot: int, lease: int) -> None:
+        """Record that the store has written a slot's key under a lease."""
+        if lease == self.lease:
+            self.held.add(slot)
+
+    def on_key(self, key: SlotKey) -> None:
+        """Apply a key that was read; a claim may be confirmed only by it."""
+        if key.instance == self.own and key.lease == self.lease:
+            self.held.add(key.slot)
+        else:
+            self.held.discard(key.slot)
+
+    def on_removed(self, slot: int) -> None:
+        """Record that a key no longer exists."""
+        self.held.discard(slot)
+
+    def on_restored(self, now: float) -> None:
+        """Record that the store was restored: keys of slots that are still held may be missing."""
+        self.on_ended()
+        self.claims_from = now + self.lease_s
--- /dev/null
+++ b/packages/azurefield/src/azurefield/quota_shares.py
@@ -0,0 +1,79 @@
+"""Shares of a workspace's quota, each issued by one instance at a time.
+
+The sum over all instances keeps to the quota because a share has one issuer at a time, and because
+the rate and the capacity of the shares together keep to it in any window.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import floor
+from typing import TYPE_CHECKING
+
+from azurefield.quota import issuer_order
+
+if TYPE_CHECKING:
+    from azurefield.workspaces import RequestQuota
+
+# With three shares, the loss of one issuer leaves two thirds of the quota.
+SHARES_MAX = 3
+# Number of issuer slots, which divide the work of issuing between instances. All instances must
+# agree on it.
+ISSUER_SLOTS = 12
+SLOT_NAMES = tuple(str(slot) for slot in range(ISSUER_SLOTS))
+# Fraction by which the clock of an issuer may be fast.
+CLOCK_RATE_ERROR = 0.001
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class QuotaBounds:
+    """What a deployment tolerates beyond the quota of a workspace.
+
+    :param window_s: length of the windows in which requests are counted
+    :param overage: fraction of the quota that is tolerated beyond it
+    :param slack: requests that are tolerated in addition, per window
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def requests_max(self, quota: RequestQuota) -> float:
+        """Return how many requests of a workspace may run in any window."""
+        allowed = quota.rate_per_s * self.window_s + quota.burst
+        return allowed * (1 + self.overage) + self.slack
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ShareLimit:
+    """The token bucket of each share of one quota.
+
+    :param shares: number of shares
+    :param rate_per_s: tokens per second of one share
+    :param tokens_max: capacity of one share
+    """
+
+    shares: int
+    rate_per_s: float
+    tokens_max: float
+
+
+def share_limit(quota: RequestQuota, bounds: QuotaBounds) -> ShareLimit:
+    """Divide a quota into shares that together allow ``requests_max`` in any window.
+
+    Half of the tolerated overage raises the rate, the rest and the slack raise the capacity. A
+    quota that is too small to give each of several shares one token has fewer shares.
+    """
+    allowed = bounds.requests_max(quota)
+    if allowed < 1:
+        return ShareLimit(shares=1, rate_per_s=0.0, tokens_max=0.0)
+    window_s = bounds.window_s * (1 + CLOCK_RATE_ERROR)
+    rate_per_s = min(quota.rate_per_s * (1 + bounds.overage / 2), (allowed - 1) / window_s)
+    tokens_max = allowed - rate_per_s * window_s
+    shares = max(1, min(SHARES_MAX, floor(tokens_max)))
+    return ShareLimit(shares=shares, rate_per_s=rate_per_s / shares, tokens_max=tokens_max / shares)
+
+
+def share_slots(workspace: str) -> tuple[int, ...]:
+    """Return the issuer slots of a workspace, that of its first share first."""
+    return tuple(int(slot) for slot in issuer_order(workspace, SLOT_NAMES)[:SHARES_MAX])
--- /dev/null
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -0,0 +1,194 @@
+"""Issues the shares of workspaces' quotas, and chooses the share that a request asks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from azurefield.quota import ROUNDING_TOLERANCE, QuotaDenied, QuotaGranted
+from azurefield.quota_shares import QuotaBounds, ShareLimit, share_limit, share_slots
+from azurefield.workspaces import RequestQuota
+
+# A workspace without requests is forgotten after this time. Longer than instances work with
+# different versions of the configuration, so that an older limit does not come back.
+UNUSED_MAX_S = 600.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ShareRequest:
+    """A request of a workspace is about to be dispatched.
+
+    :param slot: the issuer slot of the share
+    :param version: the version of the configuration that names the quota
+    """
+
+    slot: int
+    workspace: str
+    quota: RequestQuota
+    version: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class QuotaNotIssued:
+    """The asked instance does not hold the issuer slot."""
+
+
+ShareDecision = QuotaGranted | QuotaDenied | QuotaNotIssued
+
+
+@dataclass(slots=True, kw_only=True)
+class ShareBucket:
+    """The token bucket of one share of one workspace."""
+
+    limit: ShareLimit
+    version: int
+    tokens: float
+    filled_at: float
+
+    def change(self, limit: ShareLimit, version: int) -> None:
+        """Apply the limit of a newer version."""
+        self.limit = limit
+        self.version = version
+        self.tokens = min(self.tokens, limit.tokens_max)
+
+    def take(self, now: float) -> ShareDecision:
+        """Take one token."""
+        elapsed_s = max(0.0, now - self.filled_at)
+        self.tokens = min(self.limit.tokens_max, self.tokens + elapsed_s * self.limit.rate_per_s)
+        self.filled_at = max(now, self.filled_at)
+        if self.tokens >= 1.0 - ROUNDING_TOLERANCE:
+            self.tokens -= 1.0
+            return QuotaGranted(key=None)
+        if self.limit.rate_per_s <= 0.0:
+            return QuotaDenied(key=None, wait_s=UNUSED_MAX_S)
+        return QuotaDenied(key=None, wait_s=(1.0 - self.tokens) / self.limit.rate_per_s)
+
+
+@dataclass(slots=True, kw_only=True)
+class ShareIssuer:
+    """Issues the shares of the slots that this instance holds.
+
+    A bucket is empty at the moment from which the slot is held, since the previous holder may have
+    issued all tokens until then.
+
+    :param lease_until: when the slots are no longer held unless the lease is renewed
+    :param held_since: from when each slot is held
+    """
+
+    bounds: QuotaBounds = field(default_factory=QuotaBounds)
+    lease_until: float = float("-inf")
+    held_since: dict[int, float] = field(default_factory=dict)
+    buckets: dict[tuple[int, str], ShareBucket] = field(default_factory=dict)
+
+    def on_lease(self, now: float, lease_until: float, held: frozenset[int]) -> None:
+        """Apply what is known of the lease and of the slots written under it.
+
+        :param lease_until: the end of the lease, counted from before it was granted or renewed
+        """
+        if now >= self.lease_until:
+            self.held_since.clear()
+        self.lease_until = lease_until
+        self.held_since = {slot: self.held_since.get(slot, now) for slot in held}
+        for slot, workspace in [*self.buckets]:
+            if self.buckets[slot, workspace].filled_at < self.held_since.get(slot, float("inf")):
+                del self.buckets[slot, workspace]
+
+    def holds(self, now: float, slot: int) -> bool:
+        """Whether this instance issues the shares of a slot."""
+        return now < self.lease_until and slot in self.held_since
+
+    def request(self, now: float, request: ShareRequest) -> ShareDecision:
+        """Decide on a request at once."""
+        if not self.holds(now, request.slot):
+            return QuotaNotIssued()
+        key = (request.slot, request.workspace)
+        bucket = self.buckets.get(key)
+        if bucket is None:
+            bucket = self.buckets[key] = self.new_bucket(request)
+        elif request.version > bucket.version:
+            bucket.change(share_limit(request.quota, self.bounds), request.version)
+        return bucket.take(now)
+
+    def new_bucket(self, request: ShareRequest) -> ShareBucket:
+        """Build the bucket of a workspace as it was when the slot was taken."""
+        return ShareBucket(
+            limit=share_limit(request.quota, self.bounds),
+            version=request.version,
+            tokens=0.0,
+            filled_at=self.held_since[request.slot],
+        )
+
+    def on_tick(self, now: float) -> None:
+        """Forget the workspaces that were not used for long."""
+        unused = [
+            key for key, bucket in self.buckets.items() if now - bucket.filled_at > UNUSED_MAX_S
+        ]
+        for key in unused:
+            del self.buckets[key]
+
+
+@dataclass(slots=True, kw_only=True)
+class WorkspaceState:
+    """What an instance knows of the shares of one workspace.
+
+    :param slots: the issuer slots of the shares
+    :param turn: counts requests, so that they alternate between the shares
+    :param denied_until: until when no token of a slot is expected
+    :param returns_at: when the last refused caller was asked to return
+    """
+
+    slots: tuple[int, ...]
+    used_at: float
+    turn: int = 0
+    denied_until: dict[int, float] = field(default_factory=dict)
+    returns_at: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class ShareChoice:
+    """Chooses the shares that the requests received by one instance ask.
+
+    :param first_turn: which share is asked first; differs between instances
+    """
+
+    bounds: QuotaBounds = field(default_factory=QuotaBounds)
+    first_turn: int = 0
+    workspaces: dict[str, WorkspaceState] = field(default_factory=dict)
+
+    def slots(self, now: float, workspace: str, quota: RequestQuota) -> list[int]:
+        """List the slots to ask in order; empty if no share is expected to have a token."""
+        state = self.workspaces.get(workspace)
+        if state is None:
+            state = self.workspaces[workspace] = WorkspaceState(
+                slots=share_slots(workspace), used_at=now, turn=self.first_turn
+            )
+        state.used_at = now
+        state.turn += 1
+        shares = share_limit(quota, self.bounds).shares
+        first = state.turn % shares
+        used = state.slots[:shares]
+        order = used[first:] + used[:first]
+        return [slot for slot in order if state.denied_until.get(slot, now) <= now]
+
+    def on_denied(self, now: float, workspace: str, slot: int, wait_s: float) -> None:
+        """Record that a share has no token until ``wait_s`` from now."""
+        self.workspaces[workspace].denied_until[slot] = now + wait_s
+
+    def retry_after_s(self, now: float, workspace: str, quota: RequestQuota) -> float:
+        """Return when a refused caller should return.
+
+        The refused callers return at the workspace's rate, one after the other. Those beyond one
+        window begin again with the earliest time: they would not wait for longer.
+        """
+        state = self.workspaces[workspace]
+        first = max(now, min(state.denied_until.values(), default=now))
+        after = state.returns_at + 1.0 / quota.rate_per_s
+        state.returns_at = after if first <= after <= first + self.bounds.window_s else first
+        return state.returns_at - now
+
+    def on_tick(self, now: float) -> None:
+        """Forget the workspaces that were not used for long."""
+        unused = [
+            name for name, state in self.workspaces.items() if now - state.used_at > UNUSED_MAX_S
+        ]
+        for name in unused:
+            del self.workspaces[name]
--- /dev/null
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -0,0 +1,275 @@
+"""Quota of a workspace: the sum over all instances in any window, and what calm callers get."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
+from azurefield.workspace_quota import ShareBucket, ShareChoice, ShareIssuer, ShareRequest
+from azurefield.workspaces import RequestQuota
+from azurefield_testkit.quota_fleet import Fault, LimitChange, QuotaFleet, most_in_window
+
+BOUNDS = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
+QUOTA = RequestQuota(rate_per_s=23.0, burst=23.0)
+LOWER = RequestQuota(rate_per_s=6.0, burst=8.0)
+BEGIN_S = 6.0
+END_S = 40.0
+KINDS = ("kill", "freeze", "cut_store", "cut_peers", "slow_watch")
+
+
+def arrivals(random: Random, per_s: float, begin: float, end: float) -> list[float]:
+    """Draw the times of a Poisson process."""
+    times, at = [], begin + random.expovariate(per_s)
+    while at < end:
+        times.append(at)
+        at += random.expovariate(per_s)
+    return times
+
+
+def bursts(random: Random, per_s: float) -> list[float]:
+    """Draw load with pauses in which the buckets fill again."""
+    times, at = [], BEGIN_S
+    while at < END_S:
+        pause_at = at + random.uniform(1.0, 7.0)
+        times += arrivals(random, per_s, at, min(pause_at, END_S))
+        at = pause_at + random.uniform(0.5, 4.0)
+    return times
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Play:
+    """Parameters of one run.
+
+    :param herd: how many issuers are hit by the same fault at once
+    :param lowered_at: when a lower limit is accepted; None if it is not
+    """
+
+    seed: int
+    instances: int
+    receivers: int
+    factor: float
+    fault_count: int
+    herd: int
+    loss: float
+    views_differ: bool = False
+    kinds: tuple[str, ...] = KINDS
+    lowered_at: float | None = None
+
+    def faults(self, random: Random, issuers: list[int]) -> list[Fault]:
+        """Draw faults, most of them at issuers."""
+        faults = []
+        for _ in range(self.fault_count):
+            kind, begin = random.choice(self.kinds), random.uniform(BEGIN_S, END_S)
+            length = random.choice([0.2, 1.0, 3.0, 8.0, 20.0])
+            anybody = [random.randrange(self.instances)]
+            for instance in random.sample(issuers or anybody, min(self.herd, len(issuers) or 1)):
+                faults.append(Fault(kind=kind, instance=instance, begin=begin, length=length))
+        return faults
+
+    def run(self, make_issuer: type[ShareIssuer] = ShareIssuer) -> QuotaFleet:
+        """Run the fleet; the issuers before the faults are found by a run without any."""
+        issuers = self.issuers()
+        random = Random(self.seed)
+        faults = self.faults(random, issuers)
+        changes = []
+        if self.lowered_at is not None:
+            changes.append(LimitChange(at=self.lowered_at, version=1, quota=LOWER))
+        fleet = QuotaFleet(
+            random=random,
+            instances=self.instances,
+            bounds=BOUNDS,
+            quota=QUOTA,
+            faults=faults,
+            changes=changes,
+            loss=self.loss,
+            views_differ=self.views_differ,
+            clock_error=0.0004,
+            make_issuer=make_issuer,
+        )
+        receivers = random.sample(range(self.instances), min(self.receivers, self.instances))
+        rate = self.factor * QUOTA.rate_per_s
+        fleet.send_requests(bursts(random, rate), receivers)
+        fleet.run(END_S + 5.0)
+        return fleet
+
+    def issuers(self) -> list[int]:
+        """Return the instances that hold the workspace's slots in a calm fleet."""
+        calm = QuotaFleet(
+            random=Random(self.seed), instances=self.instances, bounds=BOUNDS, quota=QUOTA
+        )
+        calm.run(5.0)
+        keys = calm.store.keys
+        return sorted({int(keys[slot].instance[1:]) for slot in share_slots("w") if slot in keys})
+
+
+PLAYS = st.builds(
+    Play,
+    seed=st.integers(0, 10_000),
+    instances=st.sampled_from([1, 2, 3, 7, 20, 79, 300]),
+    receivers=st.sampled_from([1, 3, 40]),
+    factor=st.sampled_from([1.0, 3.0, 6.0]),
+    fault_count=st.integers(0, 14),
+    kinds=st.sampled_from([KINDS, *((kind,) for kind in KINDS)]),
+    herd=st.integers(1, 3),
+    loss=st.sampled_from([0.0, 0.02, 0.1]),
+    views_differ=st.booleans(),
+    lowered_at=st.sampled_from([None, 12.0]),
+)
+
+
+def excess(fleet: QuotaFleet, play: Play) -> float:
+    """Return by how much the fullest window passes what is allowed; at most 0 if none does."""
+    most = most_in_window(fleet.runs, BOUNDS.window_s)
+    result = most - BOUNDS.requests_max(QUOTA)
+    if play.lowered_at is not None:
+        known_everywhere = play.lowered_at + 3.0 + BOUNDS.window_s
+        most = most_in_window(fleet.runs, BOUNDS.window_s, since=known_everywhere)
+        result = max(result, most - BOUNDS.requests_max(LOWER))
+    return result
+
+
+@settings(max_examples=40)
+@given(play=PLAYS)
+def test_no_window_holds_more_requests_than_allowed_whatever_fails(play: Play) -> None:
+    """Guards against a sum over all instances beyond the quota in any kind of trouble."""
+    assert excess(play.run(), play) <= 0
+
+
+class FullFromTheStart(ShareIssuer):
+    """Begins each slot with a full bucket."""
+
+    def new_bucket(self, request: ShareRequest) -> ShareBucket:
+        bucket = ShareIssuer.new_bucket(self, request)
+        bucket.tokens = bucket.limit.tokens_max
+        return bucket
+
+
+class WithoutLease(ShareIssuer):
+    """Issues on after the end of its lease, until it knows of another holder."""
+
+    def on_lease(
+        self,
+        now: float,
+        lease_until: float,  # noqa: ARG002 - the fault
+        held: frozenset[int],
+    ) -> None:
+        ShareIssuer.on_lease(self, now, float("inf"), held)
+
+    def holds(self, now: float, slot: int) -> bool:  # noqa: ARG002 - the fault
+        return slot in self.held_since
+
+
+class WholeQuota(ShareIssuer):
+    """Issues the whole quota for each share."""
+
+    def new_bucket(self, request: ShareRequest) -> ShareBucket:
+        bucket = ShareIssuer.new_bucket(self, request)
+        whole = share_limit(request.quota, self.bounds)
+        bucket.limit = type(whole)(
+            shares=1, rate_per_s=3 * whole.rate_per_s, tokens_max=3 * whole.tokens_max
+        )
+        return bucket
+
+
+@pytest.mark.parametrize(
+    ("weakened", "kinds"),
+    [(FullFromTheStart, ("kill",)), (WithoutLease, ("cut_store",)), (WholeQuota, KINDS)],
+)
+def test_the_same_check_finds_a_weakened_issuer(
+    weakened: type[ShareIssuer], kinds: tuple[str, ...]
+) -> None:
+    """Guards against a check that passes whatever the issuers do."""
+    plays = [
+        Play(
+            seed=seed,
+            instances=7,
+            receivers=40,
+            factor=6.0,
+            fault_count=14,
+            herd=3,
+            loss=0.0,
+            kinds=kinds,
+        )
+        for seed in range(6)
+    ]
+    assert all(excess(play.run(), play) <= 0 for play in plays)
+    assert any(excess(play.run(weakened), play) > 0 for play in plays)
+
+
+def conforming(random: Random, quota: RequestQuota, begin: float, end: float) -> list[float]:
+    """Draw requests that use all of a quota, in bursts and evenly, and never pass it."""
+    times: list[float] = []
+    at, tokens = begin, quota.burst
+    while at < end:
+        burst = random.randint(1, int(quota.burst))
+        wait_s = max(0.0, burst - tokens) / quota.rate_per_s
+        at += wait_s
+        tokens = min(quota.burst, tokens + wait_s * quota.rate_per_s) - burst
+        times += [at] * burst
+    return times
+
+
+@pytest.mark.parametrize("instances", [1, 2, 3, 79])
+@pytest.mark.parametrize("receivers", [1, 3])
+@pytest.mark.parametrize(
+    "quota",
+    [QUOTA, LOWER, RequestQuota(rate_per_s=400.0, burst=400.0)],
+    ids=["usual", "low", "high"],
+)
+def test_in_calm_no_request_below_the_limit_is_refused(
+    instances: int, receivers: int, quota: RequestQuota
+) -> None:
+    """Guards against shares that lie where a workspace's callers don't come."""
+    random = Random(7)
+    fleet = QuotaFleet(random=random, instances=instances, bounds=BOUNDS, quota=quota)
+    used = random.sample(range(instances), min(receivers, instances))
+    fleet.send_requests(conforming(random, quota, 16.0, 40.0), used)
+    fleet.run(42.0)
+    assert fleet.results.keys() == {"admitted"}
+
+
+def test_a_new_version_of_the_limit_refuses_nobody_below_it() -> None:
+    """Guards against buckets that begin empty at each change of the configuration."""
+    random = Random(7)
+    raised = RequestQuota(rate_per_s=46.0, burst=46.0)
+    change = LimitChange(at=20.0, version=1, quota=raised, lag_s=0.0)
+    fleet = QuotaFleet(random=random, instances=20, bounds=BOUNDS, quota=QUOTA, changes=[change])
+    fleet.send_requests(arrivals(random, 14.0, 16.0, 20.0), [1, 2, 3])
+    fleet.send_requests(arrivals(random, 28.0, 20.1, 30.0), [1, 2, 3])
+    fleet.run(32.0)
+    assert fleet.results.keys() == {"admitted"}
+
+
+def test_refused_callers_return_at_the_rate_of_the_workspace() -> None:
+    """Guards against refused callers that all return at once."""
+    choice = ShareChoice(bounds=BOUNDS)
+    for slot in choice.slots(0.0, "w", QUOTA):
+        choice.on_denied(0.0, "w", slot, 0.1)
+    assert choice.slots(0.05, "w", QUOTA) == []
+    waits = [choice.retry_after_s(0.0, "w", QUOTA) for _ in range(50)]
+    assert waits == pytest.approx([0.1 + number / QUOTA.rate_per_s for number in range(50)])
+
+
+@pytest.mark.parametrize(
+    ("quota", "bounds"),
+    [
+        (RequestQuota(rate_per_s=0.1, burst=0.0), QuotaBounds()),
+        (RequestQuota(rate_per_s=1.0, burst=0.0), QuotaBounds()),
+        (RequestQuota(rate_per_s=1.0, burst=1.0), QuotaBounds()),
+        (RequestQuota(rate_per_s=1e6, burst=0.0), QuotaBounds(overage=0.1, slack=20.0)),
+        (QUOTA, BOUNDS),
+    ],
+)
+def test_the_shares_of_a_quota_allow_no_more_than_the_bounds(
+    quota: RequestQuota, bounds: QuotaBounds
+) -> None:
+    """Guards against shares of small quotas that are rounded up."""
+    limit = share_limit(quota, bounds)
+    in_window = limit.rate_per_s * bounds.window_s + limit.tokens_max
+    assert limit.shares * in_window <= bounds.requests_max(quota)
+    assert limit.tokens_max >= 1 or bounds.requests_max(quota) < 1
