Add the failures of an unknown key and of a used-up quota

Cause: the gateway had no status for a request without a known key or beyond its workspace's quota.

Change: the kinds unauthorized (401) and quota-exceeded (429 with Retry-After, if the request has not run).

--- a/packages/azurefield-entry/src/azurefield_entry/front/problems.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/problems.py
@@ -19,6 +19,8 @@
     FailureKind.BODY_TOO_LARGE: (413, "The body is too large"),
     FailureKind.UNKNOWN_SERVICE: (404, "The service does not exist"),
     FailureKind.UNKNOWN_MEMBER: (403, "The member may not use the service"),
+    FailureKind.UNAUTHORIZED: (401, "The key is missing or unknown"),
+    FailureKind.QUOTA_EXCEEDED: (429, "The quota of requests is used up"),
     FailureKind.KIND_NOT_OFFERED: (404, "The service does not offer this kind of request"),
     FailureKind.INVALID_DEADLINE: (400, "The deadline is invalid"),
     FailureKind.QUEUE_FULL: (503, "Too many requests are waiting"),
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -66,6 +66,8 @@
     BODY_TOO_LARGE = "body-too-large"
     UNKNOWN_SERVICE = "unknown-service"
     UNKNOWN_MEMBER = "unknown-member"
+    UNAUTHORIZED = "unauthorized"
+    QUOTA_EXCEEDED = "quota-exceeded"
     KIND_NOT_OFFERED = "kind-not-offered"
     INVALID_DEADLINE = "invalid-deadline"
     QUEUE_FULL = "queue-full"
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -175,6 +175,9 @@
         (FailureKind.UNKNOWN_SERVICE, Outcome.NOT_RUN, 404),
         (FailureKind.MALFORMED_REQUEST, Outcome.NOT_RUN, 400),
         (FailureKind.BODY_TOO_LARGE, Outcome.NOT_RUN, 413),
+        (FailureKind.UNAUTHORIZED, Outcome.NOT_RUN, 401),
+        (FailureKind.QUOTA_EXCEEDED, Outcome.NOT_RUN, 429),
+        (FailureKind.QUOTA_EXCEEDED, Outcome.MAY_HAVE_RUN, 502),
         (FailureKind.NOT_READY, Outcome.NOT_RUN, 503),
         (FailureKind.DEADLINE_EXCEEDED, Outcome.NOT_RUN, 503),
         (FailureKind.DEADLINE_EXCEEDED, Outcome.MAY_HAVE_RUN, 504),
@@ -186,10 +189,10 @@
 def test_a_status_that_promises_not_run_is_used_only_if_it_is_true(
     kind: FailureKind, outcome: Outcome, status: int
 ) -> None:
-    """Guards against a 503, which says not run, for a request that may have run."""
+    """Guards against a 429 or 503, which say not run, for a request that may have run."""
     response = CallersHttp().build_response(Err(failed(kind, outcome)))
     assert response.status == status
-    assert response.headers.get("Retry-After") == ("0.250" if status == 503 else None)
+    assert response.headers.get("Retry-After") == ("0.250" if status in (429, 503) else None)
 
 
 def test_a_leaf_s_answer_reaches_the_caller_unchanged() -> None:
