Admit requests of workspaces with a quota at the gateway

Cause: nothing asked for a token of a workspace's quota before a request was dispatched.

Change: the service workspace-quotas gets a token for each request that a caller sent to this instance, over the links between instances; metadata claims the issuer slots in the store and renews their lease.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -81,3 +81,22 @@
     """From ``settings``: the settings have changed."""
 
     settings: GatewaySettings
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class IssuerSlotsChanged:
+    """From ``metadata``: who holds the issuer slots of workspaces' quotas.
+
+    :param holders: the instance of each slot that has a key in the store
+    :param lease_until: until when this instance holds its slots, on the event loop's clock
+    :param held: the slots that this instance holds
+    """
+
+    holders: dict[int, str]
+    lease_until: float
+    held: frozenset[int]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WorkspaceQuotaUsed:
+    """To ``metadata``: a workspace has a quota, so the issuer slots are needed."""
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -0,0 +1,188 @@
+"""Keeps the issuer slots of workspaces' quotas in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from logbook import Logger
+from result import Err, Ok
+
+from azurefield.issuer_slots import SLOT_LEASE_S, SlotClaim, SlotClaims, SlotKey, SlotTenure
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.messages import IssuerSlotsChanged
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.ports import (
+    InstanceEntry,
+    InstanceKey,
+    Item,
+    Lease,
+    LeaseEnded,
+    MetadataStore,
+    Removed,
+    SlotName,
+)
+
+RENEW_INTERVAL_S = 5.0
+CHECK_INTERVAL_S = 0.25
+# After a call that failed, nothing more is sent to the store for this time.
+RETRY_DELAY_S = 2.0
+log = Logger("metadata")
+
+
+@dataclass(slots=True, kw_only=True)
+class IssuerSlots:
+    """Claims issuer slots for one instance and renews their lease.
+
+    No call is sent to the store while no workspace has a quota, or while no slot is this instance's
+    to hold.
+
+    :param can_issue: whether other instances reach this one; only a process that uses the address
+        of an earlier one knows that this one has ended
+    :param publish: called with each change of the holders and of the lease
+    :param used: whether a workspace has a quota
+    :param issuers: the instances that can issue
+    """
+
+    own: str
+    store: MetadataStore
+    random: Random
+    metrics: GatewayMetrics
+    can_issue: Callable[[], bool]
+    publish: Callable[[IssuerSlotsChanged], None]
+    used: bool = False
+    claims: SlotClaims = field(init=False)
+    tenure: SlotTenure = field(init=False)
+    lease: Lease | None = None
+    issuers: set[str] = field(default_factory=set)
+    next_renewal_at: float = float("inf")
+    next_call_at: float = float("-inf")
+
+    def __post_init__(self) -> None:
+        self.claims = SlotClaims(own=self.own)
+        self.tenure = SlotTenure(own=self.own)
+
+    def on_listing(self, items: tuple[Item, ...]) -> None:
+        """Apply a complete listing of the store."""
+        self.issuers.clear()
+        self.claims.on_listing(now(), [item for item in items if isinstance(item, SlotKey)])
+        self.on_changes(items)
+
+    def on_changes(self, items: tuple[Item | Removed, ...]) -> None:
+        """Apply changes of the store."""
+        changed = False
+        for item in items:
+            match item:
+                case InstanceEntry(instance=instance, coordinator_address=address):
+                    if address is not None:
+                        self.issuers.add(instance)
+                case Removed(key=InstanceKey(instance=instance)):
+                    self.issuers.discard(instance)
+                case SlotKey():
+                    self.claims.on_key(item)
+                    self.tenure.on_key(item)
+                    changed = True
+                case Removed(key=SlotName(slot=slot)):
+                    self.claims.on_removed(now(), slot)
+                    self.tenure.on_removed(slot)
+                    changed = True
+        if changed:
+            self.publish_slots()
+
+    def on_restored(self) -> None:
+        """Give up the slots after the store was restored from a copy."""
+        self.tenure.on_restored(now())
+        self.lease = None
+        self.publish_slots()
+
+    async def run(self) -> None:
+        """Claim slots and renew the lease when it is due."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if now() >= self.next_call_at and not await self.send_due_calls():
+                self.next_call_at = now() + RETRY_DELAY_S * (0.5 + self.random.random())
+
+    async def send_due_calls(self) -> bool:
+        """Send the calls to the store that are due; return whether none has failed."""
+        if self.lease is not None and now() >= self.next_renewal_at:
+            return await self.renew(self.lease)
+        for claim in self.due_claims():
+            if self.lease is None and not await self.new_lease():
+                return False
+            if self.lease is not None and not await self.claim(claim, self.lease):
+                return False
+        return True
+
+    def due_claims(self) -> list[SlotClaim]:
+        """List the slots to claim now."""
+        needed = self.used or bool(self.claims.keys)
+        if not needed or not self.can_issue() or now() < self.tenure.claims_from:
+            return []
+        return self.claims.wanted(now(), frozenset(self.issuers), self.tenure.held)
+
+    async def new_lease(self) -> bool:
+        """Get a lease; return whether that succeeded."""
+        asked_at = now()
+        match await self.store.new_lease(SLOT_LEASE_S):
+            case Ok(lease):
+                self.lease = lease
+                self.tenure.on_granted(lease.number, asked_at)
+                self.plan_renewal()
+                return True
+            case Err(failure):
+                return self.record_failure(failure)
+
+    async def renew(self, lease: Lease) -> bool:
+        """Renew the lease; return whether that succeeded."""
+        asked_at = now()
+        match await self.store.renew_lease(lease):
+            case Ok(_):
+                self.tenure.on_renewed(asked_at)
+            case Err(LeaseEnded()):
+                log.info("The lease of this instance's issuer slots has ended.")
+                self.lease = None
+                self.tenure.on_ended()
+            case Err(failure):
+                return self.record_failure(failure)
+        self.plan_renewal()
+        self.publish_slots()
+        return True
+
+    async def claim(self, claim: SlotClaim, lease: Lease) -> bool:
+        """Claim a slot; return whether the store has written its key."""
+        key = SlotKey(slot=claim.slot, instance=self.own, lease=lease.number, revision=0)
+        match await self.store.put(key, lease, claim.revision):
+            case Ok(_):
+                self.tenure.on_claimed(claim.slot, lease.number)
+                self.publish_slots()
+                return True
+            case Err(LeaseEnded()):
+                self.lease = None
+                self.tenure.on_ended()
+                return False
+            case Err(failure):
+                return self.record_failure(failure)
+
+    def plan_renewal(self) -> None:
+        """Set when the lease is renewed."""
+        self.next_renewal_at = now() + RENEW_INTERVAL_S * (0.9 + 0.2 * self.random.random())
+
+    def record_failure(self, failure: object) -> bool:
+        """Record a failed call; return False."""
+        self.metrics.store_failures.inc()
+        log.info("A call for the issuer slots failed: {}.", failure)
+        return False
+
+    def publish_slots(self) -> None:
+        """Publish the holders and the lease."""
+        holders = {slot: key.instance for slot, key in self.claims.keys.items()}
+        holders.update(dict.fromkeys(self.tenure.held, self.own))
+        self.publish(
+            IssuerSlotsChanged(
+                holders=holders,
+                lease_until=self.tenure.lease_until,
+                held=frozenset(self.tenure.held),
+            )
+        )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -15,13 +16,16 @@
 from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.gateway.messages import (
+    IssuerSlotsChanged,
     MetadataChanged,
     MetadataListed,
     SettingsChanged,
     StoreReplyReceived,
     StoreWatchEnded,
+    WorkspaceQuotaUsed,
     WriteCrashReport,
 )
+from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metadata.own_entries import OwnEntries
 from azurefield_entry.gateway.metadata.relay import RelayFrame, RelayLost, open_relay
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -34,12 +38,12 @@
     MetadataStore,
     Removed,
 )
-from azurefield_entry.kernel import Stop
+from azurefield_entry.kernel import Kernel, Stop
 from azurefield_entry.notify import notify
 
 if TYPE_CHECKING:
     from azurefield_entry.gateway.ports import Item
-    from azurefield_entry.kernel import Kernel, Mailbox
+    from azurefield_entry.kernel import Mailbox
     from azurefield_platform.failures import MalformedReply
 
 # Longest wait of one watch. A watch returns even without changes, so a connection on which nothing
@@ -78,6 +82,7 @@
     :param entry: this instance's entry in the store
     :param relay_addresses: ``host:port`` of the instances that can relay changes, by name
     :param avoided_until: when each lost relay may be used again
+    :param can_issue: whether other instances reach this process
     :param position: up to where the store's changes are known; kept while they are read again
     :param history_unconfirmed: whether the next watch must return at once, since the store may have
         been restored meanwhile
@@ -87,6 +92,7 @@
     store: MetadataStore
     random: Random
     metrics: GatewayMetrics
+    can_issue: Callable[[], bool] = lambda: False
     store_available: bool = True
     backoff_s: float = RETRY_BACKOFF_MIN_S
     tree: RelayTree = field(init=False)
@@ -95,29 +101,48 @@
     position: StorePosition | None = None
     history_unconfirmed: bool = False
     own_entries: OwnEntries = field(init=False)
+    issuer_slots: IssuerSlots = field(init=False)
+    kernel: Kernel | None = None
 
     def __post_init__(self) -> None:
         self.own_entries = OwnEntries(
             entry=self.entry, store=self.store, random=self.random, metrics=self.metrics
         )
+        self.issuer_slots = IssuerSlots(
+            own=self.entry.instance,
+            store=self.store,
+            random=self.random,
+            metrics=self.metrics,
+            can_issue=self.can_issue,
+            publish=self.publish_slots,
+        )
         self.tree = RelayTree(own=self.entry.instance, own_zone=self.entry.availability_zone)
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Run the calls to the store until ``Stop``."""
+        self.kernel = kernel
         tasks = BackgroundTasks()
         tasks.keep_running("follow-store", partial(self.follow_store, kernel))
         tasks.keep_running("keep-registered", self.own_entries.keep_registered)
         tasks.keep_running("write-crash-reports", self.own_entries.reports.run)
+        tasks.keep_running("keep-issuer-slots", self.issuer_slots.run)
         while True:
             match await mailbox.receive():
                 case WriteCrashReport(report=report):
                     self.own_entries.reports.add(report)
+                case WorkspaceQuotaUsed():
+                    self.issuer_slots.used = True
                 case SettingsChanged(settings=settings):
                     self.store.use_address(settings.store_address)
                 case Stop():
                     break
         await tasks.stop()
 
+    def publish_slots(self, slots: IssuerSlotsChanged) -> None:
+        """Send the holders of the issuer slots to ``workspace-quotas``."""
+        if self.kernel is not None:
+            notify(self.kernel, "workspace-quotas", slots)
+
     async def follow_store(self, kernel: Kernel) -> None:
         """Read everything, then follow the changes; read again if changes are missing."""
         position: StorePosition | None = None
@@ -147,6 +172,7 @@
                 )
                 self.tree.clear()
                 self.relay_addresses.clear()
+                self.issuer_slots.on_listing(listing.items)
                 self.update_tree(listing.items)
                 revision = listing.revision
                 reply = StoreReplyReceived(after=revision, revision=revision, era=listing.era)
@@ -178,6 +204,7 @@
         )
         self.metrics.store_restores.inc()
         self.own_entries.write_again(listing.era)
+        self.issuer_slots.on_restored()
         return True
 
     async def watch(self, kernel: Kernel, position: StorePosition) -> StorePosition | None:
@@ -238,6 +265,7 @@
         kernel.lookup("gateway").send(
             MetadataChanged(changes=changes, after_outage=after_outage, age_s=age_s)
         )
+        self.issuer_slots.on_changes(changes.items)
         self.update_tree(changes.items)
 
     def update_tree(self, items: tuple[Item | Removed, ...]) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -26,6 +26,8 @@
     partitioned: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
     quota_requests: Counter = field(init=False)
+    workspace_quota_requests: Counter = field(init=False)
+    issuer_slots: Gauge = field(init=False)
     servers_ended: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
     store_failures: Counter = field(init=False)
@@ -100,6 +102,17 @@
             ("result",),
             registry=registry,
         )
+        self.workspace_quota_requests = Counter(
+            "azurefield_gateway_workspace_quota_requests",
+            "Callers' requests of workspaces with a quota by the decision on them.",
+            ("result",),
+            registry=registry,
+        )
+        self.issuer_slots = Gauge(
+            "azurefield_gateway_issuer_slots",
+            "Issuer slots of workspaces' quotas that this instance holds.",
+            registry=registry,
+        )
         self.servers_ended = Counter(
             "azurefield_gateway_servers_ended",
             "Reports of all instances that a server ended while it ran a request.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -37,6 +37,7 @@
     QuotaGiven,
     QuotaRefused,
     QuotaWithdrawn,
+    ShareAsked,
 )
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.requests.running import RequestResult
@@ -78,19 +79,23 @@
     :param version: returns the version of the route table in force; None if there is none
     :param run_request: runs a request; cancelling it cancels its calls
     :param quota_issuer: issues the quota of limited servers
+    :param answer_share: decides on the request for a token of a workspace's quota
     :param on_crash_report: called with each crash report of another instance
     :param partitioned: whether this instance reaches no server
     :param finish_timeout_s: how long a planned stop waits for running requests
+    :param listening: whether the address is in use by this process, and so by no earlier one
     """
 
     address: str
     version: Callable[[], int | None]
     run_request: Callable[[GatewayRequest], Awaitable[RequestResult]]
     quota_issuer: QuotaIssuer
+    answer_share: Callable[[ShareAsked], FromPeer]
     on_crash_report: Callable[[CrashReportFrame], None]
     partitioned: Callable[[], bool]
     finish_timeout_s: float
     draining: bool = False
+    listening: bool = False
     request_count: int = 0
     activity: Activity = field(default_factory=Activity)
     links: set[AcceptedLink] = field(default_factory=set)
@@ -98,7 +103,7 @@
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Serve until ``Stop``, then finish the running requests."""
-        opening = asyncio.create_task(listen_for_instances(self.serve_link, self.address, mailbox))
+        opening = asyncio.create_task(self.listen(mailbox))
         ticking = asyncio.create_task(send_every(mailbox, Tick(), HEARTBEAT_INTERVAL_S))
         while True:
             match await mailbox.receive():
@@ -119,6 +124,12 @@
         for link in [*self.links]:
             link.writer.close()
 
+    async def listen(self, mailbox: Mailbox) -> asyncio.Server | None:
+        """Accept connections of other instances; None if the address can't be used."""
+        server = await listen_for_instances(self.serve_link, self.address, mailbox)
+        self.listening = server is not None
+        return server
+
     async def finish_running(self) -> int:
         """Wait for the running requests, at most for ``finish_timeout_s``.
 
@@ -149,6 +160,8 @@
                         link.running[number].cancel()
                     case QuotaAsked() as frame:
                         self.ask_quota(link, frame)
+                    case ShareAsked() as frame:
+                        link.send(self.answer_share(frame))
                     case QuotaWithdrawn(number=number):
                         self.withdraw_quota(link, number)
                     case LimitEnded(server=server):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -8,6 +8,7 @@
 from azurefield.coordinators import InstanceProfile
 from azurefield.crash_evidence import CrashReport
 from azurefield.directory import RegisteredServer
+from azurefield.issuer_slots import SlotKey
 from azurefield.routes import RouteTable
 from azurefield.server_limits import NO_LIMIT
 from azurefield.workspaces import Workspace
@@ -181,14 +182,14 @@
     report: CrashReport
 
 
-Item = RouteTable | RegisteredServer | InstanceEntry | CrashReportEntry
+Item = RouteTable | RegisteredServer | InstanceEntry | CrashReportEntry | SlotKey
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Removed:
     """A removed key of the store; ``key`` is None if it does not concern the gateway."""
 
-    key: ServerKey | InstanceKey | None
+    key: ServerKey | InstanceKey | SlotName | None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -205,6 +206,13 @@
     instance: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SlotName:
+    """Key of an issuer slot."""
+
+    slot: int
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Listing:
     """All items of the store that concern the gateway, as of ``revision`` or later.
@@ -282,6 +290,12 @@
         """Renew a lease."""
 
     async def put(
-        self, entry: InstanceEntry | CrashReportEntry, lease: Lease
+        self,
+        entry: InstanceEntry | CrashReportEntry | SlotKey,
+        lease: Lease,
+        revision: int | None = None,
     ) -> Result[None, LeaseEnded | PlatformUnavailable | ReplyLost | InvalidCall]:
-        """Write an entry; the store removes it when its lease ends."""
+        """Write an entry; the store removes it when its lease ends.
+
+        :param revision: the revision that the key must have, 0 if it must not exist; None for any
+        """
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/frames.py
@@ -53,5 +53,27 @@
     wait_s: float
 
 
-ToIssuer = QuotaAsked | QuotaWithdrawn | LimitEnded
-FromIssuer = QuotaGiven | QuotaRefused
+class ShareAsked(msgspec.Struct, tag="share", frozen=True, kw_only=True):
+    """A request of a workspace is about to be dispatched; the reply follows at once.
+
+    :param slot: the issuer slot of the share
+    :param rate_per_s: the rate of the workspace's quota, in requests per second
+    :param version: the version of the configuration that names the quota
+    """
+
+    number: int
+    slot: int
+    workspace: str
+    rate_per_s: float
+    burst: float
+    version: int
+
+
+class ShareNotIssued(msgspec.Struct, tag="share-not-issued", frozen=True, kw_only=True):
+    """The asked instance does not hold the issuer slot."""
+
+    number: int
+
+
+ToIssuer = QuotaAsked | QuotaWithdrawn | LimitEnded | ShareAsked
+FromIssuer = QuotaGiven | QuotaRefused | ShareNotIssued
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -9,10 +9,9 @@
 from typing import TYPE_CHECKING
 
 from logbook import Logger
-from result import Err, Ok
+from result import Ok
 
 from azurefield.quota import (
-    QuotaDecision,
     QuotaDenied,
     QuotaGranted,
     issuer_order,
@@ -23,18 +22,13 @@
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.links import PeerLinks
-from azurefield_entry.gateway.quotas.frames import (
-    LimitEnded,
-    QuotaAsked,
-    QuotaGiven,
-    QuotaRefused,
-    QuotaWithdrawn,
-)
+from azurefield_entry.gateway.quotas.asking import QuotaReply, ask_instance
+from azurefield_entry.gateway.quotas.frames import LimitEnded, QuotaAsked
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
-    from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield.workspace_quota import ShareDecision
 
 # Another instance that has not replied for this time counts as unreachable, unless the request may
 # wait for longer.
@@ -46,35 +40,6 @@
 log = Logger("quotas")
 
 
-@dataclass(slots=True, kw_only=True)
-class QuotaReply:
-    """The reply to one request; None in place of a decision if the link was lost."""
-
-    decision: asyncio.Future[QuotaDecision | None]
-
-    def on_frame(self, frame: FromPeer) -> None:
-        """Apply the issuer's decision."""
-        match frame:
-            case QuotaGiven(number=number, limit_ended=limit_ended):
-                self.set(QuotaGranted(key=number, limit_ended=limit_ended))
-            case QuotaRefused(number=number, wait_s=wait_s):
-                self.set(QuotaDenied(key=number, wait_s=wait_s))
-
-    def on_lost(self, detail: str) -> None:  # noqa: ARG002 - the link logs it
-        """Record that the link has ended."""
-        self.set(None)
-
-    def set(self, decision: QuotaDecision | None) -> None:
-        """Set the decision unless there is one."""
-        if not self.decision.done():
-            self.decision.set_result(decision)
-
-    async def wait(self, wait_s: float) -> QuotaDecision | None:
-        """Wait for the decision; the request counts as denied if none has come by then."""
-        await asyncio.wait([self.decision], timeout=wait_s)
-        return self.decision.result() if self.decision.done() else QuotaDenied(key=None, wait_s=0.0)
-
-
 @dataclass(slots=True, kw_only=True)
 class ServerQuotas:
     """Requests a token for each call to a limited server, from the instance that issues them.
@@ -154,7 +119,7 @@
 
     async def ask(
         self, issuer: str, server: RegisteredServer, priority: int, start_by: float
-    ) -> QuotaDecision | None:
+    ) -> ShareDecision | None:
         """Request a token from one issuer; None if it does not reply."""
         limit = self.limits.known.get(server.server)
         if limit is None:
@@ -178,34 +143,25 @@
             return await self.ask_self(frame(next(self.numbers)), reply)
         return await self.ask_other(issuer, frame, reply, wait_s)
 
-    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> QuotaDecision | None:
+    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> ShareDecision | None:
         """Request a token from the issuer of this instance."""
         key = (self.own, frame.number)
         self.issuer.ask(key, frame, reply.set)
         try:
-            return await reply.wait(frame.wait_s)
+            decision = await reply.wait(frame.wait_s)
+            return decision or QuotaDenied(key=None, wait_s=0.0)
         finally:
             self.issuer.withdraw(key)
 
     async def ask_other(
         self, issuer: str, frame: Callable[[int], QuotaAsked], reply: QuotaReply, wait_s: float
-    ) -> QuotaDecision | None:
+    ) -> ShareDecision | None:
         """Request a token from another instance."""
-        match await self.peers.link(issuer):
-            case Err(_):
-                return None
-            case Ok(link):
-                number = link.expect(reply)
-        try:
-            link.send(frame(number))
-            # While a request waits, the silence of its link shows that the issuer is lost.
-            decision = await reply.wait(max(wait_s, REPLY_TIMEOUT_S))
-            lost = decision is None or (not reply.decision.done() and wait_s < REPLY_TIMEOUT_S)
-            return None if lost else decision
-        finally:
-            del link.pending[number]
-            if not reply.decision.done():
-                link.send(QuotaWithdrawn(number=number))
+        # While a request waits, the silence of its link shows that the issuer is lost.
+        timeout_s = max(wait_s, REPLY_TIMEOUT_S)
+        decision = await ask_instance(self.peers, issuer, frame, reply, timeout_s)
+        waited = not reply.decision.done() and wait_s >= REPLY_TIMEOUT_S
+        return QuotaDenied(key=None, wait_s=0.0) if waited else decision
 
     def on_limit_ended(self, server: RegisteredServer) -> None:
         """Report to the issuer that a server has answered without a limit."""
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -0,0 +1,236 @@
+"""The service ``workspace-quotas``: admits requests of workspaces that have a quota."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from azurefield.failures import FailureKind, RequestFailure
+from azurefield.model import Outcome
+from azurefield.quota import QuotaDenied, QuotaGranted
+from azurefield.workspace_quota import (
+    QuotaNotIssued,
+    ShareChoice,
+    ShareDecision,
+    ShareIssuer,
+    ShareRequest,
+)
+from azurefield.workspaces import RequestQuota
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.messages import (
+    IssuerSlotsChanged,
+    SettingsChanged,
+    Tick,
+    WorkspaceQuotaUsed,
+)
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.asking import QuotaReply, ask_instance
+from azurefield_entry.gateway.quotas.frames import (
+    QuotaGiven,
+    QuotaRefused,
+    ShareAsked,
+    ShareNotIssued,
+)
+from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.kernel import Kernel, Stop, send_every
+from azurefield_entry.notify import notify
+
+if TYPE_CHECKING:
+    from azurefield.quota_shares import QuotaBounds
+    from azurefield.workspaces import Workspace
+    from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield_entry.kernel import Mailbox
+
+# A request waits for its token at most for this fraction of its route's latency goal, or for this
+# time if the route has no goal.
+WAIT_FRACTION = 0.3
+WAIT_WITHOUT_GOAL_S = 0.2
+WAIT_MIN_S = 0.03
+# An issuer that has not replied for this time is given up.
+REPLY_TIMEOUT_S = 1.0
+# The next share is asked, too, if one does not reply within this fraction of the wait.
+NEXT_SHARE_FRACTION = 0.25
+TICK_INTERVAL_S = 10.0
+log = Logger("quotas")
+
+
+@dataclass(slots=True, kw_only=True)
+class WorkspaceQuotas:
+    """Gets a token for each request of a workspace with a quota, and issues tokens to others.
+
+    Only the instance that received a request from its caller asks, once for all calls of the
+    request.
+
+    :param own: the name of this instance
+    :param holders: the instance that holds each issuer slot, as far as is known
+    """
+
+    own: str
+    peers: PeerLinks
+    metrics: GatewayMetrics
+    issuer: ShareIssuer = field(default_factory=ShareIssuer)
+    choice: ShareChoice = field(default_factory=ShareChoice)
+    holders: dict[int, str] = field(default_factory=dict)
+    kernel: Kernel | None = None
+    used: bool = False
+
+    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
+        """Apply changes of the issuer slots and of the settings until ``Stop``."""
+        self.kernel = kernel
+        ticking = asyncio.create_task(send_every(mailbox, Tick(), TICK_INTERVAL_S))
+        while True:
+            match await mailbox.receive():
+                case IssuerSlotsChanged(holders=holders, lease_until=lease_until, held=held):
+                    self.on_slots(holders, lease_until, held)
+                case SettingsChanged(settings=settings):
+                    self.set_bounds(settings.quota_bounds)
+                case Tick():
+                    self.issuer.on_tick(now())
+                    self.choice.on_tick(now())
+                case Stop():
+                    break
+        ticking.cancel()
+
+    def set_bounds(self, bounds: QuotaBounds) -> None:
+        """Set what the deployment tolerates beyond a quota."""
+        self.issuer.bounds = self.choice.bounds = bounds
+
+    def on_slots(self, holders: dict[int, str], lease_until: float, held: frozenset[int]) -> None:
+        """Apply who holds the issuer slots."""
+        if held != self.issuer.held_since.keys():
+            log.info("Issuing quota of workspaces for the slots {}.", sorted(held))
+        self.holders = holders
+        self.issuer.on_lease(now(), lease_until, held)
+        self.metrics.issuer_slots.set(len(held))
+
+    async def admit(
+        self, workspace: Workspace | None, version: int, goal_s: float | None
+    ) -> RequestFailure | None:
+        """Get a token for one request that a caller has sent to this instance.
+
+        Cancelling this gives up the token.
+
+        :param version: the version of the configuration that names the quota
+        :param goal_s: the latency goal of the route
+        :return: why the request is refused; None if it may run
+        """
+        if workspace is None or workspace.quota is None:
+            return None
+        if not self.used and self.kernel is not None:
+            self.used = notify(self.kernel, "metadata", WorkspaceQuotaUsed())
+        wait_s = WAIT_WITHOUT_GOAL_S if goal_s is None else WAIT_FRACTION * goal_s
+        slots = self.choice.slots(now(), workspace.name, workspace.quota)
+        requests = [
+            ShareRequest(
+                slot=slot, workspace=workspace.name, quota=workspace.quota, version=version
+            )
+            for slot in slots
+        ]
+        decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, wait_s))
+        match decision:
+            case QuotaGranted():
+                self.metrics.workspace_quota_requests.labels("granted").inc()
+                return None
+            case QuotaDenied():
+                self.metrics.workspace_quota_requests.labels("denied").inc()
+                return self.over_quota(workspace.name, workspace.quota)
+        self.metrics.workspace_quota_requests.labels("unreachable").inc()
+        detail = f"no instance issues the quota of workspace {workspace.name}"
+        return refusal(FailureKind.NOT_READY, detail)
+
+    def over_quota(self, workspace: str, quota: RequestQuota) -> RequestFailure:
+        """Build the failure of a request beyond the quota."""
+        return RequestFailure(
+            kind=FailureKind.QUOTA_EXCEEDED,
+            outcome=Outcome.NOT_RUN,
+            detail=f"the quota of workspace {workspace} is used up",
+            retry_after_s=self.choice.retry_after_s(now(), workspace, quota),
+        )
+
+    async def ask_in_turn(self, requests: list[ShareRequest], wait_s: float) -> ShareDecision:
+        """Ask one share after the other until a token is granted.
+
+        :return: granted, denied if all shares that have replied are empty, or not issued if none
+            has replied
+        """
+        if not requests:
+            return QuotaDenied(key=None, wait_s=0.0)
+        asked: set[asyncio.Task[ShareDecision]] = set()
+        best: ShareDecision = QuotaNotIssued()
+        ends_at = now() + wait_s
+        try:
+            for request in requests:
+                asked.add(asyncio.create_task(self.ask(request)))
+                last = request is requests[-1]
+                until = ends_at if last else now() + NEXT_SHARE_FRACTION * wait_s
+                while asked and now() < until:
+                    done, asked = await asyncio.wait(
+                        asked, timeout=until - now(), return_when=asyncio.FIRST_COMPLETED
+                    )
+                    best = max([best, *(task.result() for task in done)], key=usefulness)
+                    if isinstance(best, QuotaGranted):
+                        return best
+                    if done and not last:
+                        break
+        finally:
+            for task in asked:
+                task.cancel()
+        return best
+
+    async def ask(self, request: ShareRequest) -> ShareDecision:
+        """Ask the holder of a share for a token."""
+        holder = self.holders.get(request.slot)
+        if holder is None:
+            return QuotaNotIssued()
+        if holder == self.own:
+            decision = self.issuer.request(now(), request)
+        else:
+            decision = await self.ask_other(holder, request)
+        if isinstance(decision, QuotaDenied):
+            self.choice.on_denied(now(), request.workspace, request.slot, decision.wait_s)
+        return decision
+
+    async def ask_other(self, holder: str, request: ShareRequest) -> ShareDecision:
+        """Ask another instance for a token."""
+
+        def frame(number: int) -> ShareAsked:
+            return ShareAsked(
+                number=number,
+                slot=request.slot,
+                workspace=request.workspace,
+                rate_per_s=request.quota.rate_per_s,
+                burst=request.quota.burst,
+                version=request.version,
+            )
+
+        decision = await ask_instance(self.peers, holder, frame, QuotaReply(), REPLY_TIMEOUT_S)
+        return QuotaNotIssued() if decision is None else decision
+
+    def answer(self, frame: ShareAsked) -> FromPeer:
+        """Decide on another instance's request."""
+        request = ShareRequest(
+            slot=frame.slot,
+            workspace=frame.workspace,
+            quota=RequestQuota(rate_per_s=frame.rate_per_s, burst=frame.burst),
+            version=frame.version,
+        )
+        match self.issuer.request(now(), request):
+            case QuotaGranted():
+                return QuotaGiven(number=frame.number, limit_ended=False)
+            case QuotaDenied(wait_s=wait_s):
+                return QuotaRefused(number=frame.number, wait_s=wait_s)
+        return ShareNotIssued(number=frame.number)
+
+
+def usefulness(decision: ShareDecision) -> int:
+    """Order decisions: a token first, then the knowledge that there is none."""
+    match decision:
+        case QuotaGranted():
+            return 2
+        case QuotaDenied():
+            return 1
+    return 0
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/outcomes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/outcomes.py
@@ -24,6 +24,15 @@
     )
 
 
+def no_route_failure(version: int) -> RequestFailure:
+    """Build the failure of a request that no route of a version matches."""
+    return RequestFailure(
+        kind=FailureKind.UNKNOWN_SERVICE,
+        outcome=Outcome.NOT_RUN,
+        detail=f"no route of configuration version {version} matches",
+    )
+
+
 def no_server_reachable_failure() -> RequestFailure:
     """Build the failure of a request that neither this instance nor another one can run."""
     return RequestFailure(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -13,9 +13,8 @@
 from azurefield.coordinators import CoordinatorView
 from azurefield.crash_evidence import CrashEvidence, CrashReport
 from azurefield.directory import Directory, DirectoryChange, DirectoryChangeKind, RegisteredServer
-from azurefield.failures import FailureKind, RequestFailure
+from azurefield.failures import FailureKind
 from azurefield.instances import RunningInstances
-from azurefield.model import Outcome
 from azurefield.peer_selection import PeerSelection
 from azurefield.retry import WindowedBudget
 from azurefield.routes import RouteTable
@@ -45,8 +44,9 @@
     ServerKey,
 )
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
+from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
 from azurefield_entry.gateway.requests.dispatch import RequestDispatcher
-from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.gateway.requests.outcomes import no_route_failure, refusal
 from azurefield_entry.gateway.requests.planning import RequestPlanner
 from azurefield_entry.gateway.requests.runner import RequestRunner
 from azurefield_entry.gateway.servers.checker import ServerChecker
@@ -95,6 +95,7 @@
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
     quotas: ServerQuotas = field(init=False)
+    workspace_quotas: WorkspaceQuotas = field(init=False)
     planner: RequestPlanner = field(init=False)
     runner: RequestRunner = field(init=False)
     dispatcher: RequestDispatcher = field(init=False)
@@ -119,6 +120,9 @@
             instances=lambda: self.instances.names,
             metrics=self.metrics,
         )
+        self.workspace_quotas = WorkspaceQuotas(
+            own=self.instance, peers=self.forwarding.peers, metrics=self.metrics
+        )
         self.crash_broadcast = CrashBroadcast(
             own=self.instance,
             peers=self.forwarding.peers,
@@ -356,13 +360,10 @@
             return Err(refusal(FailureKind.NOT_READY, "no configuration has been loaded yet"))
         route = table.match(request.host, request.target)
         if route is None:
-            return Err(
-                RequestFailure(
-                    kind=FailureKind.UNKNOWN_SERVICE,
-                    outcome=Outcome.NOT_RUN,
-                    detail=f"no route of configuration version {table.version} matches",
-                )
-            )
+            return Err(no_route_failure(table.version))
+        refused = await self.workspace_quotas.admit(request.workspace, table.version, route.goal_s)
+        if refused is not None:
+            return Err(refused)
         return await self.dispatcher.dispatch(request, route, table.version)
 
     async def run_forwarded(self, request: GatewayRequest) -> RequestResult:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from azurefield.answer_memory import LIMIT_BYTES
+from azurefield.quota_shares import QuotaBounds
 
 # The rest is left to the program itself, to complete answers and to callers' requests.
 ANSWER_MEMORY_FRACTION = 1 / 6
@@ -31,6 +32,7 @@
         None to accept none
     :param capacity: the processor capacity of this instance in cores
     :param memory_mb: megabytes beyond which the process is killed; None or 0 without such a limit
+    :param quota_bounds: what is tolerated beyond the quotas of workspaces
     """
 
     instance: str
@@ -47,6 +49,7 @@
     coordinator_address: str | None = None
     capacity: float = 0.0
     memory_mb: float | None = None
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
     @property
     def answer_memory_bytes(self) -> int:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -77,22 +77,25 @@
         metrics=metrics,
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
+    gateway.workspace_quotas.set_bounds(settings.quota_bounds)
     finish_timeout_s = max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S)
+    metadata = MetadataService(
+        entry=InstanceEntry(
+            instance=settings.instance,
+            availability_zone=settings.availability_zone,
+            relay_address=settings.relay_address,
+            coordinator_address=settings.coordinator_address,
+            capacity=settings.capacity,
+        ),
+        store=adapters.store,
+        random=random,
+        metrics=metrics,
+    )
     services: dict[str, Service] = {
         "settings": ReloadService(load=load, current=settings),
         "gateway": gateway,
-        "metadata": MetadataService(
-            entry=InstanceEntry(
-                instance=settings.instance,
-                availability_zone=settings.availability_zone,
-                relay_address=settings.relay_address,
-                coordinator_address=settings.coordinator_address,
-                capacity=settings.capacity,
-            ),
-            store=adapters.store,
-            random=random,
-            metrics=metrics,
-        ),
+        "workspace-quotas": gateway.workspace_quotas,
+        "metadata": metadata,
         "front": GatewayFront(
             address=settings.callers_address,
             readiness_address=settings.readiness_address,
@@ -102,15 +105,17 @@
         ),
     }
     if settings.coordinator_address is not None:
-        services["coordinator"] = CoordinatorService(
+        coordinator = services["coordinator"] = CoordinatorService(
             address=settings.coordinator_address,
             version=lambda: None if gateway.table is None else gateway.table.version,
             run_request=gateway.run_forwarded,
             quota_issuer=gateway.quotas.issuer,
+            answer_share=gateway.workspace_quotas.answer,
             on_crash_report=gateway.on_crash_report_frame,
             partitioned=lambda: gateway.partition_watch.partitioned,
             finish_timeout_s=finish_timeout_s,
         )
+        metadata.issuer_slots.can_issue = lambda: coordinator.listening
     if settings.relay_address is not None:
         services["relay"] = RelayService(address=settings.relay_address)
     if settings.admin_address is not None:
--- a/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
+++ b/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
@@ -16,6 +16,7 @@
 from azurefield_entry.gateway.crashes.broadcast import CrashBroadcast
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
@@ -70,6 +71,7 @@
                 version=lambda: 1,
                 run_request=lambda _: asyncio.Future(),
                 quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
+                answer_share=lambda frame: ShareNotIssued(number=frame.number),
                 on_crash_report=instance.on_frame,
                 partitioned=lambda: False,
                 finish_timeout_s=0.1,
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -23,6 +23,7 @@
 from azurefield_entry.gateway.peers.forwarding import Forwarding, ForwardProblem, ForwardTarget
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
 from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Kernel, Mailbox, Stop
@@ -102,6 +103,7 @@
         version=lambda: runner.version,
         run_request=runner.run,
         quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
+        answer_share=lambda frame: ShareNotIssued(number=frame.number),
         on_crash_report=lambda _: None,
         partitioned=lambda: False,
         finish_timeout_s=2.0,
--- a/packages/azurefield-entry/tests/gateway/test_metadata.py
+++ b/packages/azurefield-entry/tests/gateway/test_metadata.py
@@ -21,6 +21,7 @@
 from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
+    from azurefield.issuer_slots import SlotKey
     from azurefield_platform.failures import MalformedReply, PlatformUnavailable
 
 
@@ -71,7 +72,10 @@
         return Ok(None)
 
     async def put(
-        self, entry: InstanceEntry | CrashReportEntry, lease: Lease  # noqa: ARG002
+        self,
+        entry: InstanceEntry | CrashReportEntry | SlotKey,  # noqa: ARG002
+        lease: Lease,  # noqa: ARG002
+        revision: int | None = None,  # noqa: ARG002
     ) -> Result[None, PlatformUnavailable]:
         self.entries += 1
         return Ok(None)
--- a/packages/azurefield-entry/tests/gateway/test_pass_on.py
+++ b/packages/azurefield-entry/tests/gateway/test_pass_on.py
@@ -28,6 +28,7 @@
 )
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S, PeerLinks
 from azurefield_entry.gateway.ports import GatewayRequest, OpaqueAnswer
+from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.requests.dispatch import TARGETS_MAX, RequestDispatcher
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
@@ -89,6 +90,7 @@
         version=lambda: VERSION,
         run_request=run,
         quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
+        answer_share=lambda frame: ShareNotIssued(number=frame.number),
         on_crash_report=lambda _: None,
         partitioned=lambda: False,
         finish_timeout_s=2.0,
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -18,6 +18,7 @@
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
@@ -83,6 +84,7 @@
         version=lambda: 1,
         run_request=refuse,  # type: ignore[arg-type]
         quota_issuer=quotas.issuer,
+        answer_share=lambda frame: ShareNotIssued(number=frame.number),
         on_crash_report=lambda _: None,
         partitioned=lambda: False,
         finish_timeout_s=0.1,
--- a/packages/azurefield-entry/tests/gateway/test_relay.py
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -47,6 +47,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from azurefield.issuer_slots import SlotKey
+
 HOST = "127.0.0.1"
 # The platform requires a new configuration version to be in force within this time.
 CONFIGURATION_DUE_S = 3.0
@@ -176,7 +178,10 @@
         return Ok(None)
 
     async def put(
-        self, entry: InstanceEntry | CrashReportEntry, lease: Lease  # noqa: ARG002
+        self,
+        entry: InstanceEntry | CrashReportEntry | SlotKey,  # noqa: ARG002
+        lease: Lease,  # noqa: ARG002
+        revision: int | None = None,  # noqa: ARG002
     ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         return Ok(None)
 
@@ -478,7 +483,7 @@
     def __init__(self) -> None:
         super().__init__(())
         self.era = 1
-        self.written: list[tuple[InstanceEntry | CrashReportEntry, int | None]] = []
+        self.written: list[tuple[InstanceEntry | CrashReportEntry | SlotKey, int | None]] = []
         self.down = False
 
     async def new_lease(self, ttl_s: float) -> Result[Lease, PlatformUnavailable]:  # noqa: ARG002
@@ -487,7 +492,10 @@
         return Ok(Lease(number=len(self.written), era=self.era))
 
     async def put(
-        self, entry: InstanceEntry | CrashReportEntry, lease: Lease
+        self,
+        entry: InstanceEntry | CrashReportEntry | SlotKey,
+        lease: Lease,
+        revision: int | None = None,  # noqa: ARG002
     ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         self.written.append((entry, lease.era))
         return Ok(None)
--- /dev/null
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -0,0 +1,180 @@
+"""Quotas of workspaces between instances: the sum, refusals, and issuers that are lost."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+import pytest
+
+from azurefield.coordinators import CoordinatorView, InstanceProfile
+from azurefield.failures import FailureKind
+from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
+from azurefield.workspaces import RequestQuota, Workspace
+from azurefield_entry.clock import now
+from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
+from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_testkit.entry_support.instance import free_address
+from azurefield_testkit.waiting import accepts, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield_entry.gateway.quotas.frames import ShareAsked
+
+NAMES = ("i1", "i2", "i3")
+SLOTS = share_slots("w")
+HOLDERS = dict(zip(SLOTS, NAMES, strict=True))
+# So slow that no further token becomes due in a test.
+QUOTA = RequestQuota(rate_per_s=0.001, burst=9.0)
+BOUNDS = QuotaBounds(slack=1.0)
+WORKSPACE = Workspace(name="w", quota=QUOTA)
+GOAL_S = 10.0
+LONG_AGO_S = 100_000.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Instance:
+    """One instance with its service for the others; ``stop`` ends it."""
+
+    quotas: WorkspaceQuotas
+    service: CoordinatorService
+    mailbox: Mailbox
+    serving: asyncio.Task[None]
+
+    async def admit(self) -> FailureKind | None:
+        failure = await self.quotas.admit(WORKSPACE, 1, GOAL_S)
+        return None if failure is None else failure.kind
+
+    async def stop(self) -> None:
+        self.quotas.peers.close()
+        self.mailbox.send(Stop())
+        await self.serving
+
+
+async def refuse(request: object) -> object:
+    raise AssertionError(request)
+
+
+def build(name: str, addresses: dict[str, str]) -> Instance:
+    view = CoordinatorView(own=name)
+    for other, address in addresses.items():
+        profile = InstanceProfile(
+            instance=other, availability_zone="z", capacity=1.0, coordinator_address=address
+        )
+        view.on_profile(profile)
+    quotas = WorkspaceQuotas(own=name, peers=PeerLinks(view=view), metrics=GatewayMetrics())
+    quotas.set_bounds(BOUNDS)
+    held = frozenset(slot for slot, holder in HOLDERS.items() if holder == name)
+    quotas.on_slots(HOLDERS, now() + LONG_AGO_S, held)
+    for slot in held:
+        quotas.issuer.held_since[slot] = now() - LONG_AGO_S
+    service = CoordinatorService(
+        address=addresses[name],
+        version=lambda: 1,
+        run_request=refuse,  # type: ignore[arg-type]
+        quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
+        answer_share=quotas.answer,
+        on_crash_report=lambda _: None,
+        partitioned=lambda: False,
+        finish_timeout_s=0.1,
+    )
+    mailbox = Mailbox(name="coordinator")
+    serving = asyncio.create_task(service.run(Kernel(), mailbox))
+    return Instance(quotas=quotas, service=service, mailbox=mailbox, serving=serving)
+
+
+@asynccontextmanager
+async def fleet() -> AsyncIterator[dict[str, Instance]]:
+    addresses = {name: free_address() for name in NAMES}
+    instances = {name: build(name, addresses) for name in NAMES}
+    async with AsyncExitStack() as stack:
+        for instance in instances.values():
+            stack.push_async_callback(instance.stop)
+        for address in addresses.values():
+            await wait_until(partial(accepts, address), f"{address} accepts links")
+        yield instances
+
+
+def tokens() -> int:
+    """Return how many tokens all shares hold together while none becomes due."""
+    limit = share_limit(QUOTA, BOUNDS)
+    return limit.shares * int(limit.tokens_max)
+
+
+@pytest.mark.parametrize("receivers", [("i1",), NAMES], ids=["one", "all"])
+async def test_the_instances_together_admit_the_quota_and_no_more(
+    receivers: tuple[str, ...],
+) -> None:
+    """Guards against a quota for each instance, and against one that few instances can use."""
+    async with fleet() as instances:
+        kinds = [
+            await instances[receivers[number % len(receivers)]].admit()
+            for number in range(tokens() + 5)
+        ]
+        assert kinds == [None] * tokens() + [FailureKind.QUOTA_EXCEEDED] * 5
+
+
+async def test_a_refusal_beyond_the_quota_asks_no_instance_while_no_token_is_due() -> None:
+    """Guards against a greedy workspace whose refusals keep the issuers busy."""
+    async with fleet() as instances:
+        while await instances["i1"].admit() is None:
+            pass
+        answered: list[object] = []
+        for name in NAMES:
+            instances[name].service.answer_share = answered.append  # type: ignore[assignment]
+        failure = await instances["i1"].quotas.admit(WORKSPACE, 1, GOAL_S)
+        assert failure is not None
+        assert failure.retry_after_s is not None
+        assert failure.retry_after_s > 0
+        assert not answered
+
+
+async def test_a_workspace_without_a_quota_needs_no_token() -> None:
+    """Guards against a round trip for requests that nothing limits."""
+    async with fleet() as instances:
+        quotas = instances["i1"].quotas
+        for workspace in (None, Workspace(name="free")):
+            assert await quotas.admit(workspace, 1, GOAL_S) is None
+        assert not quotas.peers.links
+
+
+@pytest.mark.parametrize("fault", ["ended", "silent", "not_held"])
+async def test_the_other_shares_are_asked_while_one_has_no_issuer(fault: str) -> None:
+    """Guards against a workspace that gets nothing after one instance is lost."""
+    async with fleet() as instances:
+        lost = instances["i2"]
+        if fault == "ended":
+            await lost.stop()
+        elif fault == "silent":
+            lost.service.answer_share = partial(say_nothing, lost.service)
+        else:
+            lost.quotas.on_slots(HOLDERS, now(), frozenset())
+        assert [await instances["i1"].admit() for _ in range(6)] == [None] * 6
+
+
+def say_nothing(service: CoordinatorService, frame: ShareAsked) -> FromPeer:
+    """Suspend the links of an instance, as if its process were suspended."""
+    for link in service.links:
+        link.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    raise asyncio.IncompleteReadError(partial=b"", expected=frame.number)
+
+
+async def test_without_any_issuer_a_request_is_refused_as_not_run() -> None:
+    """Guards against requests beyond the quota from an instance that is cut off."""
+    async with fleet() as instances:
+        quotas = instances["i1"].quotas
+        quotas.on_slots({}, now(), frozenset())
+        assert await instances["i1"].admit() is FailureKind.NOT_READY
+        quotas.on_slots(HOLDERS, now(), frozenset({SLOTS[0]}))
+        await instances["i2"].stop()
+        await instances["i3"].stop()
+        assert await instances["i1"].admit() is FailureKind.NOT_READY
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -132,6 +132,10 @@
                 exists = int(lease) <= self.leases and int(lease) not in self.ended_leases
                 return web.json_response({}, status=200 if exists else 404)
             case ["kv-txn"]:
+                for expected in body["expect_rev"]:
+                    item = self.items.get(expected["key"], {"revision": 0})
+                    if item["revision"] != expected["revision"]:
+                        return web.json_response({"items": [item]}, status=412)
                 for entry in body["set_keys"]:
                     self.put(entry["key"], b64decode(entry["value"]), entry["lease"])
                 return web.json_response({"revision": self.revision})
