--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
-from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
 
-from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.quota import issuer_order
 from azurefield.server_limits import NO_LIMIT, NamedLimit, ServerLimits
@@ -20,12 +17,16 @@
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
-from azurefield_entry.kernel import Kernel, Mailbox, Stop
-from azurefield_testkit.entry_support.instance import free_address
-from azurefield_testkit.waiting import accepts, wait_until
+from azurefield_testkit.entry_support.peers import (
+    RunningService,
+    refuse_request,
+    running_peers,
+    view_of,
+)
+from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from contextlib import AbstractAsyncContextManager
 
 NAMES = frozenset({"i1", "i2", "i3"})
 SERVER = RegisteredServer(
@@ -45,9 +46,11 @@
     """One instance with its service for the others; ``stop`` ends it."""
 
     quotas: ServerQuotas
-    service: CoordinatorService
-    mailbox: Mailbox
-    serving: asyncio.Task[None]
+    running: RunningService
+
+    @property
+    def service(self) -> CoordinatorService:
+        return self.running.service
 
     async def acquire(self, wait_s: float = 0.0, priority: int = 1) -> bool:
         return await self.quotas.acquire(SERVER, priority, now() + wait_s)
@@ -55,55 +58,34 @@
     async def stop(self) -> None:
         self.quotas.close()
         self.quotas.peers.close()
-        self.mailbox.send(Stop())
-        await self.serving
-
-
-async def refuse(request: object) -> object:
-    raise AssertionError(request)
+        await self.running.stop()
 
 
 def build(name: str, addresses: dict[str, str]) -> Instance:
-    view = CoordinatorView(own=name)
-    for other, address in addresses.items():
-        profile = InstanceProfile(
-            instance=other, availability_zone="z", capacity=1.0, coordinator_address=address
-        )
-        view.on_profile(profile)
     limits = ServerLimits()
     limits.known["s1"] = NamedLimit(per_s=LIMIT_PER_S, named_at=now())
     quotas = ServerQuotas(
         own=name,
         limits=limits,
-        peers=PeerLinks(view=view),
+        peers=PeerLinks(view=view_of(name, addresses)),
         instances=lambda: NAMES,
         metrics=GatewayMetrics(),
     )
     service = CoordinatorService(
         address=addresses[name],
         version=lambda: 1,
-        run_request=refuse,  # type: ignore[arg-type]
+        run_request=refuse_request,  # type: ignore[arg-type]
         quota_issuer=quotas.issuer,
         answer_share=lambda frame: ShareNotIssued(number=frame.number),
         on_crash_report=lambda _: None,
         partitioned=lambda: False,
         finish_timeout_s=0.1,
     )
-    mailbox = Mailbox(name="coordinator")
-    serving = asyncio.create_task(service.run(Kernel(), mailbox))
-    return Instance(quotas=quotas, service=service, mailbox=mailbox, serving=serving)
+    return Instance(quotas=quotas, running=RunningService(service=service))
 
 
-@asynccontextmanager
-async def fleet() -> AsyncIterator[dict[str, Instance]]:
-    addresses = {name: free_address() for name in NAMES}
-    instances = {name: build(name, addresses) for name in NAMES}
-    async with AsyncExitStack() as stack:
-        for instance in instances.values():
-            stack.push_async_callback(instance.stop)
-        for address in addresses.values():
-            await wait_until(partial(accepts, address), f"{address} accepts links")
-        yield instances
+def fleet() -> AbstractAsyncContextManager[dict[str, Instance]]:
+    return running_peers(NAMES, build)
 
 
 async def test_one_token_is_issued_for_all_instances() -> None:
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
 
-from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.failures import FailureKind
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.workspaces import RequestQuota, Workspace
@@ -20,12 +18,15 @@
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
-from azurefield_entry.kernel import Kernel, Mailbox, Stop
-from azurefield_testkit.entry_support.instance import free_address
-from azurefield_testkit.waiting import accepts, wait_until
+from azurefield_testkit.entry_support.peers import (
+    RunningService,
+    refuse_request,
+    running_peers,
+    view_of,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from contextlib import AbstractAsyncContextManager
 
     from azurefield_entry.gateway.peers.frames import FromPeer
     from azurefield_entry.gateway.quotas.frames import ShareAsked
@@ -46,9 +47,11 @@
     """One instance with its service for the others; ``stop`` ends it."""
 
     quotas: WorkspaceQuotas
-    service: CoordinatorService
-    mailbox: Mailbox
-    serving: asyncio.Task[None]
+    running: RunningService
+
+    @property
+    def service(self) -> CoordinatorService:
+        return self.running.service
 
     async def admit(self) -> FailureKind | None:
         failure = await self.quotas.admit(WORKSPACE, 1, GOAL_S)
@@ -56,22 +59,13 @@
 
     async def stop(self) -> None:
         self.quotas.peers.close()
-        self.mailbox.send(Stop())
-        await self.serving
-
-
-async def refuse(request: object) -> object:
-    raise AssertionError(request)
+        await self.running.stop()
 
 
 def build(name: str, addresses: dict[str, str]) -> Instance:
-    view = CoordinatorView(own=name)
-    for other, address in addresses.items():
-        profile = InstanceProfile(
-            instance=other, availability_zone="z", capacity=1.0, coordinator_address=address
-        )
-        view.on_profile(profile)
-    quotas = WorkspaceQuotas(own=name, peers=PeerLinks(view=view), metrics=GatewayMetrics())
+    quotas = WorkspaceQuotas(
+        own=name, peers=PeerLinks(view=view_of(name, addresses)), metrics=GatewayMetrics()
+    )
     quotas.set_bounds(BOUNDS)
     held = frozenset(slot for slot, holder in HOLDERS.items() if holder == name)
     quotas.on_slots(HOLDERS, now() + LONG_AGO_S, held)
@@ -80,28 +74,18 @@
     service = CoordinatorService(
         address=addresses[name],
         version=lambda: 1,
-        run_request=refuse,  # type: ignore[arg-type]
+        run_request=refuse_request,  # type: ignore[arg-type]
         quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
         answer_share=quotas.answer,
         on_crash_report=lambda _: None,
         partitioned=lambda: False,
         finish_timeout_s=0.1,
     )
-    mailbox = Mailbox(name="coordinator")
-    serving = asyncio.create_task(service.run(Kernel(), mailbox))
-    return Instance(quotas=quotas, service=service, mailbox=mailbox, serving=serving)
-
-
-@asynccontextmanager
-async def fleet() -> AsyncIterator[dict[str, Instance]]:
-    addresses = {name: free_address() for name in NAMES}
-    instances = {name: build(name, addresses) for name in NAMES}
-    async with AsyncExitStack() as stack:
-        for instance in instances.values():
-            stack.push_async_callback(instance.stop)
-        for address in addresses.values():
-            await wait_until(partial(accepts, address), f"{address} accepts links")
-        yield instances
+    return Instance(quotas=quotas, running=RunningService(service=service))
+
+
+def fleet() -> AbstractAsyncContextManager[dict[str, Instance]]:
+    return running_peers(NAMES, build)
 
 
 def tokens() -> int:
