--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -118,8 +118,10 @@
     def due_claims(self) -> list[SlotClaim]:
         """List the slots to claim now."""
         needed = self.used or bool(self.claims.keys)
-        if not needed or not self.can_issue() or now() < self.tenure.claims_from:
+        if not needed or not self.can_issue():
             return []
+        if now() < self.tenure.claims_from:
+            return self.claims.claims_of(self.tenure.reclaims)
         return self.claims.wanted(now(), frozenset(self.issuers), self.tenure.held)
 
     async def new_lease(self) -> bool:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -52,8 +52,12 @@
 WAIT_MIN_S = 0.03
 # An issuer that has not replied for this time is given up.
 REPLY_TIMEOUT_S = 1.0
-# The next share is asked, too, if one does not reply within this fraction of the wait.
+# The next share is asked, too, if one does not reply within this fraction of the wait, and at the
+# latest after this time.
 NEXT_SHARE_FRACTION = 0.25
+NEXT_SHARE_MAX_S = 0.02
+# An issuer that did not reply so soon is asked last for this time.
+SILENT_S = 1.0
 TICK_INTERVAL_S = 10.0
 log = Logger("quotas")
 
@@ -67,6 +71,7 @@
 
     :param own: the name of this instance
     :param holders: the instance that holds each issuer slot, as far as is known
+    :param silent_until: until when each slow or unreachable holder is asked last
     """
 
     own: str
@@ -75,6 +80,7 @@
     issuer: ShareIssuer = field(default_factory=ShareIssuer)
     choice: ShareChoice = field(default_factory=ShareChoice)
     holders: dict[int, str] = field(default_factory=dict)
+    silent_until: dict[str, float] = field(default_factory=dict)
     kernel: Kernel | None = None
     used: bool = False
 
@@ -128,7 +134,7 @@
             ShareRequest(
                 slot=slot, workspace=workspace.name, quota=workspace.quota, version=version
             )
-            for slot in slots
+            for slot in sorted(slots, key=self.silent)
         ]
         decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, wait_s))
         match decision:
@@ -164,9 +170,11 @@
         ends_at = now() + wait_s
         try:
             for request in requests:
-                asked.add(asyncio.create_task(self.ask(request)))
+                task = asyncio.create_task(self.ask(request))
+                asked.add(task)
                 last = request is requests[-1]
-                until = ends_at if last else now() + NEXT_SHARE_FRACTION * wait_s
+                step_s = min(NEXT_SHARE_MAX_S, NEXT_SHARE_FRACTION * wait_s)
+                until = ends_at if last else now() + step_s
                 while asked and now() < until:
                     done, asked = await asyncio.wait(
                         asked, timeout=until - now(), return_when=asyncio.FIRST_COMPLETED
@@ -176,11 +184,24 @@
                         return best
                     if done and not last:
                         break
+                if not task.done():
+                    self.on_silent(request.slot)
         finally:
             for task in asked:
                 task.cancel()
         return best
 
+    def silent(self, slot: int) -> bool:
+        """Whether the holder of a slot did not reply in time lately."""
+        return self.silent_until.get(self.holders.get(slot, ""), 0.0) > now()
+
+    def on_silent(self, slot: int) -> None:
+        """Record that the holder of a slot has not replied in time."""
+        holder = self.holders.get(slot)
+        if holder is not None and holder != self.own and not self.silent(slot):
+            log.info("Instance {} does not reply to requests for quota.", holder)
+            self.silent_until[holder] = now() + SILENT_S
+
     async def ask(self, request: ShareRequest) -> ShareDecision:
         """Ask the holder of a share for a token."""
         holder = self.holders.get(request.slot)
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -13,7 +13,7 @@
 from azurefield.quota_shares import ISSUER_SLOTS
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
 # Instances that start together should know of each other before the first one claims a slot.
 SETTLE_S = 2.0
@@ -100,15 +100,19 @@
         :param instances: the instances that can issue
         :param held: the slots that this instance holds
         """
-        claims = [
-            SlotClaim(slot=slot, revision=key.revision)
-            for slot, key in self.keys.items()
-            if key.instance == self.own and slot not in held
-        ]
-        return claims + [
-            SlotClaim(slot=slot)
+        earlier = [slot for slot, key in self.keys.items() if key.instance == self.own]
+        free = [
+            slot
             for slot, since in self.free_since.items()
-            if slot not in held and self.may_claim(now - since, slot, instances)
+            if self.may_claim(now - since, slot, instances)
+        ]
+        return self.claims_of(slot for slot in earlier + free if slot not in held)
+
+    def claims_of(self, slots: Iterable[int]) -> list[SlotClaim]:
+        """Build the claims of slots whose keys are as they are known here."""
+        return [
+            SlotClaim(slot=slot, revision=self.keys[slot].revision if slot in self.keys else 0)
+            for slot in slots
         ]
 
     def may_claim(self, free_s: float, slot: int, instances: frozenset[str]) -> bool:
@@ -134,7 +138,8 @@
     :param lease_s: length of the lease
     :param lease: the number of the lease; None if there is none
     :param lease_until: when the slots count as no longer held unless the lease is renewed
-    :param claims_from: before this time no slot is claimed
+    :param claims_from: before this time only slots of ``reclaims`` are claimed
+    :param reclaims: the slots that were held when the store was restored
     """
 
     own: str
@@ -143,6 +148,7 @@
     lease_until: float = float("-inf")
     claims_from: float = float("-inf")
     held: set[int] = field(default_factory=set)
+    reclaims: set[int] = field(default_factory=set)
 
     def on_granted(self, lease: int, asked_at: float) -> None:
         """Record a new lease, which was asked for at a time."""
@@ -163,6 +169,7 @@
 
     def on_claimed(self, slot: int, lease: int) -> None:
         """Record that the store has written a slot's key under a lease."""
+        self.reclaims.discard(slot)
         if lease == self.lease:
             self.held.add(slot)
 
@@ -178,6 +185,12 @@
         self.held.discard(slot)
 
     def on_restored(self, now: float) -> None:
-        """Record that the store was restored: keys of slots that are still held may be missing."""
-        self.on_ended()
+        """Record that the store was restored from a copy, which may lack the keys of held slots.
+
+        A holder goes on until its lease ends by its own clock, and claims its slots again. Other
+        instances claim none until then.
+        """
+        if now < self.lease_until:
+            self.reclaims = set(self.held)
+        self.lease = None
         self.claims_from = now + self.lease_s
