Let no refused caller return at once

Change: the earliest return is one interval of the rate away; a workspace with an empty share gets 429.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -137,13 +137,12 @@
             for slot in sorted(slots, key=self.silent)
         ]
         decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, wait_s))
-        match decision:
-            case QuotaGranted():
-                self.metrics.workspace_quota_requests.labels("granted").inc()
-                return None
-            case QuotaDenied():
-                self.metrics.workspace_quota_requests.labels("denied").inc()
-                return self.over_quota(workspace.name, workspace.quota)
+        if isinstance(decision, QuotaGranted):
+            self.metrics.workspace_quota_requests.labels("granted").inc()
+            return None
+        if isinstance(decision, QuotaDenied) or self.choice.any_empty(now(), workspace.name):
+            self.metrics.workspace_quota_requests.labels("denied").inc()
+            return self.over_quota(workspace.name, workspace.quota)
         self.metrics.workspace_quota_requests.labels("unreachable").inc()
         detail = f"no instance issues the quota of workspace {workspace.name}"
         return refusal(FailureKind.NOT_READY, detail)
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -173,6 +173,10 @@
         """Record that a share has no token until ``wait_s`` from now."""
         self.workspaces[workspace].denied_until[slot] = now + wait_s
 
+    def any_empty(self, now: float, workspace: str) -> bool:
+        """Whether a share is known to have no token."""
+        return any(until > now for until in self.workspaces[workspace].denied_until.values())
+
     def retry_after_s(self, now: float, workspace: str, quota: RequestQuota) -> float:
         """Return when a refused caller should return.
 
@@ -180,8 +184,10 @@
         window begin again with the earliest time: they would not wait for longer.
         """
         state = self.workspaces[workspace]
-        first = max(now, min(state.denied_until.values(), default=now))
-        after = state.returns_at + 1.0 / quota.rate_per_s
+        interval_s = 1.0 / quota.rate_per_s
+        due = [until for until in state.denied_until.values() if until > now]
+        first = max(now + interval_s, min(due, default=now))
+        after = state.returns_at + interval_s
         state.returns_at = after if first <= after <= first + self.bounds.window_s else first
         return state.returns_at - now
 
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -273,3 +273,11 @@
     in_window = limit.rate_per_s * bounds.window_s + limit.tokens_max
     assert limit.shares * in_window <= bounds.requests_max(quota)
     assert limit.tokens_max >= 1 or bounds.requests_max(quota) < 1
+
+
+def test_a_refused_caller_never_returns_at_once() -> None:
+    """Guards against a Retry-After of 0, sent when the next token is due just now."""
+    choice = ShareChoice(bounds=BOUNDS)
+    for slot in choice.slots(0.0, "w", QUOTA):
+        choice.on_denied(0.0, "w", slot, 0.1)
+    assert choice.retry_after_s(0.0999, "w", QUOTA) >= 1 / QUOTA.rate_per_s
