--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -95,8 +95,3 @@
     holders: dict[int, str]
     lease_until: float
     held: frozenset[int]
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WorkspaceQuotaUsed:
-    """To ``metadata``: a workspace has a quota, so the issuer slots are needed."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -19,10 +19,10 @@
     IssuerSlotsChanged,
     MetadataChanged,
     MetadataListed,
+    RouteTableChanged,
     SettingsChanged,
     StoreReplyReceived,
     StoreWatchEnded,
-    WorkspaceQuotaUsed,
     WriteCrashReport,
 )
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
@@ -130,8 +130,8 @@
             match await mailbox.receive():
                 case WriteCrashReport(report=report):
                     self.own_entries.reports.add(report)
-                case WorkspaceQuotaUsed():
-                    self.issuer_slots.used = True
+                case RouteTableChanged(table=table):
+                    self.issuer_slots.used = table.has_quotas
                 case SettingsChanged(settings=settings):
                     self.store.use_address(settings.store_address)
                 case Stop():
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -24,7 +24,6 @@
     IssuerSlotsChanged,
     SettingsChanged,
     Tick,
-    WorkspaceQuotaUsed,
 )
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.links import PeerLinks
@@ -37,7 +36,6 @@
 )
 from azurefield_entry.gateway.requests.outcomes import refusal
 from azurefield_entry.kernel import Kernel, Stop, send_every
-from azurefield_entry.notify import notify
 
 if TYPE_CHECKING:
     from azurefield.quota_shares import QuotaBounds
@@ -81,12 +79,9 @@
     choice: ShareChoice = field(default_factory=ShareChoice)
     holders: dict[int, str] = field(default_factory=dict)
     silent_until: dict[str, float] = field(default_factory=dict)
-    kernel: Kernel | None = None
-    used: bool = False
 
-    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
+    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Apply changes of the issuer slots and of the settings until ``Stop``."""
-        self.kernel = kernel
         ticking = asyncio.create_task(send_every(mailbox, Tick(), TICK_INTERVAL_S))
         while True:
             match await mailbox.receive():
@@ -126,8 +121,6 @@
         """
         if workspace is None or workspace.quota is None:
             return None
-        if not self.used and self.kernel is not None:
-            self.used = notify(self.kernel, "metadata", WorkspaceQuotaUsed())
         wait_s = WAIT_WITHOUT_GOAL_S if goal_s is None else WAIT_FRACTION * goal_s
         slots = self.choice.slots(now(), workspace.name, workspace.quota)
         requests = [
