--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -43,10 +42,12 @@
     ServerKey,
 )
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
+from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
 from azurefield_entry.gateway.requests.access import AdmittedRequest, RequestAccess
 from azurefield_entry.gateway.requests.dispatch import RequestDispatcher
 from azurefield_entry.gateway.requests.planning import RequestPlanner
 from azurefield_entry.gateway.requests.runner import RequestRunner
+from azurefield_entry.gateway.requests.start_wait import wait_for_start
 from azurefield_entry.gateway.servers.checker import ServerChecker
 from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_entry.gateway.servers.partition_watch import PartitionWatch
@@ -93,6 +94,7 @@
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
     quotas: ServerQuotas = field(init=False)
+    workspace_quotas: WorkspaceQuotas = field(init=False)
     access: RequestAccess = field(init=False)
     planner: RequestPlanner = field(init=False)
     runner: RequestRunner = field(init=False)
@@ -118,6 +120,9 @@
             instances=lambda: self.instances.names,
             metrics=self.metrics,
         )
+        self.workspace_quotas = WorkspaceQuotas(
+            own=self.instance, peers=self.forwarding.peers, metrics=self.metrics
+        )
         self.crash_broadcast = CrashBroadcast(
             own=self.instance,
             peers=self.forwarding.peers,
@@ -352,7 +357,7 @@
         Cancelling this cancels the request's calls.
         """
         if not self.ready:
-            await self.wait_until_ready(request)
+            await wait_for_start(self.ready_event, request)
         match self.access.admit(request, self.table if self.listing_received else None):
             case Err(failure):
                 return Err(failure)
@@ -360,8 +365,12 @@
                 return await self.run_admitted(admitted)
 
     async def run_admitted(self, admitted: AdmittedRequest) -> RequestResult:
-        """Run an admitted request, here or on another instance."""
-        return await self.dispatcher.dispatch(admitted.request, admitted.route, admitted.version)
+        """Run an admitted request, here or on another instance, if its quota is not used up."""
+        request, route, version = admitted.request, admitted.route, admitted.version
+        refused = await self.workspace_quotas.admit(request.workspace, version, route.goal_s)
+        if refused is not None:
+            return Err(refused)
+        return await self.dispatcher.dispatch(request, route, version)
 
     async def run_forwarded(self, request: GatewayRequest) -> RequestResult:
         """Run a request that another instance has forwarded under the version in force here."""
@@ -371,15 +380,6 @@
             case Ok(admitted):
                 return await self.runner.run(admitted.request, admitted.route, admitted.version)
 
-    async def wait_until_ready(self, request: GatewayRequest) -> None:
-        """Wait a bounded time for the first configuration, which a new process has yet to read."""
-        wait_s = policies.START_WAIT_S
-        if request.deadline is not None:
-            wait_s = min(wait_s, policies.START_WAIT_FRACTION * (request.deadline - self.now()))
-        with suppress(TimeoutError):
-            async with asyncio.timeout(wait_s):
-                await self.ready_event.wait()
-
     def publish_crash_report(self, report: CrashReport) -> None:
         """Send a crash report to all instances, directly and through the store."""
         self.crash_broadcast.send(report)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -4,9 +4,10 @@
 
 import os
 import resource
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from azurefield.held_memory import LIMIT_BYTES
+from azurefield.quota_shares import QuotaBounds
 
 # The rest is left to the program itself and to complete answers.
 ANSWER_MEMORY_FRACTION = 1 / 6
@@ -43,6 +44,7 @@
     :param memory_mb: megabytes beyond which the process is killed; None or 0 without such a limit
     :param descriptors_max: how many descriptors the process may have open; None or 0 without a
         limit other than the operating system's
+    :param quota_bounds: what is tolerated beyond the quotas of workspaces
     """
 
     instance: str
@@ -60,6 +62,7 @@
     capacity: float = 0.0
     memory_mb: float | None = None
     descriptors_max: float | None = None
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
     @property
     def answer_memory_bytes(self) -> int:
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -156,6 +156,13 @@
             end = path.rfind("/", 0, end)
         return None
 
+    @property
+    def has_quotas(self) -> bool:
+        """Whether any workspace has a quota."""
+        if self.workspaces is None:
+            return False
+        return any(workspace.quota for workspace in self.workspaces.by_name.values())
+
     def prioritize(self, route: Route, workspace: Workspace | None) -> Route:
         """Return a route with the rank of a workspace's requests as its priority.
 
