Share the room for calls and forwarded requests by priority and workspace

Cause: calls that waited for a connection were served by arrival within a priority, and a late coordinator refused whoever came. One workspace could take the room of all others.

Change: the queue of a server's connections takes turns by workspace (SharedQueue, on FairQueue). A busy coordinator divides what it accepts by priority and workspace with a floor for each (SharedAdmission); the excess is refused and runs elsewhere. Metrics count requests by workspace and show the worst-served tenth. A test of the pool looks at the queue's length in place of its list, which is as strict.

--- a/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
@@ -20,6 +20,7 @@
 
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
+from azurefield.sharing import RequestClass
 from azurefield_entry.backends.connection import TrackedResponse
 from azurefield_entry.backends.dialect import FailedExchange
 
@@ -73,7 +74,8 @@
     be read as the answer to another call.
     """
     latest = request.deadline + DEADLINE_SLACK_S
-    match await pool.acquire(priority=request.priority, deadline=latest):
+    request_class = RequestClass(priority=request.priority)
+    match await pool.acquire(request_class=request_class, deadline=latest):
         case Err(failure):
             return Err(FailedExchange(failure=failure))
         case Ok(connection):
--- a/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
-from itertools import count
 from typing import Generic, Protocol, TypeVar
 
 from result import Err, Ok, Result
 
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
+from azurefield.sharing import RequestClass, SharedQueue
 
 # Shorter than the idle timeouts of backend servers, so that they don't close a connection first.
 CONNECTION_IDLE_MAX_S = 10.0
@@ -34,17 +33,16 @@
 C = TypeVar("C", bound=PooledConnection)
 
 
-@dataclass(slots=True, kw_only=True, order=True)
+@dataclass(slots=True, kw_only=True, eq=False)
 class Waiter(Generic[C]):
-    """A call that waits for a connection, ordered by priority (lowest first), then by arrival.
+    """A call that waits for a connection.
 
     :param avoid: connections that the call must not use
     """
 
-    priority: int
-    arrival: int
-    granted: asyncio.Future[C] = field(compare=False)
-    avoid: Collection[C] = field(default=(), compare=False)
+    request_class: RequestClass
+    granted: asyncio.Future[C]
+    avoid: Collection[C] = ()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -61,8 +59,7 @@
     idle_max_s: float = CONNECTION_IDLE_MAX_S
     open_count: int = 0
     idle: list[C] = field(default_factory=list)
-    waiting: list[Waiter[C]] = field(default_factory=list)
-    arrivals: Iterator[int] = field(default_factory=count)
+    waiting: SharedQueue[Waiter[C]] = field(default_factory=SharedQueue)
     closing: set[asyncio.Task[None]] = field(default_factory=set)
     retired: bool = False
     on_change: Callable[[], None] = lambda: None
@@ -73,7 +70,7 @@
         return self.open_count - len(self.closing)
 
     async def acquire(
-        self, *, priority: int, deadline: float, avoid: Collection[C] = ()
+        self, *, request_class: RequestClass, deadline: float, avoid: Collection[C] = ()
     ) -> Result[C, LeafFailure]:
         """Take a free connection, or wait for one in the order of the queue.
 
@@ -84,10 +81,8 @@
         if connection is not None:
             return Ok(connection)
         granted: asyncio.Future[C] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(
-            priority=priority, arrival=next(self.arrivals), granted=granted, avoid=avoid
-        )
-        heappush(self.waiting, waiter)
+        waiter = Waiter(request_class=request_class, granted=granted, avoid=avoid)
+        self.waiting.push(request_class, waiter)
         try:
             async with asyncio.timeout_at(deadline):
                 return Ok(await asyncio.shield(granted))
@@ -139,8 +134,7 @@
         if waiter.granted.done():
             self.release(waiter.granted.result(), reusable=True)
         else:
-            self.waiting.remove(waiter)
-            heapify(self.waiting)
+            self.waiting.remove(waiter.request_class, waiter)
 
     def release(self, connection: C, *, reusable: bool) -> None:
         """Return a connection; it is closed if it can't be reused or is above the ceiling."""
@@ -154,11 +148,13 @@
 
     def grant(self) -> None:
         """Give free connections to the calls at the head of the queue."""
-        while self.waiting:
-            connection = self.take_idle_or_open(self.waiting[0].avoid)
+        now = asyncio.get_running_loop().time()
+        while (waiter := self.waiting.first(now)) is not None:
+            connection = self.take_idle_or_open(waiter.avoid)
             if connection is None:
                 return
-            heappop(self.waiting).granted.set_result(connection)
+            self.waiting.pop(now)
+            waiter.granted.set_result(connection)
 
     def set_ceiling(self, ceiling: int) -> None:
         """Set the ceiling; surplus idle connections close now, busy ones when their calls end."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -17,6 +17,9 @@
     requests: Counter = field(init=False)
     request_seconds: Histogram = field(init=False)
     key_lookups: Counter = field(init=False)
+    workspace_requests: Counter = field(init=False)
+    worst_workspaces: Gauge = field(init=False)
+    share_refusals: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
@@ -56,6 +59,22 @@
             ("result",),
             registry=registry,
         )
+        self.workspace_requests = Counter(
+            "azurefield_gateway_workspace_requests",
+            "Requests of callers of this instance by workspace and by how they ended.",
+            ("workspace", "result"),
+            registry=registry,
+        )
+        self.worst_workspaces = Gauge(
+            "azurefield_gateway_worst_workspaces_served_ratio",
+            "Served fraction of the requests of the worst-served tenth of workspaces.",
+            registry=registry,
+        )
+        self.share_refusals = Counter(
+            "azurefield_gateway_share_refusals",
+            "Forwarded requests refused while busy, beyond their workspace's part.",
+            registry=registry,
+        )
         self.forwarded = Counter(
             "azurefield_gateway_forwarded",
             "Requests forwarded to a coordinator by how that ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -12,6 +12,7 @@
 
 from azurefield.overload import LoopLag
 from azurefield.quota import QuotaDenied, QuotaGranted
+from azurefield.sharing import RequestClass, SharedAdmission
 from azurefield_entry.clock import now
 from azurefield_entry.front.activity import Activity
 from azurefield_entry.gateway.crashes.frames import (
@@ -71,7 +72,8 @@
 
     A request is refused, which guarantees that it does not run, while another version of the route
     table is in force here, while this process is overloaded or reaches no server itself, and after
-    a planned stop has begun. Some requests that no other instance is asked for are run in spite of
+    a planned stop has begun. While it is busy, workspaces that ask for more than their part are
+    refused what exceeds it. Some requests that no other instance is asked for are run in spite of
     an overload if they may still end in time. A request is never passed on again.
 
     :param address: ``host:port`` where other instances connect
@@ -81,6 +83,8 @@
     :param on_crash_report: called with each crash report of another instance
     :param partitioned: whether this instance reaches no server
     :param finish_timeout_s: how long a planned stop waits for running requests
+    :param classify: returns the class of a request; None if it has no workspace
+    :param on_share_refused: called for each request that exceeds its workspace's part
     """
 
     address: str
@@ -94,6 +98,9 @@
     request_count: int = 0
     activity: Activity = field(default_factory=Activity)
     links: set[AcceptedLink] = field(default_factory=set)
+    classify: Callable[[GatewayRequest], RequestClass | None] = lambda _: None
+    on_share_refused: Callable[[], None] = lambda: None
+    admission: SharedAdmission = field(default_factory=SharedAdmission)
     lag: LoopLag = field(default_factory=lambda: LoopLag(interval_s=HEARTBEAT_INTERVAL_S))
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
@@ -103,7 +110,7 @@
         while True:
             match await mailbox.receive():
                 case Tick():
-                    self.lag.on_tick(now())
+                    self.on_tick(now())
                     self.send_heartbeats()
                 case BeginDrain():
                     self.draining = True
@@ -119,6 +126,17 @@
         for link in [*self.links]:
             link.writer.close()
 
+    def on_tick(self, now: float) -> None:
+        """Record how late the event loop is, and divide the room for requests anew."""
+        limited = self.admission.limiting
+        self.lag.on_tick(now)
+        self.admission.on_interval(now, self.lag.tick_late_s)
+        if self.admission.limiting and not limited:
+            log.info(
+                "Busy: {:.0f} forwarded requests/s are accepted, shared by workspaces.",
+                self.admission.capacity_per_s,
+            )
+
     async def finish_running(self) -> int:
         """Wait for the running requests, at most for ``finish_timeout_s``.
 
@@ -186,7 +204,8 @@
 
     def accept(self, link: AcceptedLink, frame: ForwardedRequest) -> None:
         """Start a request, or refuse it."""
-        refusal = self.refuse(frame)
+        request = decode_request(frame, now())
+        refusal = self.refuse(frame, request)
         if refusal is not None:
             link.send(refusal)
             return
@@ -194,27 +213,43 @@
         activity_id = str(self.request_count)
         self.activity.begin(activity_id)
         link.send(RequestAccepted(number=frame.number))
-        request = decode_request(frame, now())
         task = asyncio.create_task(self.run_accepted(link, frame.number, request))
         link.running[frame.number] = task
         task.add_done_callback(lambda _: self.end(link, frame.number, activity_id))
 
-    def refuse(self, frame: ForwardedRequest) -> RequestRefused | None:
+    def refuse(self, frame: ForwardedRequest, request: GatewayRequest) -> RequestRefused | None:
         """Build the refusal of a request that can't be run here; None if it can."""
-        detail, retry_after_s = "", None
         if self.draining:
             detail = "a planned stop has begun"
         elif self.partitioned():
             detail = "no server can be reached"
         elif self.version() != frame.version:
             detail = f"version {self.version()} of the configuration is in force"
-        elif self.lag.overloaded(now()) and not self.must_run(frame):
+        else:
+            return self.refuse_excess(frame, request)
+        return RequestRefused(number=frame.number, detail=detail)
+
+    def refuse_excess(
+        self, frame: ForwardedRequest, request: GatewayRequest
+    ) -> RequestRefused | None:
+        """Build the refusal of a request that there is no room for; None if there is."""
+        late = self.lag.overloaded(now())
+        within_share = self.accepts_share(request, late=late)
+        if (within_share and not late) or self.must_run(frame):
+            return None
+        if late:
             detail = f"the event loop is {self.lag.late_s(now()) * 1000:.0f} ms late"
             retry_after_s = self.lag.recovery_s(now())
         else:
-            return None
+            self.on_share_refused()
+            detail, retry_after_s = "the workspace's part is used up", HEARTBEAT_INTERVAL_S
         return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
+    def accepts_share(self, request: GatewayRequest, *, late: bool) -> bool:
+        """Whether a request is within its workspace's part of what a busy process accepts."""
+        request_class = self.classify(request)
+        return request_class is None or self.admission.accepts(request_class, late=late)
+
     def must_run(self, frame: ForwardedRequest) -> bool:
         """Whether a request runs here in spite of an overload, as no other instance is asked."""
         left_s = frame.must_end_in_s
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -13,15 +13,18 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 from azurefield.routes import Route
+from azurefield.sharing import RequestClass
+from azurefield.workspaces import Workspace
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import GatewayRequest
 from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.gateway.requests.workspace_results import WorkspaceResults
 from azurefield_entry.log_limit import LineLimit
 
 if TYPE_CHECKING:
     from azurefield.routes import RouteTable
-    from azurefield.workspaces import Workspace, WorkspaceKeys
+    from azurefield.workspaces import WorkspaceKeys
 
 # While the store was last heard of longer ago than this, an unknown key may be a new one. In calm,
 # a watch of the store returns after 3 s at the latest.
@@ -31,7 +34,7 @@
 log = Logger("gateway")
 
 
-class KeyLookup(StrEnum):
+class LookupResult(StrEnum):
     """How the look-up of a request's key ended."""
 
     FOUND = "found"
@@ -41,6 +44,22 @@
     STALE = "stale"
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class KeyLookup:
+    """The look-up of a request's key.
+
+    :param workspace: set only if the key was found
+    """
+
+    result: LookupResult
+    workspace: Workspace | None = None
+
+    @property
+    def admits(self) -> bool:
+        """Whether the request may run."""
+        return self.result in (LookupResult.FOUND, LookupResult.PUBLIC)
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class AdmittedRequest:
     """A request with its route and its workspace, all of one version.
@@ -64,10 +83,14 @@
 
     metrics: GatewayMetrics
     store_age_s: Callable[[], float]
+    results: WorkspaceResults = field(init=False)
     refused_lines: LineLimit = field(
         default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
     )
 
+    def __post_init__(self) -> None:
+        self.results = WorkspaceResults(metrics=self.metrics)
+
     def admit(
         self, request: GatewayRequest, table: RouteTable | None
     ) -> Result[AdmittedRequest, RequestFailure]:
@@ -82,28 +105,27 @@
             return Err(no_route_failure(table.version))
         if table.workspaces is None:
             return Ok(admitted(pass_identity_on(request), route, table, None))
-        lookup, workspace = self.look_up(request, route, table.workspaces)
-        self.metrics.key_lookups.labels(lookup).inc()
-        request = replace(request, caller_key=None)
-        if lookup in (KeyLookup.FOUND, KeyLookup.PUBLIC):
-            return Ok(admitted(request, route, table, workspace))
-        self.log_refused(request, route, table.version, lookup)
-        return Err(key_failure(lookup))
+        lookup = self.look_up(request, route, table.workspaces)
+        self.metrics.key_lookups.labels(lookup.result).inc()
+        if lookup.admits:
+            return Ok(admitted(request, route, table, lookup.workspace))
+        self.log_refused(request, route, table.version, lookup.result)
+        return Err(key_failure(lookup.result))
 
     def look_up(
         self, request: GatewayRequest, route: Route, workspaces: WorkspaceKeys
-    ) -> tuple[KeyLookup, Workspace | None]:
+    ) -> KeyLookup:
         """Look the key of a request up; on public routes it does not matter."""
         if route.public:
-            return KeyLookup.PUBLIC, None
+            return KeyLookup(result=LookupResult.PUBLIC)
         key = None if request.caller_key is None else request.caller_key.value
         if not key:
-            return KeyLookup.MISSING, None
+            return KeyLookup(result=LookupResult.MISSING)
         workspace = workspaces.find(key)
         if workspace is not None:
-            return KeyLookup.FOUND, workspace
+            return KeyLookup(result=LookupResult.FOUND, workspace=workspace)
         stale = self.store_age_s() > KEYS_STALE_S
-        return KeyLookup.STALE if stale else KeyLookup.UNKNOWN, None
+        return KeyLookup(result=LookupResult.STALE if stale else LookupResult.UNKNOWN)
 
     def readmit(
         self, request: GatewayRequest, table: RouteTable | None
@@ -125,8 +147,20 @@
             return Err(refusal(FailureKind.NOT_READY, "no workspace of the coordinator matches"))
         return Ok(admitted(request, route, table, workspace))
 
+    def classify(self, request: GatewayRequest, table: RouteTable | None) -> RequestClass | None:
+        """Return the class of a request that another instance forwards.
+
+        :return: None if it has no workspace or can't be admitted here
+        """
+        if request.workspace is None:
+            return None
+        match self.readmit(request, table):
+            case Ok(found):
+                return RequestClass.of(found.route.priority, found.request.workspace)
+        return None
+
     def log_refused(
-        self, request: GatewayRequest, route: Route, version: int, lookup: KeyLookup
+        self, request: GatewayRequest, route: Route, version: int, result: LookupResult
     ) -> None:
         """Log a request without a known key; a flood of them gets few lines."""
         if self.refused_lines.allow(now()):
@@ -135,7 +169,7 @@
                 request.request_id,
                 route.name,
                 version,
-                lookup,
+                result,
                 self.store_age_s() * 1000,
             )
 
@@ -143,9 +177,9 @@
 def admitted(
     request: GatewayRequest, route: Route, table: RouteTable, workspace: Workspace | None
 ) -> AdmittedRequest:
-    """Build an admitted request."""
-    if workspace is not request.workspace:
-        request = replace(request, workspace=workspace)
+    """Build an admitted request, which has its workspace and no key."""
+    if workspace is not request.workspace or request.caller_key is not None:
+        request = replace(request, workspace=workspace, caller_key=None)
     return AdmittedRequest(
         request=request, route=table.prioritize(route, workspace), version=table.version
     )
@@ -172,9 +206,9 @@
     )
 
 
-def key_failure(lookup: KeyLookup) -> RequestFailure:
+def key_failure(result: LookupResult) -> RequestFailure:
     """Build the failure of a request without a known key; it shows nothing of what was sent."""
-    if lookup is KeyLookup.STALE:
+    if result is LookupResult.STALE:
         return refusal(FailureKind.NOT_READY, "the key may be newer than this instance knows")
     return RequestFailure(
         kind=FailureKind.UNAUTHORIZED,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -245,7 +245,9 @@
         else:
             wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
             match await pool.acquire(
-                priority=running.route.priority, deadline=wait_until, avoid=running.carried_by
+                request_class=running.request_class,
+                deadline=wait_until,
+                avoid=running.carried_by,
             ):
                 case Err(failure):
                     return Err(failure)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/running.py
@@ -14,6 +14,7 @@
 from azurefield.merge import MergedParts
 from azurefield.query import FanOut
 from azurefield.routes import Route
+from azurefield.sharing import RequestClass
 from azurefield_entry.gateway.ports import GatewayRequest, LeafConnection, OpaqueAnswer
 
 if TYPE_CHECKING:
@@ -103,6 +104,11 @@
     wake_at: float | None = None
     wake_up: asyncio.TimerHandle | None = None
 
+    @property
+    def request_class(self) -> RequestClass:
+        """The class in which its calls wait for connections."""
+        return RequestClass.of(self.route.priority, self.request.workspace)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a server may have run a call of it."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -357,7 +357,9 @@
             case Err(failure):
                 return Err(failure)
             case Ok(admitted):
-                return await self.run_admitted(admitted)
+                result = await self.run_admitted(admitted)
+        self.access.results.record(admitted.request.workspace, result)
+        return result
 
     async def run_admitted(self, admitted: AdmittedRequest) -> RequestResult:
         """Run an admitted request, here or on another instance."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -110,6 +110,8 @@
             on_crash_report=gateway.on_crash_report_frame,
             partitioned=lambda: gateway.partition_watch.partitioned,
             finish_timeout_s=finish_timeout_s,
+            classify=lambda request: gateway.access.classify(request, gateway.table),
+            on_share_refused=metrics.share_refusals.inc,
         )
     if settings.relay_address is not None:
         services["relay"] = RelayService(address=settings.relay_address)
--- a/packages/azurefield-entry/tests/backends/test_connections.py
+++ b/packages/azurefield-entry/tests/backends/test_connections.py
@@ -6,7 +6,9 @@
 from result import Err, Ok
 
 from azurefield.model import Outcome
+from azurefield.sharing import RequestClass
 from azurefield_entry.backends.calls import call_leaf
+from azurefield_entry.backends.pool import ConnectionPool
 from azurefield_testkit.entry_support.wire_server import (
     WireRequest,
     WireServer,
@@ -18,6 +20,16 @@
 SLOW_S = 0.1
 
 
+class IdleConnection:
+    """A connection that is never sent anything."""
+
+    idle_since = 0.0
+    usable = True
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
 async def answer_slowly(request: WireRequest) -> None:
     await asyncio.sleep(SLOW_S)
     request.answer()
@@ -66,6 +78,27 @@
         assert server.open_max == 2
 
 
+async def test_calls_that_wait_for_a_connection_take_turns_by_workspace() -> None:
+    """Guards against a workspace that waits behind all calls that another one has queued."""
+    pool = ConnectionPool(connect=IdleConnection, ceiling=1)
+    order: list[str] = []
+
+    async def use(workspace: str) -> None:
+        request_class = RequestClass(priority=1, workspace=workspace)
+        deadline = asyncio.get_running_loop().time() + 10.0
+        connection = await pool.acquire(request_class=request_class, deadline=deadline)
+        order.append(workspace)
+        await asyncio.sleep(0)
+        pool.release(connection.unwrap(), reusable=True)
+
+    async with asyncio.TaskGroup() as group:
+        for workspace in ["greedy"] * 10 + ["small"] * 2:
+            group.create_task(use(workspace))
+    assert "small" in order[1:3]
+    assert order.index("small", order.index("small") + 1) <= 4
+    assert len(pool.waiting) == 0
+
+
 async def test_a_lower_ceiling_closes_idle_connections_now_and_busy_ones_when_they_end() -> None:
     """Guards against open connections above the ceiling that was published to other instances."""
     server = WireServer(script=answer_slowly)
@@ -95,7 +128,7 @@
         ended = await waiting[4]
         assert ended.result.is_ok()
         await settle(pool)
-        assert (pool.open_count, len(pool.idle), pool.waiting) == (1, 1, [])
+        assert (pool.open_count, len(pool.idle), len(pool.waiting)) == (1, 1, 0)
 
 
 async def test_a_connection_that_the_server_closed_while_idle_is_replaced() -> None:
--- a/packages/azurefield-entry/tests/gateway/test_access.py
+++ b/packages/azurefield-entry/tests/gateway/test_access.py
@@ -9,15 +9,23 @@
 import pytest
 from result import Err, Ok
 
-from azurefield.failures import FailureKind
+from azurefield.failures import FailureKind, RequestFailure
+from azurefield.merge import MergedParts
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits, Route, RouteTable, SingleService
 from azurefield.workspaces import Workspace, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.forward_frames import decode_request, encode_request
-from azurefield_entry.gateway.ports import CallerKey, GatewayRequest
+from azurefield_entry.gateway.ports import CallerKey, GatewayRequest, OpaqueAnswer
 from azurefield_entry.gateway.requests.access import KEYS_STALE_S, RequestAccess
+from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.gateway.requests.workspace_results import (
+    LABELLED_MAX,
+    WorkspaceResult,
+    WorkspaceResults,
+    result_of,
+)
 from azurefield_entry.log_limit import LineLimit
 from azurefield_testkit.entry_support.gateway_parts import make_request
 
@@ -163,3 +171,35 @@
     limit = LineLimit(lines_per_s=10.0)
     assert sum(limit.allow(number / 1000) for number in range(1000)) <= 20
     assert sum(limit.allow(2.0 + number) for number in range(5)) == 5
+
+
+async def test_the_results_of_many_workspaces_have_a_bounded_number_of_label_values() -> None:
+    """Guards against metrics that take a process's memory with each new workspace."""
+    metrics = GatewayMetrics()
+    results = WorkspaceResults(metrics=metrics)
+    failure = RequestFailure(
+        kind=FailureKind.LEAF_UNAVAILABLE, outcome=Outcome.MAY_HAVE_RUN, detail=""
+    )
+    for number in range(3 * LABELLED_MAX):
+        results.record(Workspace(name=f"w{number}"), Err(failure))
+    results.record(None, Err(failure))
+    families = {family.name: family for family in metrics.registry.collect()}
+    samples = families["azurefield_gateway_workspace_requests"].samples
+    counts = {one.labels["workspace"]: one.value for one in samples if one.name.endswith("_total")}
+    assert len(counts) == LABELLED_MAX + 1
+    assert counts["other"] == 2 * LABELLED_MAX
+
+
+@pytest.mark.parametrize(
+    ("result", "expected"),
+    [
+        (Ok(MergedParts(proofs=(), missing=1, body=b"")), WorkspaceResult.SERVED),
+        (Ok(OpaqueAnswer(status=204, headers=(), body=b"", proof="p")), WorkspaceResult.SERVED),
+        (Ok(OpaqueAnswer(status=500, headers=(), body=b"", proof="p")), WorkspaceResult.FAILED),
+        (Err(refusal(FailureKind.QUOTA_EXCEEDED, "")), WorkspaceResult.OVER_QUOTA),
+        (Err(refusal(FailureKind.LEAF_UNAVAILABLE, "")), WorkspaceResult.REFUSED),
+    ],
+)
+def test_only_a_success_counts_as_served(result: Any, expected: WorkspaceResult) -> None:
+    """Guards against a ratio that hides the failures of a workspace."""
+    assert result_of(result) is expected
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -19,6 +19,8 @@
 from azurefield.model import Outcome
 from azurefield.routes import Route, ShardSet
 from azurefield.routing import OwnObservationRouter
+from azurefield.sharing import RequestClass, SharedAdmission
+from azurefield.workspaces import Workspace
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.forwarding import Forwarding, ForwardProblem, ForwardTarget
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
@@ -127,7 +129,7 @@
         await serving
 
 
-def request(number: int = 1) -> GatewayRequest:
+def request(number: int = 1, workspace: Workspace | None = None) -> GatewayRequest:
     now = asyncio.get_running_loop().time()
     return GatewayRequest(
         request_id=f"q{number}",
@@ -138,6 +140,7 @@
         body=b"",
         arrived_at=now,
         deadline=now + 1.5,
+        workspace=workspace,
     )
 
 
@@ -307,6 +310,30 @@
         assert await waiting == Ok(ANSWER)
 
 
+class FixedAdmission(SharedAdmission):
+    """Keeps the parts that a test has set."""
+
+    def on_interval(self, now: float, late_s: float) -> None:
+        pass
+
+
+async def test_a_busy_coordinator_refuses_what_exceeds_a_workspace_s_part() -> None:
+    """Guards against one workspace that takes the whole coordinator, or all that are refused."""
+    runner = Runner()
+    runner.release.set()
+    greedy, small = (RequestClass(priority=0, workspace=name) for name in ("greedy", "small"))
+    async with pair(runner) as instances:
+        coordinator = instances.coordinator
+        coordinator.classify = lambda asked: RequestClass.of(0, asked.workspace)
+        coordinator.admission = FixedAdmission(parts={greedy: 1.0}, credits={greedy: 0.0})
+        refused = await instances.forward(request(1, Workspace(name="greedy")))
+        assert isinstance(refused, Err)
+        assert refused.err_value.problem is ForwardProblem.REFUSED
+        assert not runner.started
+        assert await instances.forward(request(2, Workspace(name="small"))) == Ok(ANSWER)
+        assert coordinator.admission.asked == {greedy: 1, small: 1}
+
+
 async def test_a_planned_stop_finishes_the_requests_of_other_instances() -> None:
     """Guards against a planned stop that cuts requests which the coordinator has accepted."""
     runner = Runner()
--- a/packages/azurefield/src/azurefield/overload.py
+++ b/packages/azurefield/src/azurefield/overload.py
@@ -23,12 +23,14 @@
     others, and the time right after the process was suspended.
 
     :param lag_s: the latest lag, or an earlier greater one that has decayed
+    :param tick_late_s: how late the latest tick was
     :param lasting: whether a tick was late again before an overload had passed
     """
 
     interval_s: float
     ticked_at: float | None = None
     lag_s: float = 0.0
+    tick_late_s: float = 0.0
     lasting: bool = False
 
     def on_tick(self, now: float) -> None:
@@ -36,6 +38,7 @@
         if self.ticked_at is not None:
             late_s = max(0.0, now - self.ticked_at - self.interval_s)
             late_again = self.lag_s > LAG_MAX_S and late_s > LAG_MAX_S
+            self.tick_late_s = late_s
             self.lag_s = max(late_s, LAG_DECAY * self.lag_s)
             self.lasting = (self.lasting or late_again) and self.lag_s > LAG_MAX_S
         self.ticked_at = now
--- /dev/null
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -0,0 +1,259 @@
+"""Shares room that does not suffice: by priority, then fairly among workspaces."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from math import exp, inf
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from azurefield.fairness import FairQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from azurefield.workspaces import Workspace
+
+# Fraction of an equal service that each class of requests keeps, whatever its priority.
+FLOOR_FRACTION = 0.3
+# A process that is so late has the work that it should have; below, its capacity rises. An urgent
+# request is delayed by less than another attempt costs.
+LATE_TARGET_S = 0.03
+# By how much the capacity changes in an interval: in proportion to the distance from the target.
+CAPACITY_GAIN = 0.05
+CAPACITY_FALL_MAX = 0.15
+# A capacity that exceeds the demand by this factor is no limit any more.
+UNLIMITED_FACTOR = 1.5
+# Time constant of the averages of demand and accepted requests.
+AVERAGE_S = 0.5
+# Lower capacities, in requests per second, could not be told from a process that stands still.
+CAPACITY_MIN_PER_S = 1.0
+# Credit is kept for this time: a workspace whose requests come unevenly gets its part all the same.
+CREDIT_MAX_S = 1.0
+# A class that asks for less than this, in requests per second, is forgotten.
+DEMAND_MIN_PER_S = 0.01
+# Part of a class's demand that may be missing because of binary rounding.
+ROUNDING_TOLERANCE = 1e-6
+
+ItemT = TypeVar("ItemT")
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RequestClass:
+    """Requests that are treated alike.
+
+    :param priority: 0 first
+    :param workspace: empty for requests without a workspace
+    :param weight: the workspace's weight among those of the same priority
+    """
+
+    priority: int
+    workspace: str = ""
+    weight: float = 1.0
+
+    @classmethod
+    def of(cls, priority: int, workspace: Workspace | None) -> RequestClass:
+        """Return the class of a workspace's requests; a quota's rate is its weight."""
+        if workspace is None:
+            return cls(priority=priority)
+        weight = 1.0 if workspace.quota is None else workspace.quota.rate_per_s
+        return cls(priority=priority, workspace=workspace.name, weight=weight)
+
+
+@dataclass(slots=True, kw_only=True)
+class SharedQueue(Generic[ItemT]):
+    """Queues items by priority, then by start-time fair queueing over workspaces, then by arrival.
+
+    >>> queue: SharedQueue[str] = SharedQueue()
+    >>> for workspace, item in (("a", "a1"), ("a", "a2"), ("b", "b1")):
+    ...     queue.push(RequestClass(priority=1, workspace=workspace), item)
+    >>> queue.push(RequestClass(priority=0, workspace="a"), "urgent")
+    >>> [queue.pop(0.0) for _ in range(4)]
+    ['urgent', 'a1', 'b1', 'a2']
+    """
+
+    by_priority: dict[int, FairQueue[ItemT]] = field(default_factory=dict)
+    weights: dict[str, float] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self.by_priority.values())
+
+    def push(self, request_class: RequestClass, item: ItemT) -> None:
+        """Queue an item behind the others of its class."""
+        queue = self.by_priority.get(request_class.priority)
+        if queue is None:
+            queue = self.by_priority[request_class.priority] = FairQueue(weights=self.weights)
+        self.weights[request_class.workspace] = request_class.weight
+        queue.push(request_class.workspace, 1.0, item)
+
+    def first(self, now: float) -> ItemT | None:
+        """Return the item that ``pop`` would remove; None if none is queued."""
+        if not self.by_priority:
+            return None
+        return self.by_priority[min(self.by_priority)].peek(now)
+
+    def pop(self, now: float) -> ItemT | None:
+        """Remove and return the next item; None if none is queued."""
+        if not self.by_priority:
+            return None
+        priority = min(self.by_priority)
+        item = self.by_priority[priority].pop(now)
+        self.forget_empty(priority)
+        return item
+
+    def remove(self, request_class: RequestClass, item: ItemT) -> bool:
+        """Drop an item, which its workspace is not charged for.
+
+        :return: whether it was queued
+        """
+        queue = self.by_priority.get(request_class.priority)
+        if queue is None or not queue.remove(request_class.workspace, item):
+            return False
+        self.forget_empty(request_class.priority)
+        return True
+
+    def forget_empty(self, priority: int) -> None:
+        """Drop the state of workspaces once nothing of a priority is queued."""
+        if not len(self.by_priority[priority]):
+            del self.by_priority[priority]
+        if not self.by_priority:
+            self.weights.clear()
+
+
+def divide(capacity: float, demand: Mapping[RequestClass, float]) -> dict[RequestClass, float]:
+    """Divide a capacity among classes of requests; all numbers are requests per second.
+
+    Each class keeps ``FLOOR_FRACTION`` of an equal service. The rest goes by priority, and among
+    the workspaces of one priority by weight, up to what each one asks.
+
+    >>> greedy, small = (RequestClass(priority=0, workspace=name) for name in ("greedy", "small"))
+    >>> parts = divide(10.0, {greedy: 90.0, small: 2.0})
+    >>> round(parts[greedy], 3), round(parts[small], 3)
+    (8.0, 2.0)
+    """
+    total = sum(demand.values())
+    if total <= capacity:
+        return dict(demand)
+    floor = FLOOR_FRACTION * capacity / total
+    parts = {one: floor * asked for one, asked in demand.items()}
+    left = capacity - sum(parts.values())
+    for priority in sorted({one.priority for one in demand}):
+        asked = {one: rate for one, rate in demand.items() if one.priority == priority}
+        granted = fill_by_weight(left + sum(parts[one] for one in asked), asked)
+        for one, part in granted.items():
+            extra = min(left, max(0.0, part - parts[one]))
+            parts[one] += extra
+            left -= extra
+    return parts
+
+
+def fill_by_weight(
+    capacity: float, asked: Mapping[RequestClass, float]
+) -> dict[RequestClass, float]:
+    """Divide a capacity by weight; what a class does not ask for goes to the others."""
+    granted: dict[RequestClass, float] = {}
+    weights_left = sum(one.weight for one in asked)
+    # Those that ask least for their weight come first: what they leave goes to the others.
+    for one in sorted(asked, key=lambda one: asked[one] / one.weight):
+        part = min(asked[one], capacity * one.weight / weights_left)
+        granted[one] = part
+        capacity -= part
+        weights_left -= one.weight
+    return granted
+
+
+@dataclass(slots=True, kw_only=True)
+class SharedAdmission:
+    """Accepts the requests of a process that is busy: by priority, then by workspaces' weights.
+
+    The load that it answers: more requests than the process runs in time, also from one workspace
+    alone. The capacity follows from how late the process is in each interval.
+
+    :param capacity_per_s: requests that are accepted per second; infinite while there is no limit
+    :param demand: average requests per second of each class
+    :param accepted_per_s: average of the accepted requests per second
+    :param parts: requests per second of the classes that ask for more than they get
+    :param credits: how many requests of these classes may be accepted now
+    :param was_late: whether the process was late in the last interval; a single one limits nothing
+    """
+
+    capacity_per_s: float = inf
+    demand: dict[RequestClass, float] = field(default_factory=dict)
+    accepted_per_s: float = 0.0
+    parts: dict[RequestClass, float] = field(default_factory=dict)
+    credits: dict[RequestClass, float] = field(default_factory=dict)
+    asked: Counter[RequestClass] = field(default_factory=Counter)
+    accepted: int = 0
+    interval_began_at: float | None = None
+    was_late: bool = False
+
+    @property
+    def limiting(self) -> bool:
+        """Whether some requests are refused."""
+        return bool(self.parts)
+
+    def accepts(self, request_class: RequestClass, *, late: bool = False) -> bool:
+        """Count a request, and decide whether it is accepted.
+
+        :param late: whether the process is too late for any request
+        """
+        self.asked[request_class] += 1
+        if late:
+            return False
+        if request_class in self.parts:
+            if self.credits[request_class] < 1.0:
+                return False
+            self.credits[request_class] -= 1.0
+        self.accepted += 1
+        return True
+
+    def on_interval(self, now: float, late_s: float) -> None:
+        """End an interval, whose length may vary.
+
+        :param late_s: how late the process does its work
+        """
+        began_at, self.interval_began_at = self.interval_began_at, now
+        if began_at is None or now <= began_at:
+            return
+        elapsed_s = now - began_at
+        self.average(elapsed_s)
+        change = CAPACITY_GAIN * (1.0 - late_s / LATE_TARGET_S)
+        late_again = self.was_late and late_s > LATE_TARGET_S
+        self.was_late = late_s > LATE_TARGET_S
+        if late_again:
+            self.capacity_per_s = min(self.capacity_per_s, self.accepted_per_s)
+        self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, change)
+        self.capacity_per_s = max(CAPACITY_MIN_PER_S, self.capacity_per_s)
+        if self.capacity_per_s > UNLIMITED_FACTOR * sum(self.demand.values()):
+            self.capacity_per_s = inf
+        self.set_parts(elapsed_s)
+
+    def average(self, elapsed_s: float) -> None:
+        """Add an interval to the averages."""
+        weight = 1.0 - exp(-elapsed_s / AVERAGE_S)
+        for one in self.asked:
+            self.demand.setdefault(one, 0.0)
+        averages = {
+            one: rate + weight * (self.asked[one] / elapsed_s - rate)
+            for one, rate in self.demand.items()
+        }
+        self.demand = {one: rate for one, rate in averages.items() if rate >= DEMAND_MIN_PER_S}
+        self.accepted_per_s += weight * (self.accepted / elapsed_s - self.accepted_per_s)
+        self.asked.clear()
+        self.accepted = 0
+
+    def set_parts(self, elapsed_s: float) -> None:
+        """Divide the capacity, and add to the credits of the classes that are limited."""
+        parts = divide(self.capacity_per_s, self.demand)
+        self.parts = {
+            one: part
+            for one, part in parts.items()
+            if part < (1.0 - ROUNDING_TOLERANCE) * self.demand[one]
+        }
+        self.credits = {one: self.credit(one, elapsed_s) for one in self.parts}
+
+    def credit(self, one: RequestClass, elapsed_s: float) -> float:
+        """Return the credit of a limited class; one that was not limited before has all of it."""
+        credit_max = max(1.0, CREDIT_MAX_S * self.parts[one])
+        known = self.credits.get(one)
+        return credit_max if known is None else min(credit_max, known + self.parts[one] * elapsed_s)
--- /dev/null
+++ b/packages/azurefield/tests/test_sharing.py
@@ -0,0 +1,188 @@
+"""What workspaces get of too little room, on virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from math import inf
+from random import Random
+
+import pytest
+
+from azurefield.overload import LAG_MAX_S, LoopLag
+from azurefield.sharing import (
+    FLOOR_FRACTION,
+    RequestClass,
+    SharedAdmission,
+    SharedQueue,
+    divide,
+)
+
+INTERVAL_S = 0.1
+STEP_S = 0.002
+# Requests per second that the process of the play runs in time.
+CAPACITY_PER_S = 100.0
+NORMAL = tuple(RequestClass(priority=number % 2, workspace=f"w{number}") for number in range(8))
+GREEDY = RequestClass(priority=1, workspace="greedy")
+# Normal load is 0.54 of the capacity; in the burst, the greedy workspace sends 40 times its usual.
+NORMAL_PER_S = 6.0
+BURST_PER_S = 240.0
+BURST = (5.0, 45.0)
+END_S = 50.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Process:
+    """A process whose event loop is as late as the work that it has accepted.
+
+    :param shared: None for one that accepts all requests until it is late
+    :param backlog_s: accepted work that is not done
+    :param tick_at: when the event loop reaches its next tick, which was due at ``due_at``
+    """
+
+    shared: SharedAdmission | None
+    lag: LoopLag = field(default_factory=lambda: LoopLag(interval_s=INTERVAL_S))
+    backlog_s: float = 0.0
+    due_at: float = 0.0
+    tick_at: float | None = None
+    late: dict[float, float] = field(default_factory=dict)
+    refused_for_share: list[float] = field(default_factory=list)
+    asked: Counter[tuple[int, RequestClass]] = field(default_factory=Counter)
+    accepted: Counter[tuple[int, RequestClass]] = field(default_factory=Counter)
+
+    def offer(self, now: float, one: RequestClass) -> None:
+        """Offer a request, which is accepted or refused at once."""
+        self.asked[int(now), one] += 1
+        late = self.lag.overloaded(now)
+        if not late if self.shared is None else self.shared.accepts(one, late=late):
+            self.accepted[int(now), one] += 1
+            self.backlog_s += 1 / CAPACITY_PER_S
+        elif not late:
+            self.refused_for_share.append(now)
+
+    def work(self, now: float) -> None:
+        """Work until the next step, and tick if that is reached."""
+        if self.tick_at is None and now >= self.due_at:
+            self.tick_at = now + self.backlog_s
+        self.backlog_s = max(0.0, self.backlog_s - STEP_S)
+        if self.tick_at is None or now < self.tick_at:
+            return
+        self.lag.on_tick(now)
+        self.late[now] = self.lag.tick_late_s
+        if self.shared is not None:
+            self.shared.on_interval(now, self.lag.tick_late_s)
+        self.due_at, self.tick_at = now + INTERVAL_S, None
+
+    def served(self, one: RequestClass, begin: float, end: float) -> float:
+        """Return the accepted share of a class's requests in a time."""
+        seconds = range(int(begin), int(end))
+        asked = sum(self.asked[second, one] for second in seconds)
+        return sum(self.accepted[second, one] for second in seconds) / asked
+
+
+def play(shared: SharedAdmission | None, seed: int) -> Process:
+    """Play normal load with a burst of one workspace."""
+    process, random = Process(shared=shared), Random(seed)
+    for step in range(int(END_S / STEP_S)):
+        now = step * STEP_S
+        greedy_per_s = BURST_PER_S if BURST[0] <= now < BURST[1] else NORMAL_PER_S
+        for one in (*NORMAL, GREEDY):
+            asked = STEP_S * (greedy_per_s if one is GREEDY else NORMAL_PER_S)
+            for _ in range(int(asked) + (random.random() < asked % 1.0)):
+                process.offer(now, one)
+        process.work(now)
+    return process
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_greedy_workspace_costs_the_others_nothing_beyond_its_share(seed: int) -> None:
+    """Guards against one workspace whose burst has the requests of all others refused."""
+    shared = SharedAdmission()
+    process = play(shared, seed)
+    settled = BURST[0] + 2.0
+    during = [process.served(one, settled, BURST[1]) for one in NORMAL]
+    assert min(during) >= 0.9
+    greedy = process.served(GREEDY, settled, BURST[1])
+    # What the others leave of the capacity, and not much less.
+    left = (CAPACITY_PER_S - len(NORMAL) * NORMAL_PER_S) / BURST_PER_S
+    assert 0.6 * left <= greedy <= 1.1 * left
+    for begin, end in ((0.0, BURST[0]), (BURST[1] + 2.0, END_S)):
+        assert not any(begin <= at < end for at in process.refused_for_share)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_accepted_load_does_not_swing(seed: int) -> None:
+    """Guards against a process that accepts everything and then nothing in turn."""
+    process = play(SharedAdmission(), seed)
+    seconds = range(int(BURST[0]) + 2, int(BURST[1]))
+    rates = [sum(process.accepted[second, one] for one in (*NORMAL, GREEDY)) for second in seconds]
+    assert min(rates) >= 0.7 * CAPACITY_PER_S
+    assert max(rates) <= 1.15 * CAPACITY_PER_S
+    settled = [late for at, late in process.late.items() if BURST[0] + 2.0 <= at < BURST[1]]
+    assert sum(late > LAG_MAX_S for late in settled) <= 0.05 * len(settled)
+
+
+def test_the_same_burst_is_paid_by_all_workspaces_without_shares() -> None:
+    """Guards against a play that would pass without the decision that it is to show."""
+    process = play(None, seed=1)
+    assert min(process.served(one, BURST[0] + 2.0, BURST[1]) for one in NORMAL) < 0.7
+
+
+A0, B0 = (RequestClass(priority=0, workspace=name) for name in "ab")
+A1, B1 = (RequestClass(priority=1, workspace=name) for name in "ab")
+HEAVY = RequestClass(priority=0, workspace="heavy", weight=3.0)
+
+
+@pytest.mark.parametrize(
+    ("capacity", "demand", "expected"),
+    [
+        pytest.param(10.0, {A0: 4.0, B1: 6.0}, {A0: 4.0, B1: 6.0}, id="enough"),
+        pytest.param(10.0, {A0: 10.0, B1: 10.0}, {A0: 8.5, B1: 1.5}, id="priority-first"),
+        pytest.param(10.0, {A0: 90.0, B0: 10.0}, {A0: 5.0, B0: 5.0}, id="equal-weights"),
+        pytest.param(12.0, {A0: 90.0, HEAVY: 90.0}, {A0: 3.0, HEAVY: 9.0}, id="by-weight"),
+        pytest.param(10.0, {A0: 90.0, B0: 1.0}, {A0: 9.0, B0: 1.0}, id="asks-less-than-its-part"),
+        pytest.param(inf, {A0: 90.0}, {A0: 90.0}, id="no-limit"),
+        pytest.param(1.0, {}, {}, id="nothing-asked"),
+    ],
+)
+def test_room_goes_by_priority_then_by_weight(
+    capacity: float, demand: dict[RequestClass, float], expected: dict[RequestClass, float]
+) -> None:
+    """Guards against room that goes to those who ask most."""
+    assert divide(capacity, demand) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_class_gets_less_than_its_floor_and_no_room_is_left_over(seed: int) -> None:
+    """Guards against a workspace with a low priority that starves, and against idle room."""
+    random = Random(seed)
+    demand = {
+        RequestClass(
+            priority=random.randrange(4), workspace=f"w{number}", weight=random.uniform(0.1, 50.0)
+        ): random.expovariate(0.2)
+        for number in range(random.randrange(2, 60))
+    }
+    capacity = random.uniform(0.05, 0.95) * sum(demand.values())
+    parts = divide(capacity, demand)
+    assert sum(parts.values()) == pytest.approx(capacity)
+    served = capacity / sum(demand.values())
+    for one, asked in demand.items():
+        assert 0.999 * FLOOR_FRACTION * served * asked <= parts[one] <= 1.001 * asked
+
+
+def test_a_queue_serves_workspaces_in_turn_whoever_came_first() -> None:
+    """Guards against a workspace that waits behind all calls that another one has queued."""
+    queue: SharedQueue[str] = SharedQueue()
+    for number in range(50):
+        queue.push(A1, f"a{number}")
+    queue.push(B1, "b0")
+    queue.push(B0, "urgent")
+    assert queue.remove(A1, "a0")
+    assert not queue.remove(A1, "a0")
+    assert len(queue) == 51
+    order = [queue.pop(0.0) for _ in range(4)]
+    assert order[0] == "urgent"
+    assert "b0" in order
+    while queue.pop(0.0) is not None:
+        pass
+    assert (queue.first(0.0), queue.by_priority, queue.weights) == (None, {}, {})
--- a/tests/fleet/test_workspaces.py
+++ b/tests/fleet/test_workspaces.py
@@ -114,6 +114,8 @@
         assert workspaces_received(site, "open-with-key") == {None}
         assert await status_of(site, "/zzz/x", "no-route", NEW_KEY) == 404
         assert 'key_lookups_total{result="unknown"} 5.0' in await site.metrics()
+        counted = 'workspace_requests_total{result="served",workspace="w1"} 3.0'
+        assert counted in await site.metrics()
         await assert_nothing_shows_a_secret(site)
 
 
