--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -121,6 +121,8 @@
             partitioned=lambda: gateway.partition_watch.partitioned,
             finish_timeout_s=finish_timeout_s,
             load=caller_load,
+            classify=lambda request: gateway.access.classify(request, gateway.table),
+            on_share_refused=metrics.share_refusals.inc,
         )
         metadata.issuer_slots.can_issue = lambda: coordinator.listening
     if settings.relay_address is not None:
