Send no new calls to servers in evacuated zones

Cause: the operator's request to evacuate an availability zone was not read.

Change: the adapter decodes the key, Directory lists no server of an evacuated zone, and a call that waited for quota or a connection is checked once more before it is sent.

Result: the tests of the library, the gateway and the adapter that concern this pass; on the old code the request was ignored.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -25,6 +25,8 @@
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
+    evacuated_zones: Gauge = field(init=False)
+    evacuated_calls: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
     servers_ended: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
@@ -94,6 +96,16 @@
             "Backend servers that name a limit of requests per second.",
             registry=registry,
         )
+        self.evacuated_zones = Gauge(
+            "azurefield_gateway_evacuated_zones",
+            "Availability zones whose servers get no new calls at the operator's request.",
+            registry=registry,
+        )
+        self.evacuated_calls = Counter(
+            "azurefield_gateway_evacuated_calls",
+            "Calls not sent because the zone of their server was evacuated while they waited.",
+            registry=registry,
+        )
         self.quota_requests = Counter(
             "azurefield_gateway_quota_requests",
             "Requests of this instance for quota of limited servers by how they ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -181,14 +181,21 @@
     report: CrashReport
 
 
-Item = RouteTable | RegisteredServer | InstanceEntry | CrashReportEntry
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EvacuatedZone:
+    """The operator's request to use no server of an availability zone until it is removed."""
+
+    zone: str
+
+
+Item = RouteTable | RegisteredServer | InstanceEntry | CrashReportEntry | EvacuatedZone
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Removed:
     """A removed key of the store; ``key`` is None if it does not concern the gateway."""
 
-    key: ServerKey | InstanceKey | None
+    key: ItemKey | None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -205,6 +212,16 @@
     instance: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EvacuationKey:
+    """Key of the request to evacuate an availability zone."""
+
+    zone: str
+
+
+ItemKey = ServerKey | InstanceKey | EvacuationKey
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Listing:
     """All items of the store that concern the gateway, as of ``revision`` or later.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -259,6 +259,9 @@
             if running.fan_out.leaf_of_pending_call(action.call_id) is None:
                 # The request has ended meanwhile, perhaps with the answer that it has not run.
                 return Err(not_sent(LeafFailureReason.CANCELLED))
+            if self.directory.is_evacuated(action.server):
+                self.metrics.evacuated_calls.inc()
+                return Err(not_sent(LeafFailureReason.EVACUATED))
             self.record_sent(running, action, connection)
             call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
             return await connection.exchange(call)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -12,7 +12,7 @@
 
 from azurefield.coordinators import CoordinatorView
 from azurefield.crash_evidence import CrashEvidence, CrashReport
-from azurefield.directory import Directory, DirectoryChange, DirectoryChangeKind, RegisteredServer
+from azurefield.directory import Directory, RegisteredServer
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.instances import RunningInstances
 from azurefield.model import Outcome
@@ -36,6 +36,8 @@
 from azurefield_entry.gateway.peers.forwarding import Forwarding
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
+    EvacuatedZone,
+    EvacuationKey,
     GatewayRequest,
     InstanceEntry,
     InstanceKey,
@@ -52,6 +54,7 @@
 from azurefield_entry.gateway.servers.checker import ServerChecker
 from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_entry.gateway.servers.partition_watch import PartitionWatch
+from azurefield_entry.gateway.servers.registry import ServerRegistry
 from azurefield_entry.kernel import Kernel, Stop, send_every
 from azurefield_entry.notify import notify, notify_all
 
@@ -95,6 +98,7 @@
     connections: ServerConnections = field(init=False)
     forwarding: Forwarding = field(init=False)
     quotas: ServerQuotas = field(init=False)
+    registry: ServerRegistry = field(init=False)
     planner: RequestPlanner = field(init=False)
     runner: RequestRunner = field(init=False)
     dispatcher: RequestDispatcher = field(init=False)
@@ -142,6 +146,15 @@
             publish=self.publish_crash_report,
             refuse_running=lambda request: self.runner.refuse(request),
         )
+        self.registry = ServerRegistry(
+            own_zone=self.availability_zone,
+            directory=self.directory,
+            router=self.router,
+            connections=self.connections,
+            checker=checker,
+            quotas=self.quotas,
+            metrics=self.metrics,
+        )
         self.planner = RequestPlanner(
             holders=self.directory,
             router=self.router,
@@ -229,7 +242,8 @@
     def apply_listing(self, now: float, items: tuple[Item, ...]) -> None:
         """Replace the known servers, instances and crash reports by a complete listing."""
         servers = {item.server: item for item in items if isinstance(item, RegisteredServer)}
-        self.apply_directory_changes(now, self.directory.on_listing(now, servers))
+        self.registry.list_evacuations(now, items)
+        self.registry.apply_changes(now, self.directory.on_listing(now, servers))
         self.instances.on_listing(
             now, {item.instance for item in items if isinstance(item, InstanceEntry)}
         )
@@ -253,15 +267,20 @@
             case RouteTable():
                 self.apply_route_table(item)
             case RegisteredServer():
-                self.apply_directory_changes(now, self.directory.on_entry(item))
+                self.registry.apply_changes(now, self.directory.on_entry(item))
             case InstanceEntry(instance=instance):
                 self.instances.on_listed(instance)
                 self.forwarding.view.on_profile(item.profile)
                 self.divide_limits()
             case CrashReportEntry(report=report):
                 self.crash_watch.on_report(report)
+            case EvacuatedZone(zone=zone):
+                self.registry.apply_evacuations(now, self.directory.on_evacuation(zone))
+            case Removed(key=EvacuationKey(zone=zone)):
+                ended = self.directory.on_evacuation_removed(zone)
+                self.registry.apply_evacuations(now, ended)
             case Removed(key=ServerKey(server=server)):
-                self.apply_directory_changes(now, self.directory.on_removed(now, server))
+                self.registry.apply_changes(now, self.directory.on_removed(now, server))
             case Removed(key=InstanceKey(instance=instance)):
                 self.instances.on_removed(now, instance)
 
@@ -281,34 +300,9 @@
         if self.kernel is not None:
             notify_all(self.kernel, RouteTableChanged(table=table))
 
-    def apply_directory_changes(self, now: float, changes: list[DirectoryChange]) -> None:
-        """Update routing and connections after changes of the directory."""
-        for change in changes:
-            log.info("Server {} is {}.", change.server, change.change)
-            entry = self.directory.servers.get(change.server)
-            if entry is None:
-                self.router.forget(change.server)
-            elif change.change is DirectoryChangeKind.STARTED:
-                other_zone = entry.availability_zone != self.availability_zone
-                self.router.set_wait_penalty(
-                    change.server, policies.OTHER_ZONE_PENALTY_S if other_zone else 0.0
-                )
-                if entry.warmup_s > 0:
-                    self.router.on_restart(now, change.server)
-            if change.change in (
-                DirectoryChangeKind.GONE,
-                DirectoryChangeKind.STARTED,
-                DirectoryChangeKind.LEAVING,
-            ):
-                self.connections.retire(change.server)
-                self.crash_watch.checker.forget(change.server)
-                self.quotas.limits.forget(change.server)
-        self.metrics.servers.set(len(self.directory.servers))
-        self.metrics.limited_servers.set(len(self.quotas.limits.known))
-
     def tick(self, now: float) -> None:
         """Expire old entries and adjust the hedge delays; runs every ``TICK_INTERVAL_S``."""
-        self.apply_directory_changes(now, self.directory.expire(now))
+        self.registry.expire(now)
         self.crash_watch.evidence.expire(now)
         if self.instances.expire(now):
             self.forwarding.retain_only(self.instances.names)
--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -14,7 +14,12 @@
 from azurefield.retry import WindowedBudget
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.ports import InstanceEntry
+from azurefield_entry.gateway.ports import (
+    EvacuatedZone,
+    EvacuationKey,
+    InstanceEntry,
+    Removed,
+)
 from azurefield_entry.gateway.requests.runner import record_reply
 from azurefield_entry.gateway.requests.running import RunningRequest, SentCall
 from azurefield_entry.gateway.servers.connection import HttpLeafConnection
@@ -91,6 +96,37 @@
     listener.close()
 
 
+async def test_a_call_that_connects_when_its_zone_is_evacuated_is_not_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls to an evacuated zone that were waiting when the request came."""
+    connect = HttpLeafConnection.connect
+    connecting, resume = asyncio.Event(), asyncio.Event()
+
+    async def connect_late(connection: HttpLeafConnection) -> bool:
+        connecting.set()
+        await resume.wait()
+        return await connect(connection)
+
+    monkeypatch.setattr(HttpLeafConnection, "connect", connect_late)
+    server = CountingServer()
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    service = gateway_to(address, idempotent=True)
+    running = asyncio.create_task(service.handle(make_request("/1")))
+    await connecting.wait()
+    service.apply_change(now(), EvacuatedZone(zone="one"))
+    resume.set()
+    result = await running
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.NOT_RUN
+    assert server.targets == []
+    service.apply_change(now(), Removed(key=EvacuationKey(zone="one")))
+    assert isinstance(await service.handle(make_request("/2")), Ok)
+    service.connections.retire_all()
+    listener.close()
+
+
 async def test_a_request_that_a_server_ran_may_have_run_at_the_begin_of_a_partition(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/packages/azurefield/src/azurefield/directory.py
+++ b/packages/azurefield/src/azurefield/directory.py
@@ -6,8 +6,10 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from azurefield.evacuations import Evacuations
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from azurefield.snapshot import Holding
 
@@ -112,7 +114,8 @@
     ``REREGISTRATION_GRACE_S`` after the outage ended (``unconfirmed``). A server is unusable until
     its entry changes if another server answers at its address (``misdirected``). An entry that is
     back after its removal without being newer is from a restored store; it is used only if it is
-    still listed after ``RETURNED_ENTRY_HOLD_S`` (``held``).
+    still listed after ``RETURNED_ENTRY_HOLD_S`` (``held``). A server in an evacuated zone is
+    unusable.
     """
 
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
@@ -121,6 +124,7 @@
     misdirected: set[str] = field(default_factory=set)
     removed: dict[str, RemovedEntry] = field(default_factory=dict)
     held: dict[str, HeldEntry] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
     confirmation_deadline: float = float("-inf")
 
     def holders(self, now: float, holding: Holding) -> tuple[str, ...]:  # noqa: ARG002
@@ -237,6 +241,37 @@
         self.update_usable(entry.service)
         return [DirectoryChange(server=server, change=DirectoryChangeKind.GONE)]
 
+    def on_evacuation(self, zone: str) -> frozenset[str]:
+        """Use no server of a zone until the request is removed; return the changed zones."""
+        return self.update_zones(self.evacuations.on_requested(zone))
+
+    def on_evacuation_removed(self, zone: str) -> frozenset[str]:
+        """Use the servers of a zone again; return the changed zones."""
+        return self.update_zones(self.evacuations.on_removed(zone))
+
+    def on_evacuations_listed(self, now: float, zones: Collection[str]) -> frozenset[str]:
+        """Apply a complete listing of the evacuated zones; return the changed zones."""
+        may_lack_requests = now < self.confirmation_deadline
+        return self.update_zones(
+            self.evacuations.on_listing(now, zones, may_lack_requests=may_lack_requests)
+        )
+
+    def expire_evacuations(self, now: float) -> frozenset[str]:
+        """End the evacuations whose requests the store has lost; return the changed zones."""
+        return self.update_zones(self.evacuations.expire(now))
+
+    def update_zones(self, zones: frozenset[str]) -> frozenset[str]:
+        """Recompute the usable servers of the services that have servers in some zones."""
+        entries = self.servers.values()
+        for service in {entry.service for entry in entries if entry.availability_zone in zones}:
+            self.update_usable(service)
+        return zones
+
+    def is_evacuated(self, server: str) -> bool:
+        """Whether a server is in an evacuated zone."""
+        entry = self.servers.get(server)
+        return entry is not None and entry.availability_zone in self.evacuations.until
+
     def update_usable(self, service: str) -> None:
         """Recompute the usable servers of a service."""
         self.usable[service] = tuple(
@@ -245,6 +280,7 @@
             if entry.service == service
             and entry.state is RegisteredState.LIVE
             and entry.server not in self.misdirected
+            and entry.availability_zone not in self.evacuations.until
         )
         if not self.usable[service]:
             del self.usable[service]
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -32,6 +32,7 @@
     CANCELLED = "cancelled"
     NO_CAPACITY = "no_capacity"
     RATE_LIMITED = "rate_limited"
+    EVACUATED = "evacuated"
 
 
 # No byte of such a call reached a server.
@@ -40,6 +41,7 @@
         LeafFailureReason.CONNECT_FAILED,
         LeafFailureReason.NO_CAPACITY,
         LeafFailureReason.RATE_LIMITED,
+        LeafFailureReason.EVACUATED,
     }
 )
 
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -382,7 +382,7 @@
 
 def result_of(failure: LeafFailure) -> CallResult:
     """Return how a failed call ended."""
-    if failure.reason is LeafFailureReason.RATE_LIMITED:
+    if failure.reason in (LeafFailureReason.RATE_LIMITED, LeafFailureReason.EVACUATED):
         return CallResult.NOT_SENT
     if failure.reason in REFUSAL_REASONS:
         return CallResult.REFUSED
--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -10,6 +10,7 @@
 from azurefield.crash_evidence import RequestAnswered, ServerEnded
 from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.routes import RouteTable, ShardSet, SingleService, WeightedServices
+from azurefield_entry.gateway.metadata.entry_values import encode_entry
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
     InstanceEntry,
@@ -17,7 +18,7 @@
     Removed,
     ServerKey,
 )
-from azurefield_fleet.records import decode_item, encode_entry, parse_key
+from azurefield_fleet.records import decode_item, parse_key
 from azurefield_fleet.store import StoredItem, decode_change, decode_listed_item
 from standins import LeafStandIn, config, route
 
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -14,6 +14,8 @@
 from azurefield.routes import RouteTable
 from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.gateway.ports import (
+    EvacuatedZone,
+    EvacuationKey,
     HistoryLost,
     InstanceEntry,
     Lease,
@@ -73,6 +75,23 @@
         assert replace(again, era=stand_in.era) == changes.ok_value
 
 
+async def test_a_request_to_evacuate_a_zone_is_listed_watched_and_relayed() -> None:
+    """Guards against a request or its removal that does not reach each instance.
+
+    The name of the zone is in the key, so an unreadable value makes no difference.
+    """
+    async with opened() as (stand_in, store):
+        stand_in.put("op/evacuate/z1", {})
+        listing = (await store.list_all()).unwrap()
+        assert listing.items == (EvacuatedZone(zone="z1"),)
+        stand_in.put("op/evacuate/z2", b"rubbish")
+        stand_in.remove("op/evacuate/z1")
+        changes = (await store.watch(listing.revision, 1.0)).unwrap()
+        expected = (EvacuatedZone(zone="z2"), Removed(key=EvacuationKey(zone="z1")))
+        assert changes.items == expected
+        assert store.decode_changes(changes.encoded).unwrap().items == expected
+
+
 async def test_a_watch_wakes_when_something_changes_and_ends_when_nothing_does() -> None:
     """Guards against a watch that delays a change or never returns without one."""
     async with opened() as (stand_in, store):
