Let the load of a recovering server follow its answers

Cause: the fixed ramp gives a server that has started or recovered the same share of its calls whatever it answers, so it is flooded or left idle.

Change: ServerPace stands behind the router with two implementations, the fixed ramp and one that doubles the share after good answers and halves it after failures. The second is used where the settings hold the bound for servers that warm up. The observations of a server and the results of calls move out of routing.py into modules of their own; the test of a restarted server asks the pace in place of the view for the same values.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -10,11 +10,12 @@
 
 from result import Err, Ok, Result
 
+from azurefield.call_result import CallResult
 from azurefield.coordinators import CoordinatorView, fleet_needs_coordinators, zones_near_shards
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 from azurefield.routes import ShardSet
-from azurefield.routing import CallResult, OwnObservationRouter
+from azurefield.routing import OwnObservationRouter
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.peers.forward_frames import (
     CancelRequest,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from azurefield.answer_memory import LIMIT_BYTES
+from azurefield.warmup_limits import WarmupBound
 
 # The rest is left to the program itself, to complete answers and to callers' requests.
 ANSWER_MEMORY_FRACTION = 1 / 6
@@ -30,6 +31,8 @@
     :param coordinator_address: ``host:port`` for requests that other instances forward to this one;
         None to accept none
     :param capacity: the processor capacity of this instance in cores
+    :param warmup_bound: bound for servers that warm up; with it, the load of servers that start or
+        recover follows their answers; None for the fixed ramp and no bound
     :param memory_mb: megabytes beyond which the process is killed; None or 0 without such a limit
     """
 
@@ -47,6 +50,7 @@
     coordinator_address: str | None = None
     capacity: float = 0.0
     memory_mb: float | None = None
+    warmup_bound: WarmupBound | None = None
 
     @property
     def answer_memory_bytes(self) -> int:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -8,6 +8,7 @@
 
 from azurefield.retry import WindowedBudget
 from azurefield.routing import OwnObservationRouter
+from azurefield.server_pace import AdaptivePace, FixedRamp
 from azurefield_entry.background import FAILURE_LISTENERS
 from azurefield_entry.gateway.admin import GatewayAdmin
 from azurefield_entry.gateway.callers.front import GatewayFront
@@ -68,7 +69,11 @@
         instance=settings.instance,
         availability_zone=settings.availability_zone,
         leaf_dialect=adapters.leafs,
-        router=OwnObservationRouter(random=random, failure_cost_s=FAILURE_COST_S),
+        router=OwnObservationRouter(
+            random=random,
+            failure_cost_s=FAILURE_COST_S,
+            pace=FixedRamp() if settings.warmup_bound is None else AdaptivePace(),
+        ),
         budget=WindowedBudget(
             ratio=FURTHER_CALLS_RATIO_FRACTION * settings.further_calls_ratio,
             window_s=settings.further_calls_window_s,
--- a/packages/azurefield-entry/src/azurefield_entry/query/booking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/booking.py
@@ -6,10 +6,10 @@
 
 from result import Err, Ok, Result
 
+from azurefield.call_result import CallResult
 from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.model import Outcome
 from azurefield.query_actions import SendLeafCall
-from azurefield.routing import CallResult
 from azurefield.server_choice import Holders
 from azurefield.snapshot import Holding, LeafAnswer
 from azurefield_entry.messages import BookingAnswer, BookingRequest
--- a/packages/azurefield-entry/tests/query/test_state.py
+++ b/packages/azurefield-entry/tests/query/test_state.py
@@ -70,6 +70,6 @@
     for _ in range(MISSED_PROBES_UNTIL_SILENT):
         state.on_probe_missed(1.0, "a1", unreachable=False)
     state.on_status(2.0, report("a1"))
-    assert state.router.view("a1").slow_start(2.0) == 1.0
+    assert state.router.pace.share(2.0, "a1") == 1.0
     state.on_status(3.0, report("a1", incarnation="i2"))
-    assert state.router.view("a1").slow_start(3.0) < 0.2
+    assert state.router.pace.share(3.0, "a1") < 0.2
--- a/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
@@ -142,7 +142,7 @@
 
     def score(self, now: float, server: str, median_latency_s: float) -> float:
         """Clear the slow start of a server, then score it."""
-        self.view(server).slow_start_from = float("-inf")
+        self.pace.forget(server)
         return super().score(now, server, median_latency_s)
 
 
--- /dev/null
+++ b/packages/azurefield/src/azurefield/call_result.py
@@ -0,0 +1,48 @@
+"""How calls to backend servers end, as far as the choice of servers is concerned."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from azurefield.failures import LeafFailure, LeafFailureReason
+
+
+class CallResult(StrEnum):
+    """How a leaf call ended, as far as routing is concerned.
+
+    ``NOT_SENT`` says nothing about the server.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+FAILURE_RESULTS = frozenset({CallResult.REFUSED, CallResult.FAILED, CallResult.TIMED_OUT})
+# The server did not run the call.
+REFUSAL_REASONS = frozenset(
+    {
+        LeafFailureReason.DRAINING,
+        LeafFailureReason.SHEDDING,
+        LeafFailureReason.VERSION_MISSING,
+        LeafFailureReason.WRONG_LEAF,
+        LeafFailureReason.WRONG_SERVER,
+        LeafFailureReason.NO_CAPACITY,
+    }
+)
+# No byte of the call reached the server, and it is not the reason.
+NOT_SENT_REASONS = frozenset({LeafFailureReason.RATE_LIMITED, LeafFailureReason.EVACUATED})
+
+
+def result_of(failure: LeafFailure) -> CallResult:
+    """Return how a failed call ended."""
+    if failure.reason in NOT_SENT_REASONS:
+        return CallResult.NOT_SENT
+    if failure.reason in REFUSAL_REASONS:
+        return CallResult.REFUSED
+    if failure.reason is LeafFailureReason.TIMEOUT:
+        return CallResult.TIMED_OUT
+    return CallResult.FAILED
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -6,6 +6,7 @@
 from statistics import median
 from typing import Generic, TypeVar
 
+from azurefield.call_result import CallResult, result_of
 from azurefield.failures import (
     NEVER_SENT_REASONS,
     LeafFailure,
@@ -20,7 +21,7 @@
 from azurefield.query_result import ResultBuilder
 from azurefield.query_timers import QueryTimers
 from azurefield.retry import CallBudget
-from azurefield.routing import CallResult, Router, result_of
+from azurefield.routing import Router
 from azurefield.server_choice import CallLimits, Holders, ServerChoice
 from azurefield.server_limits import NoServerLimits
 
--- /dev/null
+++ b/packages/azurefield/src/azurefield/server_view.py
@@ -0,0 +1,114 @@
+"""What one instance has observed of one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+LATENCY_EWMA_WEIGHT = 0.2
+# While a server gets no calls, its latency estimate decays with this half-life to the median of the
+# leaf's servers, and its failure rate to 0. Otherwise a slow server would never get calls again.
+OBSERVATION_HALF_LIFE_S = 5.0
+DEFAULT_LATENCY_S = 0.01
+# After a failed call, a server gets no calls for this time as long as another server can take them.
+# The time doubles with each further failure up to the maximum.
+BACKOFF_BASE_S = 0.1
+BACKOFF_MAX_S = 2.0
+FAILURE_RATE_EWMA_WEIGHT = 0.2
+# A server has stalled if its oldest pending call has taken longer than this multiple of the median
+# latency of its leaf's servers, and it has answered nothing since that call was sent.
+STALL_LATENCY_FACTOR = 3.0
+STALL_SILENCE_MIN_S = 0.03
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerView:
+    """What one instance observed of one backend server.
+
+    :param usual_s: median latency of its leaf's servers when it was last chosen; None if unknown
+    """
+
+    sent_at: list[float] = field(default_factory=list)
+    latency_s: float | None = None
+    calls: int = 0
+    observed_at: float = 0.0
+    consecutive_failures: int = 0
+    ejected_until: float = float("-inf")
+    ejection_s: float = 0.0
+    backoff_until: float = float("-inf")
+    backoff_s: float = 0.0
+    answered_at: float = float("-inf")
+    failure_rate: float = 0.0
+    ended_at: float = float("-inf")
+    usual_s: float | None = None
+
+    def observe(self, now: float, latency_s: float) -> None:
+        """Update the moving average of the latency with one observation."""
+        # The older the last observation is, the less the previous estimate counts.
+        gain = 1.0 - (1.0 - LATENCY_EWMA_WEIGHT) * self.observation_weight(now)
+        self.calls += 1
+        self.observed_at = now
+        if self.latency_s is None:
+            self.latency_s = latency_s
+        else:
+            self.latency_s += gain * (latency_s - self.latency_s)
+
+    def estimate(self, now: float, median_latency_s: float) -> float:
+        """Return the latency estimate.
+
+        It decays to ``median_latency_s`` while there are no calls.
+        """
+        if self.latency_s is None:
+            return median_latency_s
+        return median_latency_s + (self.latency_s - median_latency_s) * self.observation_weight(now)
+
+    @property
+    def outstanding(self) -> int:
+        """The number of calls that have not ended."""
+        return len(self.sent_at)
+
+    def waiting_s(self, now: float) -> float:
+        """Return the time since the oldest outstanding call was sent; 0 without such a call."""
+        return now - self.sent_at[0] if self.sent_at else 0.0
+
+    def record_outcome(self, now: float, *, failed: bool) -> None:
+        """Update the moving average of the failure rate with one call."""
+        rate = self.recent_failure_rate(now)
+        self.failure_rate = rate + FAILURE_RATE_EWMA_WEIGHT * (failed - rate)
+        self.ended_at = now
+
+    def recent_failure_rate(self, now: float) -> float:
+        """Return the failure rate, which decays to 0 while there are no calls."""
+        idle_s = max(0.0, now - self.ended_at)
+        return float(self.failure_rate * 0.5 ** (idle_s / OBSERVATION_HALF_LIFE_S))
+
+    def stalled(self, now: float, median_latency_s: float) -> bool:
+        """Whether the server has answered nothing since its oldest call, which is overdue."""
+        if not self.sent_at or self.answered_at >= self.sent_at[0]:
+            return False
+        return now - self.sent_at[0] > max(
+            STALL_SILENCE_MIN_S, STALL_LATENCY_FACTOR * median_latency_s
+        )
+
+    def was_silent(self, now: float, waited_s: float) -> bool:
+        """Whether a call ended unanswered after a long wait, and no other call was answered."""
+        expected_s = DEFAULT_LATENCY_S if self.latency_s is None else self.latency_s
+        too_long = waited_s > max(STALL_SILENCE_MIN_S, STALL_LATENCY_FACTOR * expected_s)
+        return too_long and self.answered_at < now - waited_s
+
+    def back_off(self, now: float) -> None:
+        """Start a backoff after a failed call, unless one is running."""
+        if self.backoff_until > now:
+            return
+        self.backoff_s = (
+            min(BACKOFF_MAX_S, 2 * self.backoff_s) if self.backoff_s else BACKOFF_BASE_S
+        )
+        self.backoff_until = now + self.backoff_s
+
+    def remove_call(self, sent_at: float) -> None:
+        """Remove the outstanding call whose send time is closest to ``sent_at``."""
+        if self.sent_at:
+            self.sent_at.remove(min(self.sent_at, key=lambda at: abs(at - sent_at)))
+
+    def observation_weight(self, now: float) -> float:
+        """Return the weight of the latency estimate: 1 right after a call, decaying to 0."""
+        return float(0.5 ** (max(0.0, now - self.observed_at) / OBSERVATION_HALF_LIFE_S))
--- a/packages/azurefield/tests/test_peer_selection.py
+++ b/packages/azurefield/tests/test_peer_selection.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from azurefield.call_result import CallResult
 from azurefield.coordinators import InstanceProfile
 from azurefield.peer_selection import AVOID_S, PeerChoice, PeerSelection
-from azurefield.routing import CallResult, OwnObservationRouter
+from azurefield.routing import OwnObservationRouter
 
 ADDRESS = "192.0.2.1:80"
 
--- a/packages/azurefield/tests/test_routing.py
+++ b/packages/azurefield/tests/test_routing.py
@@ -4,16 +4,15 @@
 
 import pytest
 
+from azurefield.call_result import CallResult
 from azurefield.routing import (
-    BACKOFF_BASE_S,
-    BACKOFF_MAX_S,
     EJECTION_BASE_S,
-    SLOW_START_S,
-    CallResult,
     OwnObservationRouter,
     RoundRobinRouter,
     Router,
 )
+from azurefield.server_pace import EVEN_RISE_S
+from azurefield.server_view import BACKOFF_BASE_S, BACKOFF_MAX_S
 
 LEAF = ("a", "b", "c")
 
@@ -102,7 +101,7 @@
     fail(router, 10.0, "a")
     assert share(router, "a", latency_s, start=10.0 - 10.0 + EJECTION_BASE_S) == 0.0
     early = [call(router, 10.01 + EJECTION_BASE_S, latency_s) for _ in range(1000)].count("a")
-    late = [call(router, 10.01 + EJECTION_BASE_S + SLOW_START_S, latency_s) for _ in range(1000)]
+    late = [call(router, 10.01 + EJECTION_BASE_S + EVEN_RISE_S, latency_s) for _ in range(1000)]
     assert early < 150
     assert late.count("a") > 200
     fail(router, 20.0, "a")
