Bound the calls to a server that warms up over all instances

Cause: a service can name the requests per second that its servers take from all instances while they warm up; the gateway did not read it.

Change: each call to such a server needs a token from the issuers that limits named by servers already have, from the first call on, because the server's entry says that it warms up. Half of the bound is issued, so that two issuers and kept tokens stay within it. A server whose zone is used again counts as warming up for the time that its service names. Only where the settings hold the bound.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -25,6 +25,7 @@
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
+    warming_servers: Gauge = field(init=False)
     evacuated_zones: Gauge = field(init=False)
     evacuated_calls: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
@@ -96,6 +97,11 @@
             "Backend servers that name a limit of requests per second.",
             registry=registry,
         )
+        self.warming_servers = Gauge(
+            "azurefield_gateway_warming_servers",
+            "Backend servers that warm up, where the platform bounds their requests.",
+            registry=registry,
+        )
         self.evacuated_zones = Gauge(
             "azurefield_gateway_evacuated_zones",
             "Availability zones whose servers get no new calls at the operator's request.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from enum import StrEnum
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,7 @@
     rate_fraction,
 )
 from azurefield.server_limits import ServerLimits
+from azurefield.warmup_limits import WarmupLimits
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -34,6 +36,7 @@
 
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
+    from azurefield.server_limits import NamedLimit
     from azurefield_entry.gateway.peers.frames import FromPeer
 
 # Another instance that has not replied for this time counts as unreachable, unless the request may
@@ -46,6 +49,18 @@
 log = Logger("quotas")
 
 
+class TokenKind(StrEnum):
+    """Why a call needs a token: the server warms up, or its answers name a limit."""
+
+    WARMUP = "warmup"
+    NAMED = "named"
+
+
+def bucket_name(server: str, kind: TokenKind) -> str:
+    """Return the name of a server's token bucket at its issuer."""
+    return f"{server}/{kind}" if kind is TokenKind.WARMUP else server
+
+
 @dataclass(slots=True, kw_only=True)
 class QuotaReply:
     """The reply to one request; None in place of a decision if the link was lost."""
@@ -93,6 +108,7 @@
     peers: PeerLinks
     instances: Callable[[], frozenset[str]]
     metrics: GatewayMetrics
+    warmups: WarmupLimits = field(default_factory=WarmupLimits)
     issuer: QuotaIssuer = field(init=False)
     unreachable_until: dict[str, float] = field(default_factory=dict)
     orders: dict[str, tuple[frozenset[str], tuple[str, ...]]] = field(default_factory=dict)
@@ -103,18 +119,32 @@
         self.issuer = QuotaIssuer(fraction=self.own_fraction)
 
     async def acquire(self, server: RegisteredServer, priority: int, start_by: float) -> bool:
-        """Wait for a token for one call.
+        """Wait for a token for one call, or for two if the server warms up and names a limit.
 
         :param start_by: latest time at which the call is worth sending
         :return: whether the call may be sent
         """
-        if server.server not in self.limits.known:
-            return True
-        for issuer in self.issuers(server.service):
-            decision = await self.ask(issuer, server, priority, start_by)
+        for kind in TokenKind:
+            needed = self.limit_of(server, kind) is not None
+            if needed and not await self.acquire_token(server, kind, priority, start_by):
+                return False
+        return True
+
+    def limit_of(self, server: RegisteredServer, kind: TokenKind) -> NamedLimit | None:
+        """Return the limit for which calls to a server need a token; None if there is none."""
+        if kind is TokenKind.WARMUP:
+            return self.warmups.limit(now(), server)
+        return self.limits.known.get(server.server)
+
+    async def acquire_token(
+        self, server: RegisteredServer, kind: TokenKind, priority: int, start_by: float
+    ) -> bool:
+        """Wait for one token; return whether it was granted."""
+        for issuer in self.issuers(server.service, kind):
+            decision = await self.ask(issuer, server, kind, priority, start_by)
             match decision:
                 case QuotaGranted(limit_ended=limit_ended):
-                    if limit_ended:
+                    if limit_ended and kind is TokenKind.NAMED:
                         self.limits.forget(server.server)
                         self.metrics.limited_servers.set(len(self.limits.known))
                     self.metrics.quota_requests.labels("granted").inc()
@@ -126,10 +156,15 @@
             self.metrics.quota_requests.labels("unreachable").inc()
             log.info("Instance {} does not issue quota; asking another one.", issuer)
             self.unreachable_until[issuer] = now() + UNREACHABLE_S
+        self.limits.on_denied(now(), server.server, priority, REPLY_TIMEOUT_S)
         return False
 
-    def issuers(self, service: str) -> list[str]:
-        """List the instances to ask for quota, this one last."""
+    def issuers(self, service: str, kind: TokenKind) -> list[str]:
+        """List the instances to ask for quota, this one last.
+
+        For a server that warms up, this one is asked only as one of the first issuers: otherwise
+        many instances that reach no other would each send a first call.
+        """
         at = now()
         remote = [
             name
@@ -137,7 +172,11 @@
             if name != self.own and self.unreachable_until.get(name, at) <= at
         ]
         first = self.order(service)[0]
-        return [self.own] if first == self.own else [*remote, self.own]
+        if first == self.own:
+            return [self.own]
+        if kind is TokenKind.WARMUP and self.own not in self.order(service)[:REMOTE_ISSUERS]:
+            return remote
+        return [*remote, self.own]
 
     def order(self, service: str) -> tuple[str, ...]:
         """Return the order of the instances that may issue a service's quota."""
@@ -153,10 +192,15 @@
         return rate_fraction(order.index(self.own), len(order))
 
     async def ask(
-        self, issuer: str, server: RegisteredServer, priority: int, start_by: float
+        self,
+        issuer: str,
+        server: RegisteredServer,
+        kind: TokenKind,
+        priority: int,
+        start_by: float,
     ) -> QuotaDecision | None:
         """Request a token from one issuer; None if it does not reply."""
-        limit = self.limits.known.get(server.server)
+        limit = self.limit_of(server, kind)
         if limit is None:
             return QuotaGranted(key=None)
         asked_at = now()
@@ -166,7 +210,7 @@
         def frame(number: int) -> QuotaAsked:
             return QuotaAsked(
                 number=number,
-                server=server.server,
+                server=bucket_name(server.server, kind),
                 service=server.service,
                 limit_per_s=limit.per_s,
                 limit_age_s=asked_at - limit.named_at,
@@ -213,7 +257,7 @@
 
     async def report_end(self, server: RegisteredServer) -> None:
         """Send the report to the first issuer that can be reached."""
-        for issuer in self.issuers(server.service):
+        for issuer in self.issuers(server.service, TokenKind.NAMED):
             if issuer == self.own:
                 self.issuer.on_limit_ended(server.server)
                 return
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/registry.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/registry.py
@@ -55,8 +55,12 @@
                 self.connections.retire(change.server)
                 self.checker.forget(change.server)
                 self.quotas.limits.forget(change.server)
+                self.quotas.warmups.forget(change.server)
+            if entry is not None:
+                self.record_warmup(now, entry, change.change)
         self.metrics.servers.set(len(self.directory.servers))
         self.metrics.limited_servers.set(len(self.quotas.limits.known))
+        self.metrics.warming_servers.set(len(self.quotas.warmups.until))
 
     def on_started(self, now: float, entry: RegisteredServer) -> None:
         """Update routing for a server that is new, or was started again or moved."""
@@ -66,6 +70,16 @@
         if entry.warmup_s > 0:
             self.router.on_restart(now, entry.server)
 
+    def record_warmup(
+        self, now: float, entry: RegisteredServer, change: DirectoryChangeKind
+    ) -> None:
+        """Record how long a server warms up; one that warms up again begins its rise again."""
+        if not self.quotas.warmups.on_entry(now, entry):
+            return
+        log.info("Server {} warms up for {:.1f} s.", entry.server, entry.warmup_s)
+        if change is DirectoryChangeKind.UPDATED:
+            self.router.on_restart(now, entry.server)
+
     def list_evacuations(self, now: float, items: tuple[Item, ...]) -> None:
         """Apply the evacuated zones of a complete listing of the store."""
         zones = {item.zone for item in items if isinstance(item, EvacuatedZone)}
@@ -82,9 +96,11 @@
             for entry in self.directory.servers.values():
                 if entry.availability_zone == zone:
                     self.router.on_restart(now, entry.server)
+                    self.quotas.warmups.on_reopened(now, entry)
         self.metrics.evacuated_zones.set(len(evacuated))
 
     def expire(self, now: float) -> None:
         """Drop unconfirmed servers, and end evacuations whose requests are lost."""
+        self.quotas.warmups.expire(now)
         self.apply_changes(now, self.directory.expire(now))
         self.apply_evacuations(now, self.directory.expire_evacuations(now))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -21,6 +21,7 @@
 from azurefield.routes import RouteTable
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_limits import ServerLimits
+from azurefield.warmup_limits import WarmupBound, WarmupLimits
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.crashes.broadcast import CrashBroadcast
 from azurefield_entry.gateway.crashes.watch import CrashWatch
@@ -76,6 +77,7 @@
     :param instance: the name of this instance
     :param further_calls_allowance: further calls (retries and hedges) that all instances together
         may send beyond the ratio
+    :param warmup_bound: bound for servers that warm up; None for none
     :param ready_event: set once a route table and a listing of the store are known
     :param store_contact_at: when the store last answered, directly or through a relay
     """
@@ -87,6 +89,7 @@
     budget: WindowedBudget
     metrics: GatewayMetrics
     further_calls_allowance: float = 0.0
+    warmup_bound: WarmupBound | None = None
     table: RouteTable | None = None
     directory: Directory = field(default_factory=Directory)
     listing_received: bool = False
@@ -119,6 +122,7 @@
         self.quotas = ServerQuotas(
             own=self.instance,
             limits=ServerLimits(),
+            warmups=WarmupLimits(bound=self.warmup_bound),
             peers=self.forwarding.peers,
             instances=lambda: self.instances.names,
             metrics=self.metrics,
@@ -206,6 +210,7 @@
                     self.budget.window_s = settings.further_calls_window_s
                     self.further_calls_allowance = settings.further_calls_allowance
                     self.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
+                    self.quotas.warmups.bound = settings.warmup_bound
                     self.divide_limits()
                 case Tick():
                     self.tick(now)
@@ -292,6 +297,7 @@
         if self.ready:
             self.ready_event.set()
         self.planner.retain_only(table)
+        self.quotas.warmups.services = table.services
         self.divide_limits()
         self.metrics.version_in_force.set(table.version)
         log.info(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -79,6 +79,7 @@
             window_s=settings.further_calls_window_s,
         ),
         further_calls_allowance=settings.further_calls_allowance,
+        warmup_bound=settings.warmup_bound,
         metrics=metrics,
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -13,7 +13,9 @@
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.directory import RegisteredServer, RegisteredState
 from azurefield.quota import issuer_order
+from azurefield.routes import ServiceLimits
 from azurefield.server_limits import NO_LIMIT, NamedLimit, ServerLimits
+from azurefield.warmup_limits import WarmupBound
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
@@ -120,6 +122,34 @@
         assert not instances[LAST].quotas.peers.links
 
 
+def warm_up(instance: Instance) -> None:
+    """Let an instance know that the server warms up, with a token each 4 s, and no named limit."""
+    service = ServiceLimits(connections_max=30, warmup_s=60.0, warmup_per_s=0.5)
+    instance.quotas.limits.known.clear()
+    instance.quotas.warmups.bound = WarmupBound(overage=1.0, slack=0.0)
+    instance.quotas.warmups.services = {"desk": service}
+    instance.quotas.warmups.on_entry(now(), replace(SERVER, warmup_s=60.0))
+
+
+async def test_the_first_call_to_a_server_that_warms_up_needs_a_token() -> None:
+    """Guards against instances that each send a first call, as to a limit yet to be named."""
+    async with fleet() as instances:
+        for instance in instances.values():
+            warm_up(instance)
+        granted = [await instances[name].acquire() for name in (LAST, FIRST, DEPUTY)]
+        assert granted == [True, False, False]
+
+
+async def test_an_instance_that_reaches_no_issuer_does_not_call_a_server_that_warms_up() -> None:
+    """Guards against many cut-off instances that each issue a first token to themselves."""
+    async with fleet() as instances:
+        warm_up(instances[LAST])
+        for name in (FIRST, DEPUTY):
+            instances[LAST].quotas.unreachable_until[name] = now() + 60.0
+        assert not await instances[LAST].acquire()
+        assert instances[LAST].quotas.limits.opens_at("s1", 1) > now()
+
+
 async def test_a_call_waits_for_its_turn_and_leaves_the_queue_when_it_is_cancelled() -> None:
     """Guards against tokens for calls that were cancelled."""
     async with fleet() as instances:
--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -110,21 +110,19 @@
 
     monkeypatch.setattr(HttpLeafConnection, "connect", connect_late)
     server = CountingServer()
-    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
-    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
-    service = gateway_to(address, idempotent=True)
-    running = asyncio.create_task(service.handle(make_request("/1")))
-    await connecting.wait()
-    service.apply_change(now(), EvacuatedZone(zone="one"))
-    resume.set()
-    result = await running
-    assert isinstance(result, Err)
-    assert result.err_value.outcome is Outcome.NOT_RUN
-    assert server.targets == []
-    service.apply_change(now(), Removed(key=EvacuationKey(zone="one")))
-    assert isinstance(await service.handle(make_request("/2")), Ok)
-    service.connections.retire_all()
-    listener.close()
+    async with listening(server) as address:
+        service = gateway_to(address, idempotent=True)
+        running = asyncio.create_task(service.handle(make_request("/1")))
+        await connecting.wait()
+        service.apply_change(now(), EvacuatedZone(zone="one"))
+        resume.set()
+        result = await running
+        assert isinstance(result, Err)
+        assert result.err_value.outcome is Outcome.NOT_RUN
+        assert server.targets == []
+        service.apply_change(now(), Removed(key=EvacuationKey(zone="one")))
+        assert isinstance(await service.handle(make_request("/2")), Ok)
+        service.connections.retire_all()
 
 
 async def test_a_request_that_a_server_ran_may_have_run_at_the_begin_of_a_partition(
--- a/packages/azurefield/src/azurefield/warmup_limits.py
+++ b/packages/azurefield/src/azurefield/warmup_limits.py
@@ -2,7 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from math import inf
+from typing import TYPE_CHECKING
+
+from azurefield.routes import ServiceLimits
+from azurefield.server_limits import NamedLimit
+
+if TYPE_CHECKING:
+    from azurefield.directory import RegisteredServer
+
+# Part of the bound that is issued as tokens. Tokens that the issuer keeps, and those of a deputy
+# that issues at the same time, must fit into the rest.
+ISSUED_FRACTION = 0.5
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -15,3 +28,63 @@
 
     overage: float
     slack: float
+
+    def requests_max(self, per_s: float) -> float:
+        """Return the bound for a service that names a rate."""
+        return per_s * self.overage + self.slack
+
+
+@dataclass(slots=True, kw_only=True)
+class WarmupLimits:
+    """The servers that warm up, and the rate at which each may be called meanwhile.
+
+    The end of a warm-up counts from the arrival of the entry that told of it, so it is late by the
+    entry's age rather than early.
+
+    :param bound: None if the platform sets none; then no server has a limit
+    :param services: the services of the configuration in force
+    :param until: when the warm-up of each server ends
+    """
+
+    bound: WarmupBound | None = None
+    services: Mapping[str, ServiceLimits] = field(default_factory=dict)
+    until: dict[str, float] = field(default_factory=dict)
+
+    def on_entry(self, now: float, entry: RegisteredServer) -> bool:
+        """Record what a server's entry says of its warm-up.
+
+        :return: whether the server warms up and did not before
+        """
+        return self.on_warming(now, entry.server, entry.warmup_s)
+
+    def on_reopened(self, now: float, entry: RegisteredServer) -> None:
+        """Record that a server is used again; it may warm up without having told so yet."""
+        service = self.services.get(entry.service)
+        if service is not None:
+            self.on_warming(now, entry.server, service.warmup_s)
+
+    def on_warming(self, now: float, server: str, left_s: float) -> bool:
+        """Record how much longer a server warms up; an earlier statement is never shortened."""
+        if self.bound is None or left_s <= 0.0:
+            return False
+        known_until = self.until.get(server, -inf)
+        self.until[server] = max(known_until, now + left_s)
+        return known_until <= now
+
+    def limit(self, now: float, entry: RegisteredServer) -> NamedLimit | None:
+        """Return at which rate tokens for calls to a server are issued; None if it needs none."""
+        if self.bound is None or self.until.get(entry.server, -inf) <= now:
+            return None
+        service = self.services.get(entry.service)
+        if service is None or service.warmup_per_s <= 0.0:
+            return None
+        per_s = ISSUED_FRACTION * self.bound.requests_max(service.warmup_per_s)
+        return NamedLimit(per_s=per_s, named_at=now)
+
+    def forget(self, server: str) -> None:
+        """Drop a server that is gone or was started again."""
+        self.until.pop(server, None)
+
+    def expire(self, now: float) -> None:
+        """Drop the servers that have warmed up."""
+        self.until = {server: until for server, until in self.until.items() if until > now}
--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -9,7 +9,13 @@
 
 from azurefield.crash_evidence import RequestAnswered, ServerEnded
 from azurefield.directory import RegisteredServer, RegisteredState
-from azurefield.routes import RouteTable, ShardSet, SingleService, WeightedServices
+from azurefield.routes import (
+    RouteTable,
+    ServiceLimits,
+    ShardSet,
+    SingleService,
+    WeightedServices,
+)
 from azurefield_entry.gateway.metadata.entry_values import encode_entry
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
@@ -129,6 +135,16 @@
     assert table.limits.idle_timeout_s == 15.0
 
 
+def test_a_service_names_how_its_servers_warm_up() -> None:
+    """Guards against a rate that is lost, so that a server that warms up is flooded."""
+    value: dict[str, Any] = config(7, services=("desk", "other"))
+    value["services"][0] |= {"warmup_s": 3.0, "warmup_per_s": 20}
+    table = decode_item("op/config", encoded(value)).unwrap()
+    assert isinstance(table, RouteTable)
+    expected = ServiceLimits(connections_max=30, warmup_s=3.0, warmup_per_s=20.0)
+    assert table.services == {"desk": expected, "other": ServiceLimits(connections_max=30)}
+
+
 def test_a_route_that_names_no_service_is_refused() -> None:
     """Guards against a configuration that is accepted although a route has no target."""
     value = config(7, route("r", "/x/"), services=())
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Err, Ok
 
+from azurefield.warmup_limits import WarmupBound
 from azurefield_fleet.settings import load
 
 if TYPE_CHECKING:
@@ -42,6 +43,14 @@
     assert (loaded.further_calls_ratio, loaded.stop_grace_s) == (0.25, 6)
 
 
+def test_servers_that_warm_up_are_bounded_only_where_the_platform_says_so(tmp_path: Path) -> None:
+    """Guards against a new way to serve deployments that do not ask for it."""
+    assert load(write(tmp_path, SETTINGS)).unwrap().warmup_bound is None
+    bounds = "grace_s = 6\nwarmup_overage = 1.5\nwarmup_slack = 5"
+    loaded = load(write(tmp_path, SETTINGS.replace("grace_s = 6", bounds))).unwrap()
+    assert loaded.warmup_bound == WarmupBound(overage=1.5, slack=5.0)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
