--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -49,6 +49,7 @@
     :param first_port: first of two ports for other instances; None for no range of ports
     :param connections_max: connections that each leaf accepts
     :param limits: further lines of the settings' table of limits
+    :param bounds: further lines of the settings' table of bounds
     """
 
     directory: Path
@@ -59,6 +60,7 @@
     store_address: str = ""
     connections_max: int = 30
     limits: str = ""
+    bounds: str = ""
     store: StoreStandIn = field(default_factory=StoreStandIn)
     leafs: dict[str, LeafStandIn] = field(default_factory=dict)
     callers: str = field(default_factory=free_address)
@@ -79,7 +81,7 @@
         return (
             f'node_name = "{self.name}"\nzone = "{self.zone}"\n{self.port_settings()}'
             f'[listen]\nfrontend = "{self.callers}"\nreadiness = "{self.readiness}"\n'
-            f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n'
+            f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n{self.bounds}'
             f'[platform]\naddress = "{self.store_address or self.store.address}"\n'
             f"[limits]\ncpu_quota = 1.0\ncores = {self.cores}\n{self.limits}"
         )
