--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -29,6 +29,9 @@
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
+    warming_servers: Gauge = field(init=False)
+    evacuated_zones: Gauge = field(init=False)
+    evacuated_calls: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
     workspace_quota_requests: Counter = field(init=False)
     issuer_slots: Gauge = field(init=False)
@@ -124,6 +127,21 @@
             "Backend servers that name a limit of requests per second.",
             registry=registry,
         )
+        self.warming_servers = Gauge(
+            "azurefield_gateway_warming_servers",
+            "Backend servers that warm up, where the platform bounds their requests.",
+            registry=registry,
+        )
+        self.evacuated_zones = Gauge(
+            "azurefield_gateway_evacuated_zones",
+            "Availability zones whose servers get no new calls at the operator's request.",
+            registry=registry,
+        )
+        self.evacuated_calls = Counter(
+            "azurefield_gateway_evacuated_calls",
+            "Calls not sent because the zone of their server was evacuated while they waited.",
+            registry=registry,
+        )
         self.quota_requests = Counter(
             "azurefield_gateway_quota_requests",
             "Requests of this instance for quota of limited servers by how they ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -8,6 +8,7 @@
 
 from azurefield.held_memory import LIMIT_BYTES
 from azurefield.quota_shares import QuotaBounds
+from azurefield.warmup_limits import WarmupBound
 
 # The rest is left to the program itself and to complete answers.
 ANSWER_MEMORY_FRACTION = 1 / 6
@@ -41,6 +42,8 @@
     :param coordinator_address: ``host:port`` for requests that other instances forward to this one;
         None to accept none
     :param capacity: the processor capacity of this instance in cores
+    :param warmup_bound: bound for servers that warm up; with it, the load of servers that start or
+        recover follows their answers; None for the fixed ramp and no bound
     :param memory_mb: megabytes beyond which the process is killed; None or 0 without such a limit
     :param descriptors_max: how many descriptors the process may have open; None or 0 without a
         limit other than the operating system's
@@ -63,6 +66,7 @@
     memory_mb: float | None = None
     descriptors_max: float | None = None
     quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
+    warmup_bound: WarmupBound | None = None
 
     @property
     def answer_memory_bytes(self) -> int:
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -50,6 +50,7 @@
     :param connections_max: connections that each leaf accepts
     :param body_bytes_max: how large a caller's body may be
     :param limits: further lines of the settings' table of limits
+    :param bounds: further lines of the settings' table of bounds
     """
 
     directory: Path
@@ -61,6 +62,7 @@
     connections_max: int = 30
     body_bytes_max: int = 1000
     limits: str = ""
+    bounds: str = ""
     store: StoreStandIn = field(default_factory=StoreStandIn)
     leafs: dict[str, LeafStandIn] = field(default_factory=dict)
     callers: str = field(default_factory=free_address)
@@ -81,7 +83,7 @@
         return (
             f'node_name = "{self.name}"\nzone = "{self.zone}"\n{self.port_settings()}'
             f'[listen]\nfrontend = "{self.callers}"\nreadiness = "{self.readiness}"\n'
-            f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n'
+            f'admin = "{self.admin}"\n[bounds]\ngrace_s = 6\n{self.bounds}'
             f'[platform]\naddress = "{self.store_address or self.store.address}"\n'
             f"[limits]\ncpu_quota = 1.0\ncores = {self.cores}\n{self.limits}"
         )
