Avoid silent coordinators until they are heard

An instance that lost a request to a suspended coordinator waited for 0.1 s and doubled that with each further loss, which is less than the time to its next request, so each instance of the zone lost several requests; while both coordinators of a zone were silent it had nowhere else to go. A coordinator that is silent is now avoided for 4 s or until a frame of it arrives, and while no coordinator of the nearest zone is responsive, those of the other zones take part. Refusals and requests that are passed on in a partition are handled as before.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -17,6 +17,7 @@
     requests: Counter = field(init=False)
     request_seconds: Histogram = field(init=False)
     forwarded: Counter = field(init=False)
+    forwarded_other_zone: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     stray_bytes: Counter = field(init=False)
@@ -55,6 +56,11 @@
             ("result",),
             registry=registry,
         )
+        self.forwarded_other_zone = Counter(
+            "azurefield_gateway_forwarded_other_zone",
+            "Requests forwarded to an instance of another availability zone.",
+            registry=registry,
+        )
         self.leaf_calls = Counter(
             "azurefield_gateway_leaf_calls",
             "Calls to backend servers by how they ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -8,8 +8,10 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, TypeVar
 
+from logbook import Logger
 from result import Err, Ok, Result
 
+from azurefield.coordinator_choice import CoordinatorChoice
 from azurefield.coordinators import CoordinatorView, fleet_needs_coordinators, zones_near_shards
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
@@ -43,6 +45,7 @@
 # A result may arrive this much after the deadline of its request.
 RESULT_MARGIN_S = 0.25
 T = TypeVar("T")
+log = Logger("forwarding")
 
 
 class ForwardProblem(StrEnum):
@@ -125,9 +128,11 @@
     router: OwnObservationRouter
     zones: Mapping[str, frozenset[str]] = field(default_factory=dict)
     peers: PeerLinks = field(init=False)
+    choice: CoordinatorChoice = field(init=False)
 
     def __post_init__(self) -> None:
-        self.peers = PeerLinks(view=self.view)
+        self.choice = CoordinatorChoice(view=self.view, router=self.router)
+        self.peers = PeerLinks(view=self.view, on_heard=self.choice.on_heard)
 
     def update(self, table: RouteTable, directory: Directory, instances: int) -> None:
         """Recompute for which routes the fleet needs coordinators, and where they should be."""
@@ -188,12 +193,7 @@
     def choose(self, route: Route) -> str | None:
         """Choose the coordinator of a request; None if this instance runs it itself."""
         zones = self.zones.get(route.name)
-        if zones is None:
-            return None
-        candidates = self.view.candidates(zones)
-        if self.view.own in candidates:
-            return None
-        return self.router.choose(now(), candidates)
+        return None if zones is None else self.choice.choose(now(), zones)
 
     async def forward(
         self, target: ForwardTarget, request: GatewayRequest, route: Route, version: int
@@ -203,6 +203,7 @@
         coordinator = target.instance
         self.router.on_dispatch(sent_at, coordinator)
         call_result = CallResult.CANCELLED
+        silent = False
         try:
             match await self.peers.link(coordinator):
                 case Err(unreachable):
@@ -213,10 +214,14 @@
                 case Ok(link):
                     result = await self.exchange(link, target, request, route, version)
             call_result = CallResult.ANSWERED if isinstance(result, Ok) else CallResult.FAILED
+            silent = is_silent(result)
             return result
         finally:
             ended_at = now()
             self.router.on_result(ended_at, coordinator, call_result, ended_at - sent_at)
+            if silent and not target.accepts_until_deadline:
+                self.choice.on_silent(ended_at, coordinator)
+                log.info("Request id={}: {} is silent.", request.request_id, coordinator)
 
     async def exchange(
         self,
@@ -249,6 +254,7 @@
         self.view.retain_only(instances)
         for name in self.peers.retain_only(instances):
             self.router.forget(name)
+            self.choice.silent.discard(name)
 
 
 def acceptance_wait_s(route: Route) -> float:
@@ -278,6 +284,11 @@
         return Err(NotForwarded(problem=ForwardProblem.LOST, detail="no result in time"))
 
 
+def is_silent(result: Result[RequestResult, NotForwarded]) -> bool:
+    """Whether an instance neither refused a request nor returned a result in time."""
+    return isinstance(result, Err) and result.err_value.problem is not ForwardProblem.REFUSED
+
+
 def lost_failure(lost: NotForwarded) -> RequestFailure:
     """Build the failure of a request that a coordinator may have run without returning a result."""
     return RequestFailure(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING, Protocol
@@ -49,9 +49,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class PeerLink:
-    """A connection to another instance, with the replies that it owes."""
+    """A connection to another instance, with the replies that it owes.
+
+    :param on_heard: called when a frame of the other instance has arrived
+    """
 
     writer: asyncio.StreamWriter
+    on_heard: Callable[[], None] = lambda: None
     pending: dict[int, PendingReply] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=count)
     last_frame_at: float = 0.0
@@ -77,6 +81,7 @@
             while True:
                 frame = await read_frame(reader, FROM_PEER)
                 self.last_frame_at = now()
+                self.on_heard()
                 # Replies that nothing waits for any more are ignored.
                 if not isinstance(frame, Heartbeat) and frame.number in self.pending:
                     self.pending[frame.number].on_frame(frame)
@@ -113,9 +118,11 @@
     """Opens the links of one instance and keeps them.
 
     :param view: knows the addresses of the other instances
+    :param on_heard: called with the name of an instance when a frame of it has arrived
     """
 
     view: CoordinatorView
+    on_heard: Callable[[str], None] = lambda _: None
     links: dict[str, PeerLink] = field(default_factory=dict)
     connecting: dict[str, asyncio.Task[Result[PeerLink, PeerUnreachable]]] = field(
         default_factory=dict
@@ -149,7 +156,9 @@
             return Err(PeerUnreachable(detail=repr(error)))
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_TIMEOUT_S * 1000))
-        link = PeerLink(writer=writer, last_frame_at=now())
+        link = PeerLink(
+            writer=writer, last_frame_at=now(), on_heard=lambda: self.on_heard(instance)
+        )
         self.links[instance] = link
         self.tasks.start("receive-from-peer", link.receive(reader))
         self.tasks.start("watch-peer-silence", link.watch_silence())
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -197,6 +197,8 @@
             if refused or problem.link_lost:
                 self.peers.on_refused(now(), target.instance, problem.retry_after_s)
         self.metrics.forwarded.labels(label).inc()
+        if self.forwarding.view.is_distant(target.instance):
+            self.metrics.forwarded_other_zone.inc()
         log.info(
             "Request id={} route={} version={} ms={:.0f} forwarded_to={} refused={} result={}",
             request.request_id,
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -18,10 +18,12 @@
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
 from azurefield.routes import Route, ShardSet
-from azurefield.routing import OwnObservationRouter
+from azurefield.routing import BACKOFF_BASE_S, OwnObservationRouter
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.forward_frames import RequestServed, decode_result
 from azurefield_entry.gateway.peers.forwarding import Forwarding, ForwardProblem, ForwardTarget
+from azurefield_entry.gateway.peers.frames import Heartbeat
+from azurefield_entry.gateway.peers.framing import encode
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
 from azurefield_entry.gateway.ports import GatewayRequest
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
@@ -346,3 +348,41 @@
         writer.close()
         assert await instances.forward(request()) == Ok(ANSWER)
         assert not instances.serving.done()
+
+
+async def test_a_silent_coordinator_is_avoided_until_it_is_heard() -> None:
+    """Guards against requests that are lost one by one to a suspended coordinator."""
+    woken = asyncio.Event()
+
+    async def stay_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await woken.wait()
+        writer.write(encode(Heartbeat()))
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+    address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+    view = CoordinatorView(own="i1")
+    for name, zone, capacity in (("i1", "z", 0.1), ("c1", "z", 9.0), ("c2", "z", 9.0)):
+        view.on_profile(
+            InstanceProfile(
+                instance=name,
+                availability_zone=zone,
+                capacity=capacity,
+                coordinator_address=address,
+            )
+        )
+    forwarding = Forwarding(view=view, router=OwnObservationRouter(random=Random(1)))
+    forwarding.zones = {ROUTE.name: frozenset({"z"})}
+    first = forwarding.choose(ROUTE)
+    assert first is not None
+    lost = await forwarding.forward(ForwardTarget(instance=first), request(), ROUTE, VERSION)
+    assert isinstance(lost, Err)
+    assert lost.err_value.problem is ForwardProblem.UNANSWERED
+    await asyncio.sleep(2 * BACKOFF_BASE_S)
+    assert {forwarding.choose(ROUTE) for _ in range(50)} == {"c1", "c2"} - {first}
+    woken.set()
+    await wait_until(lambda: not forwarding.choice.silent, "the coordinator is heard")
+    assert {forwarding.choose(ROUTE) for _ in range(50)} == {"c1", "c2"}
+    forwarding.peers.close()
+    listener.close()
--- /dev/null
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -0,0 +1,59 @@
+"""Choice of the coordinator that runs a request, by what this instance observes of them.
+
+It answers two loads: a coordinator that turns slow or stops answering, and an availability zone
+whose coordinators all do, or are lost at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from azurefield.coordinators import CoordinatorView
+from azurefield.routing import OwnObservationRouter
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# A silent coordinator that runs again is heard at once, since it still answers what it got. This
+# time counts for one that is not heard; each request that tries it again may be lost.
+SILENT_AVOIDED_S = 4.0
+
+
+@dataclass(slots=True, kw_only=True)
+class CoordinatorChoice:
+    """Chooses the coordinator with the shortest expected time to a result.
+
+    Those of the nearest zones are preferred as long as one of them takes requests. Otherwise those
+    of the other zones take part, so that a weak instance does not have to run the request itself.
+
+    :param router: observes how the requests end that were forwarded
+    :param silent: the coordinators that were silent and have not been heard since
+    """
+
+    view: CoordinatorView
+    router: OwnObservationRouter
+    silent: set[str] = field(default_factory=set)
+
+    def choose(self, now: float, zones: Collection[str]) -> str | None:
+        """Choose a coordinator for a request over servers in some zones.
+
+        :return: its name; None if this instance is one of the nearest itself, or if there is none
+        """
+        nearest = self.view.candidates(zones)
+        if self.view.own in nearest:
+            return None
+        if self.router.any_responsive(now, nearest):
+            return self.router.choose(now, nearest)
+        return self.router.choose(now, nearest + self.view.distant_candidates(zones))
+
+    def on_silent(self, now: float, coordinator: str) -> None:
+        """Avoid a coordinator that has not accepted a request in time, or was lost under it."""
+        self.silent.add(coordinator)
+        self.router.avoid(now, coordinator, SILENT_AVOIDED_S)
+
+    def on_heard(self, coordinator: str) -> None:
+        """Choose a silent coordinator again that has sent something."""
+        if coordinator in self.silent:
+            self.silent.discard(coordinator)
+            self.router.end_avoidance(coordinator)
--- a/packages/azurefield/src/azurefield/coordinators.py
+++ b/packages/azurefield/src/azurefield/coordinators.py
@@ -128,6 +128,14 @@
         profile = self.profiles.get(self.own)
         return None if profile is None else profile.availability_zone
 
+    def is_distant(self, instance: str) -> bool:
+        """Whether an instance is known to be in another zone than this one."""
+        profile = self.profiles.get(instance)
+        own_zone = self.own_zone
+        if profile is None or own_zone is None:
+            return False
+        return profile.availability_zone != own_zone
+
     def candidates(self, zones: Collection[str]) -> tuple[str, ...]:
         """List the coordinators for queries over servers in these zones.
 
@@ -138,6 +146,12 @@
         chosen = [own_zone] if own_zone is not None and own_zone in zones else sorted(zones)
         return tuple(name for zone in chosen for name in self.by_zone.get(zone, ()))
 
+    def distant_candidates(self, zones: Collection[str]) -> tuple[str, ...]:
+        """List the coordinators in these zones that ``candidates`` leaves out."""
+        nearest = self.candidates(zones)
+        named = (name for zone in sorted(zones) for name in self.by_zone.get(zone, ()))
+        return tuple(name for name in named if name not in nearest)
+
     def fraction(self, zones: Collection[str]) -> float:
         """Return which fraction this instance has of what the coordinators of these zones share."""
         coordinators = [name for zone in zones for name in self.by_zone.get(zone, ())]
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -258,6 +258,11 @@
         tie_limit = min(scores.values()) * (1.0 + SCORE_TIE_FRACTION)
         return next(server for server, score in scores.items() if score <= tie_limit)
 
+    def any_responsive(self, now: float, candidates: tuple[str, ...]) -> bool:
+        """Whether one of the candidates is responsive."""
+        median_latency_s = self.median_latency_s(candidates)
+        return any(self.is_responsive(now, server, median_latency_s) for server in candidates)
+
     def is_responsive(self, now: float, server: str, median_latency_s: float) -> bool:
         """Whether a server is neither in backoff after a failed call nor stalled."""
         view = self.view(server)
@@ -296,6 +301,15 @@
             if view.consecutive_failures >= CONSECUTIVE_FAILURES_TO_EJECT:
                 self.eject(now, view)
 
+    def avoid(self, now: float, server: str, for_s: float) -> None:
+        """Choose a server only if no other can take calls, until it answers or the time ends."""
+        view = self.view(server)
+        view.backoff_until = max(view.backoff_until, now + for_s)
+
+    def end_avoidance(self, server: str) -> None:
+        """Choose a server again that is avoided or in backoff."""
+        self.view(server).backoff_until = float("-inf")
+
     def on_restart(self, now: float, server: str) -> None:
         """Reset the observations of a server that has restarted and give it a slow start."""
         view = self.view(server)
