Count unread answers with their whole size, and test three more crowds

Cause: a partly written answer stays in memory as a whole, and aiohttp copied its body behind the headers. Of 1 MiB in memory, a third was counted.

Change: an answer counts with its size while its caller does not read it, and its headers are written before a large body. The limit for bodies and answers is a sixth of the memory.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -58,6 +58,7 @@
     a request has begun. Of a body, only short reads are parsed at once, and nothing behind its
     end before the request is answered.
 
+    :param answer_bytes: the size of the answer that is being written
     :param head_bytes_left: how many bytes of a head may follow
     :param head_tail: the last bytes of a head that is not complete
     :param rejected: whether what the caller sends is dropped, for what it has sent before
@@ -68,6 +69,7 @@
     """
 
     __slots__ = (
+        "answer_bytes",
         "body",
         "body_bytes",
         "fed_bytes",
@@ -102,7 +104,7 @@
         self.head_tail = b""
         self.unparsed = PendingBytes()
         self.body: StreamReader | None = None
-        self.body_bytes = self.fed_bytes = 0
+        self.answer_bytes = self.body_bytes = self.fed_bytes = 0
 
     @property
     def reads_body(self) -> bool:
@@ -237,7 +239,7 @@
             return
         held_bytes = self.body_bytes + self.fed_bytes + self.unparsed.size
         if self.writing_paused:
-            held_bytes += self.transport.get_write_buffer_size()
+            held_bytes += self.answer_bytes
         self.load.hold(self, held_bytes)
 
     def pause_writing(self) -> None:
@@ -286,6 +288,12 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write an answer, and wait until the caller has read most of it."""
+        body = resp.body if isinstance(resp, web.Response) else None
+        self.answer_bytes = len(body) if isinstance(body, bytes) else 0
+        if self.answer_bytes > UNREAD_ANSWER_BYTES:
+            # aiohttp copies a body behind its headers unless they were sent before.
+            await resp.prepare(request)
+            request.writer.send_headers()
         finished = await super().finish_response(request, resp, start_time)
         if isinstance(resp, web.Response):
             # aiohttp refers to the answer until the next request has been handled.
@@ -297,7 +305,7 @@
     def on_request_end(self) -> None:
         """Go on with what has arrived behind the request."""
         self.body = None
-        self.body_bytes = self.fed_bytes = 0
+        self.answer_bytes = self.body_bytes = self.fed_bytes = 0
         if self.transport is None:
             return
         self.load.on_request_end(self)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -10,7 +10,9 @@
 
 # The rest is left to the program itself and to complete answers.
 ANSWER_MEMORY_FRACTION = 1 / 6
-CALLER_MEMORY_FRACTION = 1 / 5
+CALLER_MEMORY_FRACTION = 1 / 6
+# The largest answer of a server, which has room whatever the memory is.
+CALLER_MEMORY_MIN_BYTES = 8 * 1024 * 1024
 CONNECTION_MEMORY_FRACTION = 1 / 8
 # What a caller's connection takes with the objects of a request, a small body and a small answer.
 CALLER_CONNECTION_BYTES = 16 * 1024
@@ -78,7 +80,7 @@
     @property
     def caller_memory_bytes(self) -> int:
         """How much memory callers' bodies and unread answers may hold together."""
-        return int(CALLER_MEMORY_FRACTION * self.memory_bytes)
+        return max(CALLER_MEMORY_MIN_BYTES, int(CALLER_MEMORY_FRACTION * self.memory_bytes))
 
     @property
     def caller_connections_max(self) -> int:
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -230,12 +230,15 @@
     connections_max: int = 30,
     leafs: Mapping[str, LeafStandIn] | None = None,
     before_start: Callable[[Site], Awaitable[None]] | None = None,
+    limits: str = "",
+    body_bytes_max: int = 1000,
 ) -> AsyncIterator[dict[str, Site]]:
     """Run several gateway processes with the same store and leafs.
 
     :param cores: the processor capacity of each process, by its name
     :param leafs: leafs that are served already, in place of the usual ones
     :param before_start: called with each site before its process starts
+    :param limits: further lines of the settings' tables of limits
     """
     PORTS.used_ports.clear()
     sites: dict[str, Site] = {}
@@ -248,6 +251,8 @@
             first_port=PORTS.free_port_pair(),
             connections_max=connections_max,
             leafs=dict(leafs or {}),
+            limits=limits,
+            body_bytes_max=body_bytes_max,
         )
         if sites:
             first = next(iter(sites.values()))
--- a/tests/fleet/test_caller_crowds.py
+++ b/tests/fleet/test_caller_crowds.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager, suppress
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -11,7 +12,8 @@
 import aiohttp
 import pytest
 
-from gateway_process import Site, serving
+from azurefield_testkit.waiting import wait_until
+from gateway_process import Site, serving, serving_fleet
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -42,12 +44,14 @@
 
     :param piece: written ``pieces`` times, behind the head
     :param last: written behind the pieces
+    :param receive_bytes: what the operating system may hold of answers; None for its usual size
     """
 
     head: bytes
-    piece: bytes
-    pieces: int
+    piece: bytes = b""
+    pieces: int = 0
     last: bytes = b""
+    receive_bytes: int | None = None
 
 
 CROWDS = {
@@ -103,9 +107,16 @@
 async def send(address: str, sending: Sending, left: asyncio.Event, sent: asyncio.Event) -> None:
     """Send as one caller of a crowd, on one connection, and keep it open until the crowd leaves."""
     host, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setblocking(False)
+    if sending.receive_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, sending.receive_bytes)
     try:
-        _, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        # Reading pauses after the first read of an answer.
+        _, writer = await asyncio.open_connection(sock=sock, limit=1)
     except OSError:
+        sock.close()
         sent.set()
         return
     try:
@@ -155,21 +166,102 @@
     return False
 
 
-@pytest.mark.parametrize("kind", CROWDS)
-async def test_bodies_that_stop_before_their_end_leave_a_gateway_within_its_limits(
-    tmp_path: Path, kind: str
+async def check_limits(
+    site: Site, sending: Sending, *, stay_s: float = 0.0, others: tuple[Site, ...] = ()
 ) -> None:
-    """Guards against a crowd of unfinished bodies that ends or stalls the gateway process."""
-    async with (
-        serving(tmp_path, limits=SETTINGS, body_bytes_max=BODY_BYTES_MAX) as site,
-        sampled(site) as peaks,
-    ):
-        async with crowd_of(site.callers, CROWDS[kind]):
+    """Check a gateway's limits, and an ordinary request beside a crowd and after it.
+
+    :param stay_s: how long the crowd stays before the ordinary request
+    :param others: further gateways whose limits are checked
+    """
+    async with AsyncExitStack() as stack:
+        sampling = [await stack.enter_async_context(sampled(one)) for one in (site, *others)]
+        async with crowd_of(site.callers, sending):
+            await asyncio.sleep(stay_s)
             beside = await ordinary_request_is_answered(site, "beside")
         after = await ordinary_request_is_answered(site, "after")
+    for peaks in sampling:
+        check_peaks(peaks, beside=beside, after=after)
+
+
+def check_peaks(peaks: Peaks, *, beside: bool, after: bool) -> None:
+    """Check what was seen of a gateway.
+
+    :param beside: whether an ordinary request was answered beside the crowd
+    :param after: whether one was answered when the crowd had left
+    """
     seen = f"{peaks.memory_mb:.0f} MB, {peaks.descriptors} descriptors, {beside=}, {after=}"
     print(seen)
     assert peaks.memory_mb < MEMORY_MB, seen
     assert peaks.descriptors <= DESCRIPTORS_MAX - RESERVED_DESCRIPTORS, seen
     assert beside, seen
     assert after, seen
+
+
+@pytest.mark.parametrize("kind", CROWDS)
+async def test_bodies_that_stop_before_their_end_leave_a_gateway_within_its_limits(
+    tmp_path: Path, kind: str
+) -> None:
+    """Guards against a crowd of unfinished bodies that ends or stalls the gateway process."""
+    async with serving(tmp_path, limits=SETTINGS, body_bytes_max=BODY_BYTES_MAX) as site:
+        await check_limits(site, CROWDS[kind])
+
+
+# As long as the configuration allows, without the end.
+HEAD_WITHOUT_END = HEAD + b"".join(b"N%03d: %s\r\n" % (n, b"x" * 150) for n in range(95))
+
+
+async def test_heads_that_stop_before_their_end_leave_a_gateway_within_its_limits(
+    tmp_path: Path,
+) -> None:
+    """Guards against a crowd of unfinished heads that ends or stalls the gateway process."""
+    async with serving(tmp_path, limits=SETTINGS) as site:
+        await check_limits(site, Sending(head=HEAD_WITHOUT_END))
+
+
+ANSWER_BYTES = 1_048_576
+# How long a crowd of whole requests stays until the ordinary one.
+STAY_S = 3.0
+
+
+async def test_answers_that_are_not_read_leave_a_gateway_within_its_limits(tmp_path: Path) -> None:
+    """Guards against a crowd that requests large answers and does not read them."""
+    request = HEAD.replace(b"POST", b"GET") + b"\r\n"
+    async with serving(tmp_path, limits=SETTINGS) as site:
+        site.leafs["d1"].body = bytes(ANSWER_BYTES)
+        await check_limits(site, Sending(head=request * 5, receive_bytes=4096), stay_s=STAY_S)
+
+
+FORWARDED_BODY_BYTES = 524_288
+# Fewer than the slots of a leaf for each of three instances, so that the fleet needs coordinators.
+FLEET_CONNECTIONS_MAX = 8
+FLEET_CORES = {"n1": 4.0, "n2": 4.0, "n3": 1.0}
+
+
+async def test_large_bodies_that_are_forwarded_leave_all_gateways_within_their_limits(
+    tmp_path: Path,
+) -> None:
+    """Guards against a crowd whose whole bodies end the instances that run its requests."""
+    head = (
+        HEAD.replace(b"/s/x", b"/l/x") + f"Content-Length: {FORWARDED_BODY_BYTES}\r\n\r\n".encode()
+    )
+    async with serving_fleet(
+        tmp_path,
+        FLEET_CORES,
+        connections_max=FLEET_CONNECTIONS_MAX,
+        limits=SETTINGS,
+        body_bytes_max=BODY_BYTES_MAX,
+    ) as sites:
+        first, second, weak = sites["n1"], sites["n2"], sites["n3"]
+        await wait_until(lambda: is_forwarded(weak), "n3 knows the coordinators")
+        for name in ("a1", "a2", "b1", "b2"):
+            weak.leafs[name].behaviour = "hang"
+        sending = Sending(head=head, piece=bytes(FORWARDED_BODY_BYTES), pieces=1)
+        await check_limits(weak, sending, stay_s=STAY_S, others=(first, second))
+
+
+async def is_forwarded(site: Site) -> bool:
+    """Whether a request to a gateway is forwarded."""
+    assert site.process is not None
+    await site.call("/l/x", "probe")
+    return any("forwarded_to=n" in line for line in site.process.output)
