Send a call's head and body without a copy of the body

A query over many shards copied a large body once for each shard, which the limit for callers' memory did not count. LeafDialect.encode returns the parts of a request, and the body is one of them.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -114,8 +114,8 @@
 class LeafDialect(Protocol):
     """Wire format of calls to backend servers and of their answers."""
 
-    def encode(self, call: LeafCall, now: float) -> bytes:
-        """Encode the whole request."""
+    def encode(self, call: LeafCall, now: float) -> tuple[bytes, ...]:
+        """Encode the whole request, in parts; the body is one of them and not copied."""
 
     def decode(
         self, call: LeafCall, status: int, headers: Headers, body: bytes, *, reused: bool
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -110,7 +110,7 @@
         )
         self.calls_sent += 1
         try:
-            self.transport.write(self.dialect.encode(call, self._loop.time()))
+            self.transport.writelines(self.dialect.encode(call, self._loop.time()))
             return await self.current_exchange.result_future
         except asyncio.CancelledError:
             self.abort()
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -107,7 +107,7 @@
 class BrokenDialect(PlainDialect):
     """Can't encode any call."""
 
-    def encode(self, call: LeafCall, now: float) -> bytes:  # noqa: ARG002
+    def encode(self, call: LeafCall, now: float) -> tuple[bytes, ...]:  # noqa: ARG002
         raise RuntimeError("unexpected")
 
 
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/scripted_server.py
@@ -22,9 +22,11 @@
 class PlainDialect:
     """A minimal dialect; the header ``Id`` of an answer may name the target of its request."""
 
-    def encode(self, call: LeafCall, now: float) -> bytes:  # noqa: ARG002
+    def encode(self, call: LeafCall, now: float) -> tuple[bytes, ...]:  # noqa: ARG002
         """Build a request without the headers of the caller."""
-        return f"{call.request.method} {call.request.target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+        return (
+            f"{call.request.method} {call.request.target} HTTP/1.1\r\nHost: x\r\n\r\n".encode(),
+        )
 
     def decode(
         self, call: LeafCall, status: int, headers: Headers, body: bytes, *, reused: bool
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -30,8 +30,10 @@
 
 def test_a_call_carries_the_request_unchanged_with_the_time_left_and_the_server_meant() -> None:
     """Guards against a call that changes the request or lacks its deadline or server."""
-    head, _, body = LeafsHttp().encode(CALL, 11.25).partition(b"\r\n\r\n")
+    sent = LeafsHttp().encode(CALL, 11.25)
+    head, _, body = b"".join(sent).partition(b"\r\n\r\n")
     assert body == b"body"
+    assert sent[-1] is REQUEST.body
     assert head.decode().split("\r\n") == [
         "POST /x/%2f?a=b%20c HTTP/1.1",
         "Host: a.example",
