Let unread answers make room for other callers

A connection counted as served until its caller had read the answer, so callers that read nothing could keep all connections. It waits for its caller from the moment its answer is written. The test failed before: the new caller was refused.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -288,6 +288,7 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write an answer, and wait until the caller has read most of it."""
+        self.load.on_answer(self)
         body = resp.body if isinstance(resp, web.Response) else None
         self.answer_bytes = len(body) if isinstance(body, bytes) else 0
         if self.answer_bytes > UNREAD_ANSWER_BYTES:
@@ -308,7 +309,7 @@
         self.answer_bytes = self.body_bytes = self.fed_bytes = 0
         if self.transport is None:
             return
-        self.load.on_request_end(self)
+        self.load.on_progress(self)
         # A request whose head has been parsed already begins by itself.
         if self.unparsed and not self._messages:
             self.start_timer(self.header_timeout_s)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -75,8 +75,6 @@
         self.metrics.caller_connections.set(self.connections.open_count)
         if closing is None:
             return
-        # The connection itself is counted until it is lost, which may take another turn.
-        self.connections.waiting.pop(closing, None)
         self.metrics.callers_limited.labels("connection").inc()
         self.log_now_and_then(
             "connections", f"Callers have {self.connections.open_count} connections; closing one."
@@ -127,10 +125,11 @@
         self.make_room()
         return True
 
-    def on_request_end(self, connection: CallerConnection) -> None:
-        """Record that a request has been answered."""
+    def on_answer(self, connection: CallerConnection) -> None:
+        """Record that the answer to a request is about to be written; the caller has to read it."""
         self.memory.end_use(connection)
-        self.connections.on_wait(connection)
+        if connection.transport is not None:
+            self.connections.on_wait(connection)
 
     def parses_at_once(self, connection: CallerConnection, data: bytes) -> bool:
         """Whether bytes of a body are parsed now; if not, the connection waits for its turn."""
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -214,6 +214,18 @@
         stalled_writer.close()
 
 
+async def test_callers_that_do_not_read_their_answers_make_room_for_others() -> None:
+    """Guards against connections that count as served for as long as their callers like."""
+    async with loaded_server(memory_bytes=1_000_000_000, connections_max=2) as loaded:
+        unread = [await loaded.connect() for _ in range(2)]
+        for _, unread_writer in unread:
+            unread_writer.write(request(b"", path="/large"))
+        await wait_until(lambda: len(loaded.load.memory.held) == len(unread), "answers wait")
+        reader, writer = await loaded.connect()
+        writer.write(request(SMALL))
+        assert await status_of(reader) == 200
+
+
 async def test_answers_that_callers_do_not_read_close_their_connections() -> None:
     """Guards against the memory of answers that wait for their callers."""
     async with loaded_server(memory_bytes=30_000_000) as loaded:
--- a/packages/azurefield/src/azurefield/connection_limit.py
+++ b/packages/azurefield/src/azurefield/connection_limit.py
@@ -33,12 +33,17 @@
     waiting: dict[C, None] = field(default_factory=dict)
 
     def on_open(self, connection: C) -> C | None:
-        """Record a new connection; return the one that has to close, which may be the new one."""
+        """Record a new connection; return the one that has to close, which may be the new one.
+
+        It is counted until ``on_close``.
+        """
         self.open_count += 1
         self.waiting[connection] = None
         if self.open_count <= self.limit:
             return None
-        return next(iter(self.waiting))
+        closing = next(iter(self.waiting))
+        del self.waiting[closing]
+        return closing
 
     def on_progress(self, connection: C) -> None:
         """Record that a connection that waits for its peer has received bytes of it."""
