Divide room also among weights that are far apart, and bound further labels

Cause: weights were subtracted from their sum, which left 0 for a small one beside a huge one; the division by it would have ended the coordinator. Ranks had an unbounded number of label values.

Change: sums of the weights that are left; ranks from 32 on share a label, the line of a busy coordinator comes once a second at most. test_room_goes_by_priority_then_by_weight[weights-far-apart] fails before the change with ZeroDivisionError.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -42,6 +42,7 @@
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Stop, send_every
+from azurefield_entry.log_limit import LineLimit
 
 if TYPE_CHECKING:
     from azurefield.quota import QuotaDecision
@@ -101,6 +102,7 @@
     classify: Callable[[GatewayRequest], RequestClass | None] = lambda _: None
     on_share_refused: Callable[[], None] = lambda: None
     admission: SharedAdmission = field(default_factory=SharedAdmission)
+    busy_lines: LineLimit = field(default_factory=lambda: LineLimit(lines_per_s=1.0))
     lag: LoopLag = field(default_factory=lambda: LoopLag(interval_s=HEARTBEAT_INTERVAL_S))
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
@@ -131,7 +133,7 @@
         limited = self.admission.limiting
         self.lag.on_tick(now)
         self.admission.on_interval(now, self.lag.tick_late_s)
-        if self.admission.limiting and not limited:
+        if self.admission.limiting and not limited and self.busy_lines.allow(now):
             log.info(
                 "Busy: {:.0f} forwarded requests/s are accepted, shared by workspaces.",
                 self.admission.capacity_per_s,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -42,6 +42,8 @@
 UNANSWERED_REASONS = frozenset(
     {LeafFailureReason.CONNECTION_LOST, LeafFailureReason.TRUNCATED, LeafFailureReason.TIMEOUT}
 )
+# Priorities that have label values of their own.
+PRIORITIES_LABELLED = 32
 log = Logger("gateway")
 
 
@@ -324,7 +326,8 @@
         """Log the result of a request and count it in the metrics."""
         elapsed_s = now() - running.request.arrived_at
         self.metrics.requests.labels(result.partition(" ")[0]).inc()
-        self.metrics.request_seconds.labels(str(running.route.priority)).observe(elapsed_s)
+        label = priority_label(running.route.priority)
+        self.metrics.request_seconds.labels(label).observe(elapsed_s)
         log.info(
             "Request id={} route={} version={} workspace={} store_age_ms={:.0f} ms={:.0f} result={}"
             " calls={}",
@@ -339,6 +342,11 @@
         )
 
 
+def priority_label(priority: int) -> str:
+    """Return the label value of a priority; only the most urgent ones have values of their own."""
+    return str(priority) if 0 <= priority < PRIORITIES_LABELLED else "other"
+
+
 def not_sent(reason: LeafFailureReason) -> LeafFailure:
     """Build the failure of a call of which no byte was sent."""
     return LeafFailure(reason=reason, outcome=Outcome.NOT_RUN)
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import exp, inf
 from typing import TYPE_CHECKING, Generic, TypeVar
 
@@ -44,7 +45,7 @@
 
     :param priority: 0 first
     :param workspace: empty for requests without a workspace
-    :param weight: the workspace's weight among those of the same priority
+    :param weight: above 0; the workspace's weight among those of the same priority
     """
 
     priority: int
@@ -151,14 +152,15 @@
     capacity: float, asked: Mapping[RequestClass, float]
 ) -> dict[RequestClass, float]:
     """Divide a capacity by weight; what a class does not ask for goes to the others."""
-    granted: dict[RequestClass, float] = {}
-    weights_left = sum(one.weight for one in asked)
     # Those that ask least for their weight come first: what they leave goes to the others.
-    for one in sorted(asked, key=lambda one: asked[one] / one.weight):
-        part = min(asked[one], capacity * one.weight / weights_left)
+    order = sorted(asked, key=lambda one: asked[one] / one.weight)
+    # Sums of the weights from each class on; subtracting them could leave 0 for small weights.
+    weights_left = [*accumulate(one.weight for one in reversed(order))][::-1]
+    granted: dict[RequestClass, float] = {}
+    for one, weight_left in zip(order, weights_left, strict=True):
+        part = min(asked[one], capacity * (one.weight / weight_left))
         granted[one] = part
         capacity -= part
-        weights_left -= one.weight
     return granted
 
 
@@ -244,6 +246,9 @@
 
     def set_parts(self, elapsed_s: float) -> None:
         """Divide the capacity, and add to the credits of the classes that are limited."""
+        if self.capacity_per_s == inf:
+            self.parts, self.credits = {}, {}
+            return
         parts = divide(self.capacity_per_s, self.demand)
         self.parts = {
             one: part
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -130,6 +130,7 @@
 
 A0, B0 = (RequestClass(priority=0, workspace=name) for name in "ab")
 A1, B1 = (RequestClass(priority=1, workspace=name) for name in "ab")
+HUGE = RequestClass(priority=0, workspace="huge", weight=1e300)
 HEAVY = RequestClass(priority=0, workspace="heavy", weight=3.0)
 
 
@@ -141,6 +142,7 @@
         pytest.param(10.0, {A0: 90.0, B0: 10.0}, {A0: 5.0, B0: 5.0}, id="equal-weights"),
         pytest.param(12.0, {A0: 90.0, HEAVY: 90.0}, {A0: 3.0, HEAVY: 9.0}, id="by-weight"),
         pytest.param(10.0, {A0: 90.0, B0: 1.0}, {A0: 9.0, B0: 1.0}, id="asks-less-than-its-part"),
+        pytest.param(10.0, {A0: 9.0, HUGE: 9.0}, {A0: 1.5, HUGE: 8.5}, id="weights-far-apart"),
         pytest.param(inf, {A0: 90.0}, {A0: 90.0}, id="no-limit"),
         pytest.param(1.0, {}, {}, id="nothing-asked"),
     ],
