--- a/tests/fleet/test_workspaces.py
+++ b/tests/fleet/test_workspaces.py
@@ -170,7 +170,6 @@
         await site.wait_for_log("Ignoring an unreadable entry of the store")
         assert await status_of(site, "/s/x", "kept", KEYS["w2"]) == 200
         site.store.down = True
-        await asyncio.sleep(0)
 
         async def refused_as_stale() -> bool:
             return await status_of(site, "/s/x", "stale", NEW_KEY) == 503
