Claim issuer slots again when the store loses their lease early

Cause: a renewal that met a restored store before the watch did gave up the slots, and no instance would have claimed them for the length of a lease.

Change: a lease that the store does not know before its end counts as a restore; the end of a lease is published at once.

Measured: 42 tests of quotas and issuer slots pass, one extended by this case.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -143,9 +143,8 @@
             case Ok(_):
                 self.tenure.on_renewed(asked_at)
             case Err(LeaseEnded()):
-                log.info("The lease of this instance's issuer slots has ended.")
-                self.lease = None
-                self.tenure.on_ended()
+                self.on_lease_ended()
+                return True
             case Err(failure):
                 return self.record_failure(failure)
         self.plan_renewal()
@@ -161,12 +160,18 @@
                 self.publish_slots()
                 return True
             case Err(LeaseEnded()):
-                self.lease = None
-                self.tenure.on_ended()
+                self.on_lease_ended()
                 return False
             case Err(failure):
                 return self.record_failure(failure)
 
+    def on_lease_ended(self) -> None:
+        """Stop issuing, since the store does not know the lease."""
+        log.info("The lease of this instance's issuer slots has ended.")
+        self.lease = None
+        self.tenure.on_ended(now())
+        self.publish_slots()
+
     def plan_renewal(self) -> None:
         """Set when the lease is renewed."""
         self.next_renewal_at = now() + RENEW_INTERVAL_S * (0.9 + 0.2 * self.random.random())
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -120,6 +120,10 @@
     await slots.send_due_calls()
     assert published[-1].held == frozenset()
     assert published[-1].lease_until == float("-inf")
+    store.keys.clear()
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"),))
+    await slots.send_due_calls()
+    assert published[-1].held == ALL, "the store has lost the lease before its end"
 
 
 async def test_after_a_restore_of_the_store_only_held_slots_are_claimed() -> None:
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -292,7 +292,7 @@
         if renewed:
             node.tenure.on_renewed(asked_at)
         else:
-            node.tenure.on_ended()
+            node.tenure.on_ended(node.clock(now))
         node.update_issuer(now)
 
     def claim(self, claim: SlotClaim, instance: str, lease: int, now: float) -> SlotKey | None:
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -139,7 +139,7 @@
     :param lease: the number of the lease; None if there is none
     :param lease_until: when the slots count as no longer held unless the lease is renewed
     :param claims_from: before this time only slots of ``reclaims`` are claimed
-    :param reclaims: the slots that were held when the store was restored
+    :param reclaims: the slots that were held when the store was restored, and not claimed since
     """
 
     own: str
@@ -152,8 +152,9 @@
 
     def on_granted(self, lease: int, asked_at: float) -> None:
         """Record a new lease, which was asked for at a time."""
-        self.on_ended()
+        self.held.clear()
         self.lease = lease
+        self.lease_until = float("-inf")
         self.on_renewed(asked_at)
 
     def on_renewed(self, asked_at: float) -> None:
@@ -161,8 +162,13 @@
         until = asked_at + self.lease_s * (1 - LEASE_MARGIN_FRACTION)
         self.lease_until = max(self.lease_until, until)
 
-    def on_ended(self) -> None:
-        """Record that the lease has ended or is unknown to the store."""
+    def on_ended(self, now: float) -> None:
+        """Record that the store does not know the lease.
+
+        If it should not have ended yet, the store was restored from a copy.
+        """
+        if now < self.lease_until:
+            self.on_restored(now)
         self.lease = None
         self.lease_until = float("-inf")
         self.held.clear()
