Report servers that get their usual calls again

Each instance logs and counts the end of a rise that follows a server's answers, with the failures that have cut it, so that an operator sees servers that come back too weak for their load.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -26,6 +26,7 @@
     partitioned: Gauge = field(init=False)
     limited_servers: Gauge = field(init=False)
     warming_servers: Gauge = field(init=False)
+    completed_rises: Counter = field(init=False)
     evacuated_zones: Gauge = field(init=False)
     evacuated_calls: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
@@ -102,6 +103,12 @@
             "Backend servers that warm up, where the platform bounds their requests.",
             registry=registry,
         )
+        self.completed_rises = Counter(
+            "azurefield_gateway_completed_rises",
+            "Servers that got their usual calls again, by whether failures had cut them meanwhile.",
+            ("result",),
+            registry=registry,
+        )
         self.evacuated_zones = Gauge(
             "azurefield_gateway_evacuated_zones",
             "Availability zones whose servers get no new calls at the operator's request.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/registry.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/registry.py
@@ -100,7 +100,20 @@
         self.metrics.evacuated_zones.set(len(evacuated))
 
     def expire(self, now: float) -> None:
-        """Drop unconfirmed servers, and end evacuations whose requests are lost."""
+        """Drop unconfirmed servers, and end rises, warm-ups, and evacuations that were lost."""
+        self.record_completed_rises(now)
         self.quotas.warmups.expire(now)
         self.apply_changes(now, self.directory.expire(now))
         self.apply_evacuations(now, self.directory.expire_evacuations(now))
+
+    def record_completed_rises(self, now: float) -> None:
+        """Log the servers that get their usual calls again."""
+        for rise in self.router.pace.take_completed(now):
+            self.metrics.completed_rises.labels("cut" if rise.failures else "steady").inc()
+            log.info(
+                "Server {} gets its usual calls, {:.1f} s after it began to get calls again;"
+                " {} failures have cut them.",
+                rise.server,
+                rise.took_s,
+                rise.failures,
+            )
--- a/packages/azurefield/src/azurefield/server_pace.py
+++ b/packages/azurefield/src/azurefield/server_pace.py
@@ -22,6 +22,19 @@
 HOLD_S = 0.5
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CompletedRise:
+    """A server that gets its usual calls again.
+
+    :param took_s: time since its rise began
+    :param failures: calls since then that halved its share
+    """
+
+    server: str
+    took_s: float
+    failures: int
+
+
 class ServerPace(Protocol):
     """Decides which share of its usual calls a server gets from this instance while it rises.
 
@@ -47,6 +60,9 @@
     def forget(self, server: str) -> None:
         """End the rise of a server."""
 
+    def take_completed(self, now: float) -> list[CompletedRise]:
+        """Return and drop the completed rises, except those that take a fixed time."""
+
 
 @dataclass(slots=True, kw_only=True)
 class FixedRamp:
@@ -82,19 +98,26 @@
         """End the rise of a server."""
         self.begun_at.pop(server, None)
 
+    def take_completed(self, now: float) -> list[CompletedRise]:  # noqa: ARG002
+        """Return nothing, since all rises take the same time."""
+        return []
+
 
 @dataclass(slots=True, kw_only=True)
 class Rise:
     """The rise of one server.
 
+    :param begun_at: when it began
     :param share: the share at ``updated_at``
     :param changed_at: when a call last changed the share
     :param held_until: until when the share does not rise
     :param interval_s: shortest time between two doublings
     :param good: good answers since ``changed_at``
     :param slow: slow answers since ``changed_at``
+    :param failures: calls that have halved the share
     """
 
+    begun_at: float
     updated_at: float
     changed_at: float
     share: float = SHARE_MIN
@@ -102,6 +125,7 @@
     interval_s: float = DOUBLING_INTERVAL_S
     good: int = 0
     slow: int = 0
+    failures: int = 0
 
     def advance(self, now: float) -> None:
         """Apply the even rise since the last update."""
@@ -131,6 +155,7 @@
         self.share = max(SHARE_MIN, self.share / 2.0)
         self.interval_s = min(DOUBLING_INTERVAL_MAX_S, 2.0 * self.interval_s)
         self.held_until = now + HOLD_S
+        self.failures += 1
         self.restart_evidence(now)
 
 
@@ -147,16 +172,14 @@
 
     def begin(self, now: float, server: str, at: float) -> None:  # noqa: ARG002
         """Start a rise."""
-        self.rises[server] = Rise(updated_at=at, changed_at=at)
+        self.rises[server] = Rise(begun_at=at, updated_at=at, changed_at=at)
 
     def share(self, now: float, server: str) -> float:
-        """Return the share; a rise that has come to its end is dropped."""
+        """Return the share that the answers so far and the time give."""
         rise = self.rises.get(server)
         if rise is None:
             return 1.0
         rise.advance(now)
-        if rise.share >= 1.0:
-            del self.rises[server]
         return rise.share
 
     def on_result(
@@ -167,6 +190,8 @@
         if rise is None or result is CallResult.NOT_SENT or now - latency_s < rise.changed_at:
             return
         rise.advance(now)
+        if rise.share >= 1.0:
+            return
         if result in FAILURE_RESULTS:
             rise.on_failure(now)
         elif usual_s is not None and latency_s > SLOW_FACTOR * usual_s:
@@ -177,3 +202,14 @@
     def forget(self, server: str) -> None:
         """End the rise of a server."""
         self.rises.pop(server, None)
+
+    def take_completed(self, now: float) -> list[CompletedRise]:
+        """Return and drop the rises that have come to their end."""
+        completed = [
+            CompletedRise(server=server, took_s=now - rise.begun_at, failures=rise.failures)
+            for server, rise in self.rises.items()
+            if self.share(now, server) >= 1.0
+        ]
+        for rise in completed:
+            del self.rises[rise.server]
+        return completed
--- a/packages/azurefield/tests/test_server_pace.py
+++ b/packages/azurefield/tests/test_server_pace.py
@@ -17,6 +17,7 @@
     HOLD_S,
     SHARE_MIN,
     AdaptivePace,
+    CompletedRise,
     FixedRamp,
     ServerPace,
 )
@@ -113,6 +114,16 @@
     assert pace.share(now, "new") == before
 
 
+def test_a_completed_rise_is_reported_once_with_its_failures() -> None:
+    """Guards against a log that does not tell a weak server from a sound one."""
+    pace = begin(at=1.0)
+    pace.on_result(2.0, "new", CallResult.REFUSED, 0.1, USUAL_S)
+    assert pace.take_completed(2.0) == []
+    (completed,) = pace.take_completed(1.0 + 2 * EVEN_RISE_S)
+    assert completed == CompletedRise(server="new", took_s=2 * EVEN_RISE_S, failures=1)
+    assert pace.take_completed(1.0 + 2 * EVEN_RISE_S) == []
+
+
 @dataclass(slots=True, kw_only=True)
 class Backend:
     """A server with slots and a queue; it takes ``factor`` times as long until ``slow_until``."""
