Do not take a late entry for a new warm-up

Cause: an entry that a relay delayed past the end of a warm-up still names a remaining time, and the load of the server began to rise anew.

Change: a warm-up begins only if the remaining time that a server states is longer than in its entry before.

Result: the new test failed before the change.

--- a/packages/azurefield/src/azurefield/warmup_limits.py
+++ b/packages/azurefield/src/azurefield/warmup_limits.py
@@ -44,32 +44,37 @@
     :param bound: None if the platform sets none; then no server has a limit
     :param services: the services of the configuration in force
     :param until: when the warm-up of each server ends
+    :param stated_s: the remaining time in the last entry of each server
     """
 
     bound: WarmupBound | None = None
     services: Mapping[str, ServiceLimits] = field(default_factory=dict)
     until: dict[str, float] = field(default_factory=dict)
+    stated_s: dict[str, float] = field(default_factory=dict)
 
     def on_entry(self, now: float, entry: RegisteredServer) -> bool:
         """Record what a server's entry says of its warm-up.
 
-        :return: whether the server warms up and did not before
+        :return: whether a warm-up has begun; not for a late entry of one that has ended
         """
-        return self.on_warming(now, entry.server, entry.warmup_s)
+        if self.bound is None:
+            return False
+        rises = entry.warmup_s > self.stated_s.get(entry.server, 0.0)
+        was_warm = self.until.get(entry.server, -inf) <= now
+        self.stated_s[entry.server] = entry.warmup_s
+        self.extend(now, entry.server, entry.warmup_s)
+        return rises and was_warm
 
     def on_reopened(self, now: float, entry: RegisteredServer) -> None:
         """Record that a server is used again; it may warm up without having told so yet."""
         service = self.services.get(entry.service)
-        if service is not None:
-            self.on_warming(now, entry.server, service.warmup_s)
+        if self.bound is not None and service is not None:
+            self.extend(now, entry.server, service.warmup_s)
 
-    def on_warming(self, now: float, server: str, left_s: float) -> bool:
-        """Record how much longer a server warms up; an earlier statement is never shortened."""
-        if self.bound is None or left_s <= 0.0:
-            return False
-        known_until = self.until.get(server, -inf)
-        self.until[server] = max(known_until, now + left_s)
-        return known_until <= now
+    def extend(self, now: float, server: str, left_s: float) -> None:
+        """Let a warm-up end no earlier than in ``left_s``; it is never shortened."""
+        if left_s > 0.0:
+            self.until[server] = max(self.until.get(server, -inf), now + left_s)
 
     def limit(self, now: float, entry: RegisteredServer) -> NamedLimit | None:
         """Return at which rate tokens for calls to a server are issued; None if it needs none."""
@@ -84,6 +89,7 @@
     def forget(self, server: str) -> None:
         """Drop a server that is gone or was started again."""
         self.until.pop(server, None)
+        self.stated_s.pop(server, None)
 
     def expire(self, now: float) -> None:
         """Drop the servers that have warmed up."""
--- a/packages/azurefield/tests/test_warmup_limits.py
+++ b/packages/azurefield/tests/test_warmup_limits.py
@@ -67,6 +67,15 @@
     assert limits.on_entry(3.0, server(1.0)), "it warms up again"
 
 
+def test_an_entry_that_arrives_late_is_no_new_warm_up() -> None:
+    """Guards against a server whose load begins to rise anew at the end of each warm-up."""
+    limits = make_limits()
+    assert limits.on_entry(0.0, server(3.0))
+    assert not limits.on_entry(3.5, server(0.4)), "written before the end, relayed after it"
+    assert not limits.on_entry(5.0, server(0.0))
+    assert limits.on_entry(9.0, server(2.0))
+
+
 def granted(queue: QuotaQueue, now: float, number: int, limit: NamedLimit, fraction: float) -> bool:
     request = QuotaRequest(key=number, server="s1", limit=limit, priority=0, start_by=now)
     decisions = queue.request(now, request, fraction=fraction)
