--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -55,7 +55,8 @@
     parsed = CallersHttp().parse_request(make_mocked_request("GET", "/x", headers), b"", 10.0)
     assert isinstance(parsed, Ok)
     request = replace(parsed.ok_value, workspace=Workspace(name="w1"), caller_key=None)
-    sent = LeafsHttp().encode(LeafCall(request=request, server="i-1", deadline=11.0), 10.0).decode()
+    call = LeafCall(request=request, server="i-1", deadline=11.0)
+    sent = b"".join(LeafsHttp().encode(call, 10.0)).decode()
     assert "tenant-id: w1\r\n" in sent
     assert "X: 1\r\n" in sent
     assert sent.lower().count("tenant-id") == 1
