Log the requests that a quota refuses

Cause: a request refused before its dispatch left no line with its id.

Change: one line with the id, the workspace, the slots asked and the time, at most five a second.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -36,11 +36,12 @@
 )
 from azurefield_entry.gateway.requests.outcomes import refusal
 from azurefield_entry.kernel import Kernel, Stop, send_every
+from azurefield_entry.log_limit import LineLimit
 
 if TYPE_CHECKING:
     from azurefield.quota_shares import QuotaBounds
-    from azurefield.workspaces import Workspace
     from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield_entry.gateway.ports import GatewayRequest
     from azurefield_entry.kernel import Mailbox
 
 # A request waits for its token at most for this fraction of its route's latency goal, or for this
@@ -57,6 +58,8 @@
 # An issuer that did not reply so soon is asked last for this time.
 SILENT_S = 1.0
 TICK_INTERVAL_S = 10.0
+# Bounds the lines of refused requests, which a greedy workspace sends in any number.
+REFUSED_LINES_PER_S = 5.0
 log = Logger("quotas")
 
 
@@ -79,6 +82,9 @@
     choice: ShareChoice = field(default_factory=ShareChoice)
     holders: dict[int, str] = field(default_factory=dict)
     silent_until: dict[str, float] = field(default_factory=dict)
+    refused_lines: LineLimit = field(
+        default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
+    )
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Apply changes of the issuer slots and of the settings until ``Stop``."""
@@ -109,9 +115,9 @@
         self.metrics.issuer_slots.set(len(held))
 
     async def admit(
-        self, workspace: Workspace | None, version: int, goal_s: float | None
+        self, request: GatewayRequest, version: int, goal_s: float | None
     ) -> RequestFailure | None:
-        """Get a token for one request that a caller has sent to this instance.
+        """Get a token for a request that a caller has sent to this instance.
 
         Cancelling this gives up the token.
 
@@ -119,26 +125,42 @@
         :param goal_s: the latency goal of the route
         :return: why the request is refused; None if it may run
         """
+        workspace = request.workspace
         if workspace is None or workspace.quota is None:
             return None
+        asked_at = now()
         wait_s = WAIT_WITHOUT_GOAL_S if goal_s is None else WAIT_FRACTION * goal_s
-        slots = self.choice.slots(now(), workspace.name, workspace.quota)
-        requests = [
-            ShareRequest(
-                slot=slot, workspace=workspace.name, quota=workspace.quota, version=version
-            )
-            for slot in sorted(slots, key=self.silent)
-        ]
+        requests = self.share_requests(workspace.name, workspace.quota, version)
         decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, wait_s))
         if isinstance(decision, QuotaGranted):
             self.metrics.workspace_quota_requests.labels("granted").inc()
             return None
         if isinstance(decision, QuotaDenied) or self.choice.any_empty(now(), workspace.name):
-            self.metrics.workspace_quota_requests.labels("denied").inc()
-            return self.over_quota(workspace.name, workspace.quota)
-        self.metrics.workspace_quota_requests.labels("unreachable").inc()
-        detail = f"no instance issues the quota of workspace {workspace.name}"
-        return refusal(FailureKind.NOT_READY, detail)
+            result, failure = "denied", self.over_quota(workspace.name, workspace.quota)
+        else:
+            result, failure = "unreachable", not_issued(workspace.name)
+        self.metrics.workspace_quota_requests.labels(result).inc()
+        if self.refused_lines.allow(now()):
+            log.info(
+                "Request id={} workspace={} version={} is refused: {}, slots={} ms={:.0f}.",
+                request.request_id,
+                workspace.name,
+                version,
+                failure.kind,
+                [asked.slot for asked in requests],
+                (now() - asked_at) * 1000,
+            )
+        return failure
+
+    def share_requests(
+        self, workspace: str, quota: RequestQuota, version: int
+    ) -> list[ShareRequest]:
+        """Build the requests to the shares, in the order in which they are asked."""
+        slots = self.choice.slots(now(), workspace, quota)
+        return [
+            ShareRequest(slot=slot, workspace=workspace, quota=quota, version=version)
+            for slot in sorted(slots, key=self.silent)
+        ]
 
     def over_quota(self, workspace: str, quota: RequestQuota) -> RequestFailure:
         """Build the failure of a request beyond the quota."""
@@ -239,6 +261,12 @@
         return ShareNotIssued(number=frame.number)
 
 
+def not_issued(workspace: str) -> RequestFailure:
+    """Build the failure of a request whose quota no instance has decided on."""
+    detail = f"no instance issues the quota of workspace {workspace}"
+    return refusal(FailureKind.NOT_READY, detail)
+
+
 def usefulness(decision: ShareDecision) -> int:
     """Order decisions: a token first, then the knowledge that there is none."""
     match decision:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -367,7 +367,7 @@
     async def run_admitted(self, admitted: AdmittedRequest) -> RequestResult:
         """Run an admitted request, here or on another instance, if its quota is not used up."""
         request, route, version = admitted.request, admitted.route, admitted.version
-        refused = await self.workspace_quotas.admit(request.workspace, version, route.goal_s)
+        refused = await self.workspace_quotas.admit(request, version, route.goal_s)
         if refused is not None:
             return Err(refused)
         return await self.dispatcher.dispatch(request, route, version)
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -18,6 +18,7 @@
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
+from azurefield_testkit.entry_support.gateway_parts import make_request
 from azurefield_testkit.entry_support.peers import (
     RunningService,
     refuse_request,
@@ -54,7 +55,7 @@
         return self.running.service
 
     async def admit(self) -> FailureKind | None:
-        failure = await self.quotas.admit(WORKSPACE, 1, GOAL_S)
+        failure = await self.quotas.admit(make_request(workspace=WORKSPACE), 1, GOAL_S)
         return None if failure is None else failure.kind
 
     async def stop(self) -> None:
@@ -115,7 +116,7 @@
         answered: list[object] = []
         for name in NAMES:
             instances[name].service.answer_share = answered.append  # type: ignore[assignment]
-        failure = await instances["i1"].quotas.admit(WORKSPACE, 1, GOAL_S)
+        failure = await instances["i1"].quotas.admit(make_request(workspace=WORKSPACE), 1, GOAL_S)
         assert failure is not None
         assert failure.retry_after_s is not None
         assert failure.retry_after_s > 0
@@ -127,7 +128,7 @@
     async with fleet() as instances:
         quotas = instances["i1"].quotas
         for workspace in (None, Workspace(name="free")):
-            assert await quotas.admit(workspace, 1, GOAL_S) is None
+            assert await quotas.admit(make_request(workspace=workspace), 1, GOAL_S) is None
         assert not quotas.peers.links
 
 
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -191,6 +191,11 @@
         assert self.process is not None
         return next((line for line in self.process.output if f"id={request_id} " in line), "")
 
+    def lines_with(self, text: str) -> list[str]:
+        """List the lines of the log with a text."""
+        assert self.process is not None
+        return [line for line in self.process.output if text in line]
+
     async def wait_for_line_of(self, request_id: str) -> str:
         """Wait for the log line of a request."""
         await wait_until(lambda: bool(self.line_of(request_id)), f"{request_id} is logged")
--- a/tests/fleet/test_workspace_quotas.py
+++ b/tests/fleet/test_workspace_quotas.py
@@ -93,7 +93,8 @@
         loads = [send_load(sites[name], numbers, until) for name in loaded]
         statuses = [status for load in await asyncio.gather(*loads) for status in load]
         arrived = sites["n1"].leafs["d1"].arrived_at
-    assert set(statuses) <= {200, 429}
+        refused = [line for site in sites.values() for line in site.lines_with("not-ready")]
+    assert set(statuses) <= {200, 429}, refused
     assert most_in_window(arrived) <= ALLOWED
     assert len(arrived) >= RATE_PER_S * WINDOW_S, "most of the quota is used"
 
