--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -18,6 +18,7 @@
 from azurefield.quota_shares import QuotaBounds
 from azurefield.workspace_quota import ShareChoice, ShareDecision, ShareIssuer, ShareRequest
 from azurefield.workspaces import RequestQuota
+from azurefield_testkit.slot_store import SlotStoreModel
 
 TICK_S = 0.25
 LATENCY_S = 0.001
@@ -47,46 +48,6 @@
     lag_s: float = 3.0
 
 
-@dataclass(slots=True, kw_only=True)
-class StoreModel:
-    """Keys of slots under leases, with conditional writes."""
-
-    lease_s: float
-    keys: dict[int, SlotKey] = field(default_factory=dict)
-    lease_ends: dict[int, float] = field(default_factory=dict)
-    revision: int = 1
-
-    def expire(self, now: float) -> list[int]:
-        """Remove the keys of ended leases."""
-        ended = [slot for slot, key in self.keys.items() if self.lease_ends[key.lease] <= now]
-        for slot in ended:
-            del self.keys[slot]
-        return ended
-
-    def grant(self, now: float) -> int:
-        """Create a lease and return its number."""
-        self.revision += 1
-        self.lease_ends[self.revision] = now + self.lease_s
-        return self.revision
-
-    def renew(self, lease: int, now: float) -> bool:
-        """Renew a lease; return whether it had not ended."""
-        if self.lease_ends[lease] <= now:
-            return False
-        self.lease_ends[lease] = now + self.lease_s
-        return True
-
-    def claim(self, claim: SlotClaim, instance: str, lease: int, now: float) -> SlotKey | None:
-        """Write a key if its condition holds and the lease has not ended."""
-        known = self.keys.get(claim.slot)
-        if self.lease_ends[lease] <= now or (known.revision if known else 0) != claim.revision:
-            return None
-        self.revision += 1
-        key = SlotKey(slot=claim.slot, instance=instance, lease=lease, revision=self.revision)
-        self.keys[claim.slot] = key
-        return key
-
-
 @dataclass(slots=True, kw_only=True)
 class Node:
     """One process of an instance.
@@ -146,7 +107,7 @@
     clock_error: float = 0.0
     lease_s: float = 6.0
     make_issuer: Callable[..., ShareIssuer] = ShareIssuer
-    store: StoreModel = field(init=False)
+    store: SlotStoreModel = field(init=False)
     nodes: list[Node] = field(default_factory=list)
     events: list[tuple[float, int, Callable[[float], None]]] = field(default_factory=list)
     numbers: count[int] = field(default_factory=count)
@@ -155,7 +116,7 @@
     now: float = 0.0
 
     def __post_init__(self) -> None:
-        self.store = StoreModel(lease_s=self.lease_s)
+        self.store = SlotStoreModel(lease_s=self.lease_s)
         self.nodes = [self.start_node(index, 0.0) for index in range(self.instances)]
         for index in range(self.instances):
             self.at(self.random.random() * TICK_S, partial(self.tick, index))
@@ -417,17 +378,3 @@
             clock = request.node.clock(now)
             request.node.choice.on_denied(clock, "w", slot, decision.wait_s)
         self.ask_next(now, request)
-
-
-def most_in_window(runs: list[tuple[float, float]], window_s: float, since: float = 0.0) -> int:
-    """Return the most requests that were both sent and run inside any window."""
-    sent = sorted(run for run in runs if run[0] >= since)
-    most = 0
-    for first, (start, _) in enumerate(sent):
-        inside = 0
-        for begin, arrived in sent[first:]:
-            if begin > start + window_s:
-                break
-            inside += arrived <= start + window_s
-        most = max(most, inside)
-    return most
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -12,7 +12,7 @@
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.workspace_quota import ShareBucket, ShareChoice, ShareIssuer, ShareRequest
 from azurefield.workspaces import RequestQuota
-from azurefield_testkit.quota_fleet import Fault, LimitChange, QuotaFleet, most_in_window
+from azurefield_testkit.quota_fleet import Fault, LimitChange, QuotaFleet
 
 BOUNDS = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
 QUOTA = RequestQuota(rate_per_s=23.0, burst=23.0)
@@ -22,6 +22,20 @@
 KINDS = ("kill", "freeze", "cut_store", "cut_peers", "slow_watch")
 
 
+def most_in_window(runs: list[tuple[float, float]], window_s: float, since: float = 0.0) -> int:
+    """Return the most requests that were both sent and run inside any window."""
+    sent = sorted(run for run in runs if run[0] >= since)
+    most = 0
+    for first, (start, _) in enumerate(sent):
+        inside = 0
+        for begin, arrived in sent[first:]:
+            if begin > start + window_s:
+                break
+            inside += arrived <= start + window_s
+        most = max(most, inside)
+    return most
+
+
 def arrivals(random: Random, per_s: float, begin: float, end: float) -> list[float]:
     """Draw the times of a Poisson process."""
     times, at = [], begin + random.expovariate(per_s)
