Count the lease of issuer slots also while the machine is suspended

The clock of the event loop stands still while a machine is suspended. An issuer that woke after the end of its lease would have issued tokens beside its successor. The lease is now compared with a clock that counts the suspension; the new test fails with the clock of the event loop.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from azurefield.issuer_slots import SLOT_LEASE_S, SlotClaim, SlotClaims, SlotKey, SlotTenure
-from azurefield_entry.clock import now
+from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import IssuerSlotsChanged
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
@@ -93,7 +93,7 @@
 
     def on_restored(self) -> None:
         """Give up the slots after the store was restored from a copy."""
-        self.tenure.on_restored(now())
+        self.tenure.on_restored(lease_now())
         self.lease = None
         self.publish_slots()
 
@@ -120,13 +120,13 @@
         needed = self.used or bool(self.claims.keys)
         if not needed or not self.can_issue():
             return []
-        if now() < self.tenure.claims_from:
+        if lease_now() < self.tenure.claims_from:
             return self.claims.claims_of(self.tenure.reclaims)
         return self.claims.wanted(now(), frozenset(self.issuers), self.tenure.held)
 
     async def new_lease(self) -> bool:
         """Get a lease; return whether that succeeded."""
-        asked_at = now()
+        asked_at = lease_now()
         match await self.store.new_lease(SLOT_LEASE_S):
             case Ok(lease):
                 self.lease = lease
@@ -138,7 +138,7 @@
 
     async def renew(self, lease: Lease) -> bool:
         """Renew the lease; return whether that succeeded."""
-        asked_at = now()
+        asked_at = lease_now()
         match await self.store.renew_lease(lease):
             case Ok(_):
                 self.tenure.on_renewed(asked_at)
@@ -169,7 +169,7 @@
         """Stop issuing, since the store does not know the lease."""
         log.info("The lease of this instance's issuer slots has ended.")
         self.lease = None
-        self.tenure.on_ended(now())
+        self.tenure.on_ended(lease_now())
         self.publish_slots()
 
     def plan_renewal(self) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -19,7 +19,7 @@
     ShareRequest,
 )
 from azurefield.workspaces import RequestQuota
-from azurefield_entry.clock import now
+from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import (
     IssuerSlotsChanged,
     SettingsChanged,
@@ -96,7 +96,7 @@
                 case SettingsChanged(settings=settings):
                     self.set_bounds(settings.quota_bounds)
                 case Tick():
-                    self.issuer.on_tick(now())
+                    self.issuer.on_tick(lease_now())
                     self.choice.on_tick(now())
                 case Stop():
                     break
@@ -111,7 +111,7 @@
         if held != self.issuer.held_since.keys():
             log.info("Issuing quota of workspaces for the slots {}.", sorted(held))
         self.holders = holders
-        self.issuer.on_lease(now(), lease_until, held)
+        self.issuer.on_lease(lease_now(), lease_until, held)
         self.metrics.issuer_slots.set(len(held))
 
     async def admit(
@@ -222,7 +222,7 @@
         if holder is None:
             return QuotaNotIssued()
         if holder == self.own:
-            decision = self.issuer.request(now(), request)
+            decision = self.issuer.request(lease_now(), request)
         else:
             decision = await self.ask_other(holder, request)
         if isinstance(decision, QuotaDenied):
@@ -253,7 +253,7 @@
             quota=RequestQuota(rate_per_s=frame.rate_per_s, burst=frame.burst),
             version=frame.version,
         )
-        match self.issuer.request(now(), request):
+        match self.issuer.request(lease_now(), request):
             case QuotaGranted():
                 return QuotaGiven(number=frame.number, limit_ended=False)
             case QuotaDenied(wait_s=wait_s):
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -10,12 +10,15 @@
 import pytest
 
 from azurefield.failures import FailureKind
+from azurefield.quota import QuotaGranted
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
+from azurefield.workspace_quota import QuotaNotIssued, ShareRequest
 from azurefield.workspaces import RequestQuota, Workspace
-from azurefield_entry.clock import now
+from azurefield_entry.clock import lease_now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.links import PeerLinks
+from azurefield_entry.gateway.quotas import workspace_quotas
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
 from azurefield_testkit.entry_support.gateway_parts import make_request
@@ -69,9 +72,9 @@
     )
     quotas.set_bounds(BOUNDS)
     held = frozenset(slot for slot, holder in HOLDERS.items() if holder == name)
-    quotas.on_slots(HOLDERS, now() + LONG_AGO_S, held)
+    quotas.on_slots(HOLDERS, lease_now() + LONG_AGO_S, held)
     for slot in held:
-        quotas.issuer.held_since[slot] = now() - LONG_AGO_S
+        quotas.issuer.held_since[slot] = lease_now() - LONG_AGO_S
     service = CoordinatorService(
         address=addresses[name],
         version=lambda: 1,
@@ -108,6 +111,20 @@
         assert kinds == [None] * tokens() + [FailureKind.QUOTA_EXCEEDED] * 5
 
 
+async def test_an_issuer_that_was_suspended_for_longer_than_its_lease_issues_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two issuers of a share, one of which was suspended with its clock."""
+    async with fleet() as instances:
+        quotas = instances["i1"].quotas
+        slot = SLOTS[0]
+        request = ShareRequest(slot=slot, workspace="w", quota=QUOTA, version=1)
+        assert isinstance(await quotas.ask(request), QuotaGranted)
+        woken_at = lease_now() + 2 * LONG_AGO_S
+        monkeypatch.setattr(workspace_quotas, "lease_now", lambda: woken_at)
+        assert isinstance(await quotas.ask(request), QuotaNotIssued)
+
+
 async def test_a_refusal_beyond_the_quota_asks_no_instance_while_no_token_is_due() -> None:
     """Guards against a greedy workspace whose refusals keep the issuers busy."""
     async with fleet() as instances:
@@ -142,7 +159,7 @@
         elif fault == "silent":
             lost.service.answer_share = partial(say_nothing, lost.service)
         else:
-            lost.quotas.on_slots(HOLDERS, now(), frozenset())
+            lost.quotas.on_slots(HOLDERS, lease_now(), frozenset())
         assert [await instances["i1"].admit() for _ in range(6)] == [None] * 6
 
 
@@ -157,9 +174,9 @@
     """Guards against requests beyond the quota from an instance that is cut off."""
     async with fleet() as instances:
         quotas = instances["i1"].quotas
-        quotas.on_slots({}, now(), frozenset())
+        quotas.on_slots({}, lease_now(), frozenset())
         assert await instances["i1"].admit() is FailureKind.NOT_READY
-        quotas.on_slots(HOLDERS, now(), frozenset({SLOTS[0]}))
+        quotas.on_slots(HOLDERS, lease_now(), frozenset({SLOTS[0]}))
         await instances["i2"].stop()
         await instances["i3"].stop()
         assert await instances["i1"].admit() is FailureKind.NOT_READY
