--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -21,7 +21,7 @@
 # A connection that holds no more than this of bodies is not counted, so that a small request is
 # never refused for what others hold.
 UNCOUNTED_BYTES = 4096
-# A body is held once more in the call to a server or in a frame to another instance.
+# A body is held once more in a frame to another instance.
 COPIES_IN_USE = 2
 CONNECTIONS_MAX = 4096
 LOG_INTERVAL_S = 1.0
@@ -38,7 +38,7 @@
     :param connections: the open connections
     :param turns: the connections that wait until their bytes are parsed
     :param turn_scheduled: whether the next turn will be run
-    :param logged_at: when a line of each kind was last written
+    :param logged_at: when a line of each kind was last written, on the event loop's clock
     """
 
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
