Keep the platform's names of warm-up fields in the adapter

The configuration's and settings' field names for warm-up were also names in the library; they are renamed there, and the test of names looks for them.

--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -124,9 +124,9 @@
 
 def warm_up(instance: Instance) -> None:
     """Let an instance know that the server warms up, with a token each 4 s, and no named limit."""
-    service = ServiceLimits(connections_max=30, warmup_s=60.0, warmup_per_s=0.5)
+    service = ServiceLimits(connections_max=30, warmup_duration_s=60.0, warmup_rate_per_s=0.5)
     instance.quotas.limits.known.clear()
-    instance.quotas.warmups.bound = WarmupBound(overage=1.0, slack=0.0)
+    instance.quotas.warmups.bound = WarmupBound(rate_factor=1.0, extra_requests=0.0)
     instance.quotas.warmups.services = {"desk": service}
     instance.quotas.warmups.on_entry(now(), replace(SERVER, warmup_s=60.0))
 
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -73,14 +73,14 @@
     """The limits of one server of a service.
 
     :param connections_max: the maximum number of open connections from all callers together
-    :param warmup_s: how long it warms up after a start
-    :param warmup_per_s: requests per second that it takes from all instances together while it
+    :param warmup_duration_s: how long it warms up after a start
+    :param warmup_rate_per_s: requests per second that it takes from all instances together while it
         warms up; 0 for any number
     """
 
     connections_max: int
-    warmup_s: float = 0.0
-    warmup_per_s: float = 0.0
+    warmup_duration_s: float = 0.0
+    warmup_rate_per_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield/src/azurefield/warmup_limits.py
+++ b/packages/azurefield/src/azurefield/warmup_limits.py
@@ -22,16 +22,16 @@
 class WarmupBound:
     """How many requests a server that warms up may get in any second.
 
-    :param overage: factor on the rate that its service names
-    :param slack: requests beyond that
+    :param rate_factor: factor on the rate that its service names
+    :param extra_requests: requests beyond that
     """
 
-    overage: float
-    slack: float
+    rate_factor: float
+    extra_requests: float
 
     def requests_max(self, per_s: float) -> float:
         """Return the bound for a service that names a rate."""
-        return per_s * self.overage + self.slack
+        return per_s * self.rate_factor + self.extra_requests
 
 
 @dataclass(slots=True, kw_only=True)
@@ -69,7 +69,7 @@
         """Record that a server is used again; it may warm up without having told so yet."""
         service = self.services.get(entry.service)
         if self.bound is not None and service is not None:
-            self.extend(now, entry.server, service.warmup_s)
+            self.extend(now, entry.server, service.warmup_duration_s)
 
     def extend(self, now: float, server: str, left_s: float) -> None:
         """Let a warm-up end no earlier than in ``left_s``; it is never shortened."""
@@ -81,9 +81,9 @@
         if self.bound is None or self.until.get(entry.server, -inf) <= now:
             return None
         service = self.services.get(entry.service)
-        if service is None or service.warmup_per_s <= 0.0:
+        if service is None or service.warmup_rate_per_s <= 0.0:
             return None
-        per_s = ISSUED_FRACTION * self.bound.requests_max(service.warmup_per_s)
+        per_s = ISSUED_FRACTION * self.bound.requests_max(service.warmup_rate_per_s)
         return NamedLimit(per_s=per_s, named_at=now)
 
     def forget(self, server: str) -> None:
--- a/packages/azurefield/tests/test_warmup_limits.py
+++ b/packages/azurefield/tests/test_warmup_limits.py
@@ -17,7 +17,7 @@
 from azurefield.server_limits import NamedLimit
 from azurefield.warmup_limits import WarmupBound, WarmupLimits
 
-BOUND = WarmupBound(overage=1.5, slack=5.0)
+BOUND = WarmupBound(rate_factor=1.5, extra_requests=5.0)
 LENGTH_S = 6.0
 
 
@@ -32,8 +32,10 @@
     )
 
 
-def make_limits(warmup_per_s: float = 10.0, bound: WarmupBound | None = BOUND) -> WarmupLimits:
-    service = ServiceLimits(connections_max=30, warmup_s=3.0, warmup_per_s=warmup_per_s)
+def make_limits(warmup_rate_per_s: float = 10.0, bound: WarmupBound | None = BOUND) -> WarmupLimits:
+    service = ServiceLimits(
+        connections_max=30, warmup_duration_s=3.0, warmup_rate_per_s=warmup_rate_per_s
+    )
     return WarmupLimits(bound=bound, services={"desk": service})
 
 
@@ -42,7 +44,7 @@
     [
         (make_limits(), 2.0, True),
         (make_limits(), 0.0, False),
-        (make_limits(warmup_per_s=0.0), 2.0, False),
+        (make_limits(warmup_rate_per_s=0.0), 2.0, False),
         (make_limits(bound=None), 2.0, False),
         (WarmupLimits(bound=BOUND), 2.0, False),
     ],
@@ -101,18 +103,18 @@
     return max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
 
 
-@pytest.mark.parametrize("warmup_per_s", [1.0, 5.0, 20.0, 80.0])
+@pytest.mark.parametrize("warmup_rate_per_s", [1.0, 5.0, 20.0, 80.0])
 @pytest.mark.parametrize("instances", [1, 2, 85, 300])
 @pytest.mark.parametrize("restart", [False, True], ids=["steady", "issuer-restarts"])
 def test_the_sum_of_all_instances_stays_within_the_bound(
-    warmup_per_s: float, instances: int, restart: bool
+    warmup_rate_per_s: float, instances: int, restart: bool
 ) -> None:
     """Guards against a flood of a server that warms up, also while there are two issuers."""
-    limits, entry = make_limits(warmup_per_s), server(LENGTH_S)
+    limits, entry = make_limits(warmup_rate_per_s), server(LENGTH_S)
     limits.on_entry(0.0, entry)
     limit = limits.limit(0.0, entry)
     assert limit is not None
-    assert most_in_a_second(limit, instances, restart, 1) <= BOUND.requests_max(warmup_per_s)
+    assert most_in_a_second(limit, instances, restart, 1) <= BOUND.requests_max(warmup_rate_per_s)
 
 
 def test_tokens_at_the_whole_bound_would_exceed_it() -> None:
--- a/tests/fleet/test_names.py
+++ b/tests/fleet/test_names.py
@@ -49,6 +49,10 @@
     "retry_window_s",
     "config_apply_ms",
     "contact_ms",
+    "op/evacuate",
+    "warmup_per_s",
+    "warmup_overage",
+    "warmup_slack",
 )
 
 
--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -141,7 +141,7 @@
     value["services"][0] |= {"warmup_s": 3.0, "warmup_per_s": 20}
     table = decode_item("op/config", encoded(value)).unwrap()
     assert isinstance(table, RouteTable)
-    expected = ServiceLimits(connections_max=30, warmup_s=3.0, warmup_per_s=20.0)
+    expected = ServiceLimits(connections_max=30, warmup_duration_s=3.0, warmup_rate_per_s=20.0)
     assert table.services == {"desk": expected, "other": ServiceLimits(connections_max=30)}
 
 
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -48,7 +48,7 @@
     assert load(write(tmp_path, SETTINGS)).unwrap().warmup_bound is None
     bounds = "grace_s = 6\nwarmup_overage = 1.5\nwarmup_slack = 5"
     loaded = load(write(tmp_path, SETTINGS.replace("grace_s = 6", bounds))).unwrap()
-    assert loaded.warmup_bound == WarmupBound(overage=1.5, slack=5.0)
+    assert loaded.warmup_bound == WarmupBound(rate_factor=1.5, extra_requests=5.0)
 
 
 @pytest.mark.parametrize(
