--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -50,10 +50,11 @@
     def on_silent(self, now: float, coordinator: str) -> None:
         """Avoid a coordinator that has not accepted a request in time, or was lost under it."""
         self.silent.add(coordinator)
-        self.router.avoid(now, coordinator, SILENT_AVOIDED_S)
+        view = self.router.view(coordinator)
+        view.backoff_until = max(view.backoff_until, now + SILENT_AVOIDED_S)
 
     def on_heard(self, coordinator: str) -> None:
         """Choose a silent coordinator again that has sent something."""
         if coordinator in self.silent:
             self.silent.discard(coordinator)
-            self.router.end_avoidance(coordinator)
+            self.router.view(coordinator).backoff_until = float("-inf")
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -301,15 +301,6 @@
             if view.consecutive_failures >= CONSECUTIVE_FAILURES_TO_EJECT:
                 self.eject(now, view)
 
-    def avoid(self, now: float, server: str, for_s: float) -> None:
-        """Choose a server only if no other can take calls, until it answers or the time ends."""
-        view = self.view(server)
-        view.backoff_until = max(view.backoff_until, now + for_s)
-
-    def end_avoidance(self, server: str) -> None:
-        """Choose a server again that is avoided or in backoff."""
-        self.view(server).backoff_until = float("-inf")
-
     def on_restart(self, now: float, server: str) -> None:
         """Reset the observations of a server that has restarted and give it a slow start."""
         view = self.view(server)
