Keep the backoff of a coordinator that is heard but late

A frame of a silent coordinator ended its avoidance and the router's own backoff with it, so one that accepts requests just too late would have got the next ones at once. The new test failed before.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -254,7 +254,7 @@
         self.view.retain_only(instances)
         for name in self.peers.retain_only(instances):
             self.router.forget(name)
-            self.choice.silent.discard(name)
+            self.choice.silent.pop(name, None)
 
 
 def acceptance_wait_s(route: Route) -> float:
--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -28,12 +28,13 @@
     of the other zones take part, so that a weak instance does not have to run the request itself.
 
     :param router: observes how the requests end that were forwarded
-    :param silent: the coordinators that were silent and have not been heard since
+    :param silent: when the router's own backoff of each coordinator ends that was silent and has
+        not been heard since
     """
 
     view: CoordinatorView
     router: OwnObservationRouter
-    silent: set[str] = field(default_factory=set)
+    silent: dict[str, float] = field(default_factory=dict)
 
     def choose(self, now: float, zones: Collection[str]) -> str | None:
         """Choose a coordinator for a request over servers in some zones.
@@ -49,12 +50,12 @@
 
     def on_silent(self, now: float, coordinator: str) -> None:
         """Avoid a coordinator that has not accepted a request in time, or was lost under it."""
-        self.silent.add(coordinator)
         view = self.router.view(coordinator)
+        self.silent.setdefault(coordinator, view.backoff_until)
         view.backoff_until = max(view.backoff_until, now + SILENT_AVOIDED_S)
 
     def on_heard(self, coordinator: str) -> None:
-        """Choose a silent coordinator again that has sent something."""
-        if coordinator in self.silent:
-            self.silent.discard(coordinator)
-            self.router.view(coordinator).backoff_until = float("-inf")
+        """Leave it to the router again when to choose a coordinator that has sent something."""
+        backoff_until = self.silent.pop(coordinator, None)
+        if backoff_until is not None:
+            self.router.view(coordinator).backoff_until = backoff_until
--- a/packages/azurefield/tests/test_coordinator_choice.py
+++ b/packages/azurefield/tests/test_coordinator_choice.py
@@ -12,7 +12,7 @@
 
 from azurefield.coordinator_choice import CoordinatorChoice
 from azurefield.coordinators import CoordinatorView, InstanceProfile
-from azurefield.routing import CallResult, OwnObservationRouter
+from azurefield.routing import BACKOFF_BASE_S, CallResult, OwnObservationRouter
 
 ZONES = ("a", "b", "c")
 INSTANCES = 27
@@ -137,3 +137,16 @@
 def test_the_instance_that_is_a_nearest_coordinator_runs_its_requests_itself() -> None:
     """Guards against a coordinator that forwards its requests to others."""
     assert choice("a-strong0", 1).choose(0.0, ZONES) is None
+
+
+def test_a_coordinator_that_accepts_just_too_late_keeps_its_usual_backoff() -> None:
+    """Guards against the next requests going to a coordinator that is heard but late."""
+    weak = choice("a-weak0", 1)
+    late = weak.choose(0.0, ZONES)
+    assert late is not None
+    weak.router.on_dispatch(0.0, late)
+    weak.router.on_result(ACCEPT_WAIT_S, late, CallResult.FAILED, ACCEPT_WAIT_S)
+    weak.on_silent(ACCEPT_WAIT_S, late)
+    weak.on_heard(late)
+    assert not weak.router.any_responsive(ACCEPT_WAIT_S + 0.5 * BACKOFF_BASE_S, (late,))
+    assert weak.router.any_responsive(ACCEPT_WAIT_S + 1.5 * BACKOFF_BASE_S, (late,))
