Don't take time in which a process did not run for the silence of issuers

Cause: beside load, a request got 503 after 60 ms although the replies of its issuers had arrived: the process had been held up, and its timer ended the wait first.

Change: a request waits in slices, so that a stall uses up one of them.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import ceil
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -44,8 +45,8 @@
     from azurefield_entry.gateway.ports import GatewayRequest
     from azurefield_entry.kernel import Mailbox
 
-# A request waits for its token at most for this fraction of its route's latency goal, or for this
-# time if the route has no goal.
+# After the last share was asked, a request waits for its token at most for this fraction of its
+# route's latency goal, or for this time if the route has no goal.
 WAIT_FRACTION = 0.3
 WAIT_WITHOUT_GOAL_S = 0.2
 WAIT_MIN_S = 0.03
@@ -181,23 +182,24 @@
             return QuotaDenied(key=None, wait_s=0.0)
         asked: set[asyncio.Task[ShareDecision]] = set()
         best: ShareDecision = QuotaNotIssued()
-        ends_at = now() + wait_s
+        slice_s = min(NEXT_SHARE_MAX_S, NEXT_SHARE_FRACTION * wait_s)
         try:
             for request in requests:
                 task = asyncio.create_task(self.ask(request))
                 asked.add(task)
                 last = request is requests[-1]
-                step_s = min(NEXT_SHARE_MAX_S, NEXT_SHARE_FRACTION * wait_s)
-                until = ends_at if last else now() + step_s
-                while asked and now() < until:
+                # Slices, as time in which this process did not run is no silence of the others.
+                slices_left = ceil(wait_s / slice_s) if last else 1
+                while asked and slices_left:
                     done, asked = await asyncio.wait(
-                        asked, timeout=until - now(), return_when=asyncio.FIRST_COMPLETED
+                        asked, timeout=slice_s, return_when=asyncio.FIRST_COMPLETED
                     )
-                    best = max([best, *(task.result() for task in done)], key=usefulness)
+                    best = max([best, *(ended.result() for ended in done)], key=usefulness)
                     if isinstance(best, QuotaGranted):
                         return best
                     if done and not last:
                         break
+                    slices_left -= not done
                 if not task.done():
                     self.on_silent(request.slot)
         finally:
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
@@ -40,6 +41,8 @@
 BOUNDS = QuotaBounds(slack=1.0)
 WORKSPACE = Workspace(name="w", quota=QUOTA)
 GOAL_S = 10.0
+# Longer than a request waits for its token on a route with a short goal.
+HELD_UP_S = 0.1
 LONG_AGO_S = 100_000.0
 
 
@@ -153,6 +156,16 @@
     raise asyncio.IncompleteReadError(partial=b"", expected=frame.number)
 
 
+async def test_time_in_which_an_instance_did_not_run_is_no_silence_of_the_issuers() -> None:
+    """Guards against refusals by an instance that was held up while the replies arrived."""
+    async with fleet() as instances:
+        quotas = instances["i1"].quotas
+        quotas.holders = {slot: name for slot, name in HOLDERS.items() if name == "i2"}
+        assert await instances["i1"].admit() is None
+        asyncio.get_running_loop().call_soon(time.sleep, HELD_UP_S)
+        assert await quotas.admit(make_request(workspace=WORKSPACE), 1, 0.0) is None
+
+
 async def test_without_any_issuer_a_request_is_refused_as_not_run() -> None:
     """Guards against requests beyond the quota from an instance that is cut off."""
     async with fleet() as instances:
