Let the soak play workspaces, with keys, quotas and forged headers

Odd seeds have three workspaces: one without a quota, one whose quota is above what callers send, and one far below. The soak checks which workspace leafs learn, that no key reaches a leaf or a log, and that no window holds more runs than the quota tolerates.

--- a/tests/soak/soak/callers.py
+++ b/tests/soak/soak/callers.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from soak.history import CRASH_TARGET, History, SentRequest
+from soak.workspaces import FREE, LIMITED, SoakWorkspace
 
 DEADLINE_MS = 900
 ANSWER_TIMEOUT_S = 2.0
@@ -60,7 +61,7 @@
         """Send one request on a new connection."""
         host, _, port = self.addresses[gateway].rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        sent = self.next_request(Random(number), gateway)
+        sent = self.next_request(Random(number), gateway, without=LIMITED)
         try:
             await self.exchange(sent, reader, writer)
         finally:
@@ -90,6 +91,7 @@
                 body=b"",
                 gateway=gateway,
                 sent_at=clock(),
+                workspace=FREE if self.history.workspaces else None,
             )
             self.history.sent[sent.request_id] = sent
             requests.append(sent)
@@ -103,9 +105,16 @@
             await asyncio.sleep(CRASH_INTERVAL_S)
         return requests
 
-    def next_request(self, random: Random, gateway: str) -> SentRequest:
-        """Create a request of a random kind and add it to the history."""
-        request_id = f"{self.seed:x}-{next(self.request_numbers)}"
+    def next_request(
+        self, random: Random, gateway: str, *, without: SoakWorkspace | None = None
+    ) -> SentRequest:
+        """Create a request of a random kind and add it to the history.
+
+        :param without: a workspace that it is not of
+        """
+        number = next(self.request_numbers)
+        request_id = f"{self.seed:x}-{number}"
+        workspaces = [one for one in self.history.workspaces if one is not without]
         kind = random.choice(("listing", "listing", "listing", "single", "order"))
         path = {"listing": "l", "single": "s", "order": "o"}[kind]
         sent = SentRequest(
@@ -115,6 +124,7 @@
             target=f"/{path}/{request_id}?q=%2f",
             body=b"o" * random.randrange(1, 800) if kind == "order" else b"",
             gateway=gateway,
+            workspace=workspaces[number % len(workspaces)] if workspaces else None,
         )
         self.history.sent[request_id] = sent
         return sent
@@ -131,6 +141,7 @@
         :return: whether the connection can be used again
         """
         sent = self.next_request(random, gateway)
+        sent.sent_at = asyncio.get_running_loop().time()
         if not self.planned_restarts_only and random.random() < ABANDON_PROBABILITY:
             writer.write(encode_request(sent))
             await asyncio.sleep(0.02 * random.random())
@@ -148,7 +159,7 @@
         :return: whether the connection can be used again
         """
         planned_restarts_only = self.planned_restarts_only
-        sent_at = asyncio.get_running_loop().time()
+        sent.sent_at = sent_at = asyncio.get_running_loop().time()
         writer.write(encode_request(sent))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -163,10 +174,13 @@
 
 
 def encode_request(sent: SentRequest) -> bytes:
-    """Encode a request as HTTP/1.1."""
+    """Encode a request as HTTP/1.1; its caller also names a workspace of its own choice."""
+    identity = ""
+    if sent.workspace is not None:
+        identity = f"Credential: {sent.workspace.key}\r\nTenant-Id: forged\r\n"
     head = (
         f"{sent.method} {sent.target} HTTP/1.1\r\nHost: a.example\r\n"
-        f"Request-Id: {sent.request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+        f"Request-Id: {sent.request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n{identity}"
         f"Content-Length: {len(sent.body)}\r\n\r\n"
     )
     return head.encode() + sent.body
--- a/tests/soak/soak/history.py
+++ b/tests/soak/soak/history.py
@@ -4,6 +4,12 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from soak.workspaces import WORKSPACES, SoakWorkspace, most_in_window
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
 
 RECORD_BYTES = 16
 TOP_K = 5
@@ -30,7 +36,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class SentRequest:
-    """A request of a caller and its result; ``status`` is 0 without a complete answer."""
+    """A request of a caller and its result; ``status`` is 0 without a complete answer.
+
+    :param workspace: the workspace whose key it carries; None if there are none
+    :param ran_at: when a leaf first began to run it
+    """
 
     request_id: str
     kind: str
@@ -41,6 +51,8 @@
     status: int = 0
     closed: bool = False
     sent_at: float = 0.0
+    workspace: SoakWorkspace | None = None
+    ran_at: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -59,6 +71,7 @@
     :param shard_sets: the shard sets of all versions of the configuration
     :param services: by kind of request, the services to which any version routes it
     :param service_of: the service of each leaf
+    :param workspaces: the workspaces whose keys callers send
     """
 
     sent: dict[str, SentRequest] = field(default_factory=dict)
@@ -67,6 +80,7 @@
     services: dict[str, set[str]] = field(default_factory=dict)
     service_of: dict[str, str] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
+    workspaces: tuple[SoakWorkspace, ...] = ()
 
     def add_violation(self, rule: str, request_id: str, detail: str) -> None:
         """Record the violation of a guarantee."""
@@ -97,6 +111,40 @@
         if sent.kind == "order" and sent.status in NOT_RUN_STATUSES:
             self.add_violation("REFUSED", request_id, f"it ran after status {sent.status}")
 
+    def check_workspace(self, request_id: str, headers: CIMultiDictProxy[str], now: float) -> None:
+        """Check what a leaf learns of the workspace of a request that it is about to run."""
+        sent = self.sent.get(request_id)
+        if sent is None or sent.workspace is None:
+            return
+        if sent.ran_at is None:
+            sent.ran_at = now
+        if headers.getall("Tenant-Id", ()) != [sent.workspace.name]:
+            detail = f"a leaf gets the workspace {headers.get('Tenant-Id')}"
+            self.add_violation("UNASKED", request_id, detail)
+        if any(one.key in value for one in WORKSPACES for value in headers.values()):
+            self.add_violation("UNASKED", request_id, "a leaf gets a key")
+
+    def check_quotas(self) -> None:
+        """Check that no workspace has run more in a window than its quota tolerates."""
+        for workspace in self.workspaces:
+            if not workspace.rate_per_s:
+                continue
+            spans = [
+                (sent.sent_at, sent.ran_at)
+                for sent in self.sent.values()
+                if sent.workspace is workspace and sent.ran_at is not None
+            ]
+            most = most_in_window(spans)
+            if most > workspace.window_max:
+                detail = f"{most} requests in a window, allowed {workspace.window_max:.0f}"
+                self.add_violation("QUOTA", workspace.name, detail)
+
+    def check_logs(self, lines: list[str]) -> None:
+        """Check that no gateway has logged a key."""
+        for line in lines:
+            if any(workspace.key in line for workspace in WORKSPACES):
+                self.add_violation("KEY", "-", line)
+
     def on_answer(
         self, sent: SentRequest, status: int, headers: dict[str, str], body: bytes
     ) -> None:
--- a/tests/soak/soak/leafs.py
+++ b/tests/soak/soak/leafs.py
@@ -75,6 +75,7 @@
             reset(transport)
             return web.Response()
         name = self.name
+        self.history.check_workspace(request_id, request.headers, asyncio.get_running_loop().time())
         self.history.on_run(
             request_id,
             leaf=name,
--- a/tests/soak/soak/run.py
+++ b/tests/soak/soak/run.py
@@ -18,6 +18,7 @@
 from soak.history import CRASH_TARGET, History
 from soak.proxy import ConnectionFault
 from soak.site import DESKS, GATEWAY_MEMORY_MB, GATEWAYS, Site
+from soak.workspaces import WORKSPACES
 
 from azurefield_testkit.waiting import ConditionNotMetError, wait_until
 from links import Cut
@@ -197,8 +198,12 @@
 
 
 async def soak(seed: int, seconds: float) -> Report:
-    """Run the gateways under faults for some seconds, then check their recovery."""
-    report, history, random = Report(seed=seed), History(), Random(seed)
+    """Run the gateways under faults for some seconds, then check their recovery.
+
+    Odd seeds have workspaces.
+    """
+    report, random = Report(seed=seed), Random(seed)
+    history = History(workspaces=WORKSPACES if seed % 2 else ())
     with tempfile.TemporaryDirectory(prefix="azurefield-soak-") as directory:
         site = Site(directory=Path(directory), random=random, history=history)
         await site.start()
@@ -236,6 +241,8 @@
             running = (line for gateway in site.gateways.values() for line in gateway.log_lines())
             report.logs = [*site.logs, *running]
             await site.stop()
+    history.check_quotas()
+    history.check_logs(report.logs)
     report.requests = len(history.sent)
     report.answered = sum(sent.status == 200 for sent in history.sent.values())
     report.status_counts = Counter(f"{sent.kind}:{sent.status}" for sent in history.sent.values())
--- a/tests/soak/soak/site.py
+++ b/tests/soak/soak/site.py
@@ -13,6 +13,7 @@
 from soak.history import ATTEMPTS_MAX, TOP_K, History
 from soak.leafs import Leaf
 from soak.proxy import Proxy
+from soak.workspaces import SETTINGS as WORKSPACE_SETTINGS
 
 from azurefield_testkit.processes import ManagedProcess, Processes
 from gateway_process import gateway_command
@@ -69,7 +70,7 @@
             f"port_range = [{self.relay_port}, {self.relay_port + 1}]\n"
             f'[listen]\nfrontend = "{self.caller_address}"\n'
             f'readiness = "{self.readiness_address}"\n'
-            f"[bounds]\ngrace_s = {GATEWAY_GRACE_S}\nbudget_slack = 50\n"
+            f"[bounds]\ngrace_s = {GATEWAY_GRACE_S}\nbudget_slack = 50\n{WORKSPACE_SETTINGS}"
             f"[limits]\nmemory_mb = {GATEWAY_MEMORY_MB}\n"
             f'[platform]\naddress = "{self.store.address}"\n',
             encoding="utf-8",
@@ -241,16 +242,16 @@
         shards, desk = SHARD_SETS[self.shard_set_index], DESKS[self.desk_index]
         gather = {"gather": list(shards), "top_k": TOP_K, "min_coverage": 0.5}
         common = {"max_attempts": ATTEMPTS_MAX}
-        self.store.put(
-            "op/config",
-            config(
-                self.version,
-                route("listing", "/l/", **gather, **common),
-                route("single", "/s/", service=desk, **common),
-                route("order", "/o/", service=desk, route_type="unsafe", **common),
-                services=(*SHARD_SETS[0], *SHARD_SETS[1], *DESKS),
-            ),
+        entry = config(
+            self.version,
+            route("listing", "/l/", **gather, **common),
+            route("single", "/s/", service=desk, **common),
+            route("order", "/o/", service=desk, route_type="unsafe", **common),
+            services=(*SHARD_SETS[0], *SHARD_SETS[1], *DESKS),
         )
+        if self.history.workspaces:
+            entry["tenants"] = [workspace.entry() for workspace in self.history.workspaces]
+        self.store.put("op/config", entry)
 
     async def limit(self, service: str, limit_per_s: float, duration_s: float) -> list[Leaf]:
         """Let the leafs of a service name a limit for a while; return these leafs."""
