--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -285,8 +285,14 @@
 
 
 def is_silent(result: Result[RequestResult, NotForwarded]) -> bool:
-    """Whether an instance neither refused a request nor returned a result in time."""
-    return isinstance(result, Err) and result.err_value.problem is not ForwardProblem.REFUSED
+    """Whether an instance did not accept a request in time, or its link ended under it.
+
+    One that accepted it and is only late with the result still sends heartbeats.
+    """
+    if isinstance(result, Ok):
+        return False
+    failure = result.err_value
+    return failure.link_lost or failure.problem is ForwardProblem.UNANSWERED
 
 
 def lost_failure(lost: NotForwarded) -> RequestFailure:
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -21,7 +21,13 @@
 from azurefield.routing import BACKOFF_BASE_S, OwnObservationRouter
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.forward_frames import RequestServed, decode_result
-from azurefield_entry.gateway.peers.forwarding import Forwarding, ForwardProblem, ForwardTarget
+from azurefield_entry.gateway.peers.forwarding import (
+    Forwarding,
+    ForwardProblem,
+    ForwardTarget,
+    NotForwarded,
+    is_silent,
+)
 from azurefield_entry.gateway.peers.frames import Heartbeat
 from azurefield_entry.gateway.peers.framing import encode
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
@@ -386,3 +392,22 @@
     assert {forwarding.choose(ROUTE) for _ in range(50)} == {"c1", "c2"}
     forwarding.peers.close()
     listener.close()
+
+
+@pytest.mark.parametrize(
+    ("problem", "link_lost", "silent"),
+    [
+        (ForwardProblem.REFUSED, False, False),
+        (ForwardProblem.UNANSWERED, False, True),
+        (ForwardProblem.LOST, False, False),
+        (ForwardProblem.LOST, True, True),
+    ],
+    ids=["refused", "not-accepted", "late-result", "link-lost"],
+)
+def test_only_a_coordinator_that_sends_nothing_is_silent(
+    problem: ForwardProblem, link_lost: bool, silent: bool
+) -> None:
+    """Guards against a coordinator that works and is avoided for a slow or refused request."""
+    not_forwarded = NotForwarded(problem=problem, detail="", link_lost=link_lost)
+    assert is_silent(Err(not_forwarded)) == silent
+    assert not is_silent(Ok(ANSWER))
