Answer requests whose connection gives up what it holds

Cause: several reads of a body in one turn of the event loop, before its request has begun, counted as bytes behind a malformed head and closed the connection. A body whose last bytes crossed the memory limit got a closed connection in place of 503, and bytes behind a running request could cancel it.

Change: while a parsed head waits for its request, further bytes pause reading. A body is refused until its handler has taken it; a running request goes on, only the bytes behind it are dropped, and its connection closes after the answer. Reading pauses from the first byte behind a running request.

Measured: the nine new cases in test_caller_load.py fail before the change and pass after it; so do the other tests of the callers' connections.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -24,8 +24,6 @@
 HEAD_END = b"\r\n\r\n"
 # A caller may send this much behind a head whose request has not begun.
 UNPARSED_BYTES_MAX = 256 * 1024
-# Reading pauses when this much has arrived behind a request that is being served.
-PIPELINED_BYTES = 64 * 1024
 # A piece of a body is parsed at once. It is smaller if it has many lines, as small chunks have.
 PIECE_BYTES = 64 * 1024
 PIECE_LINES = 256
@@ -64,6 +62,7 @@
     :param rejected: whether what the caller sends is dropped, for what it has sent before
     :param unparsed: what was read behind these
     :param body: the body of the running request; None if none runs
+    :param body_taken: whether the handler of the running request has the whole body
     :param body_bytes: what the reader of the body has taken of it, until the body is complete
     :param fed_bytes: what was parsed behind that
     """
@@ -72,6 +71,7 @@
         "answer_bytes",
         "body",
         "body_bytes",
+        "body_taken",
         "fed_bytes",
         "head_bytes_left",
         "head_bytes_max",
@@ -104,6 +104,7 @@
         self.head_tail = b""
         self.unparsed = PendingBytes()
         self.body: StreamReader | None = None
+        self.body_taken = False
         self.answer_bytes = self.body_bytes = self.fed_bytes = 0
 
     @property
@@ -128,7 +129,7 @@
         if self.rejected:
             return
         self.load.on_progress(self)
-        if self.body is None:
+        if self.body is None and not self._messages:
             self.receive_head(data)
         elif self.reads_body and self.load.parses_at_once(self, data):
             self.parse(data)
@@ -170,10 +171,12 @@
         self.count_held()
 
     def postpone(self, data: bytes) -> None:
-        """Keep bytes until their turn, or until the running request has been answered."""
+        """Keep bytes until their turn, or until the running request has been answered.
+
+        Reading pauses, so that no more than one read is kept.
+        """
         self.unparsed.add(data)
-        if self.reads_body or self.unparsed.size >= PIPELINED_BYTES:
-            self._pause_transport_reading()
+        self._pause_transport_reading()
         self.count_held()
 
     def parse_piece(self) -> None:
@@ -214,12 +217,23 @@
         self.unparsed.clear()
 
     def give_up(self) -> None:
-        """Free what is held: refuse the body that is being read, or close the connection."""
+        """Free what is held, and close the connection after the answer to its request.
+
+        A request whose handler has not taken the body is refused; one that runs goes on. Without a
+        request, or while its answer is not read, the connection is closed at once.
+        """
         self.reject()
-        if self.body is not None and self.reads_body and not self.writing_paused:
-            self.body.set_exception(BodyRefusedError())
-        else:
+        body = self.body
+        if body is None and self._messages:
+            body = self._messages[0][1]
+        if body is None or self.writing_paused:
             self.abort()
+            return
+        if not self.body_taken:
+            body.set_exception(BodyRefusedError())
+        self.close()
+        # Closing with unread bytes would reset the connection, and the answer could be lost.
+        self._resume_transport_reading()
 
     def abort(self) -> None:
         """Close the connection without waiting for the caller to read."""
@@ -278,6 +292,7 @@
         """Record that a whole head has arrived."""
         self.stop_timer()
         self.body = body
+        self.body_taken = False
         self.body_bytes = self.fed_bytes = 0
         self.head_bytes_left = self.head_bytes_max
         self.head_tail = b""
@@ -289,6 +304,8 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Write an answer, and wait until the caller has read most of it."""
         self.load.on_answer(self)
+        if self.rejected:
+            resp.force_close()
         body = resp.body if isinstance(resp, web.Response) else None
         self.answer_bytes = len(body) if isinstance(body, bytes) else 0
         if self.answer_bytes > UNREAD_ANSWER_BYTES:
@@ -306,6 +323,7 @@
     def on_request_end(self) -> None:
         """Go on with what has arrived behind the request."""
         self.body = None
+        self.body_taken = False
         self.answer_bytes = self.body_bytes = self.fed_bytes = 0
         if self.transport is None:
             return
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -111,6 +111,10 @@
 
     def use_body(self, connection: CallerConnection, body_bytes: int) -> bool:
         """Keep a complete body until its request has ended; return whether there is room."""
+        if connection.rejected:
+            # The connection gave up while the handler took the last bytes.
+            return False
+        connection.body_taken = True
         self.connections.on_served(connection)
         connection.hold_body(0)
         return self.use(connection, body_bytes)
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -50,12 +50,21 @@
 
     load: CallerLoad = field(default_factory=CallerLoad)
     may_answer: asyncio.Event = field(default_factory=asyncio.Event)
+    limits: CallerLimits = LIMITS
+    server: CallerServer | None = None
     running: int = 0
     port: int = 0
 
+    def receive(self, *pieces: bytes) -> None:
+        """Let the only open connection receive pieces in one turn of the event loop."""
+        assert self.server is not None
+        (connection,) = self.server.connections
+        for piece in pieces:
+            connection.data_received(piece)
+
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Read and answer one request."""
-        read = await read_body(request, LIMITS)
+        read = await read_body(request, self.limits)
         if isinstance(read, Err):
             return web.Response(status=503)
         self.running += 1
@@ -78,6 +87,7 @@
     loaded.load.set_limits(memory_bytes=memory_bytes, connections_max=connections_max)
     loaded.may_answer.set()
     server = CallerServer(handle=loaded.answer, limits=lambda: LIMITS, load=loaded.load)
+    loaded.server = server
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -150,6 +160,76 @@
         await wait_until(lambda: memory.total_bytes == 0, "nothing is held")
 
 
+async def test_large_bodies_are_served_on_a_kept_connection_that_is_read_at_once() -> None:
+    """Guards against a legal body that counts as bytes behind a head that can't be parsed."""
+    async with loaded_server() as loaded:
+        loaded.limits = CallerLimits(body_bytes_max=1_048_576)
+        reader, writer = await loaded.connect()
+        await wait_until(lambda: loaded.load.connections.open_count == 1, "it is connected")
+        whole = request(bytes(1_048_576))
+        for _ in range(3):
+            loaded.receive(*(whole[at : at + 256_000] for at in range(0, len(whole), 256_000)))
+            assert await status_of(reader) == 200
+            assert await reader.readexactly(7) == b"1048576"
+        writer.close()
+
+
+@pytest.mark.parametrize("body_bytes", [5_000, 20_000, 60_000])
+@pytest.mark.parametrize("pieces", [1, 2])
+async def test_a_whole_body_near_the_limit_is_refused_and_its_connection_closed(
+    body_bytes: int, pieces: int
+) -> None:
+    """Guards against a refused body whose caller gets no answer, or a connection that hangs."""
+    async with loaded_server() as loaded:
+        loaded.load.memory.limit_bytes = body_bytes - 500
+        reader, _ = await loaded.connect()
+        await wait_until(lambda: loaded.load.connections.open_count == 1, "it is connected")
+        whole = request(bytes(body_bytes))
+        size = -(-len(whole) // pieces)
+        loaded.receive(*(whole[at : at + size] for at in range(0, len(whole), size)))
+        assert await status_of(reader) == 503
+        async with asyncio.timeout(5.0):
+            await reader.read()
+        assert loaded.running == 0
+        assert loaded.load.memory.total_bytes == 0
+
+
+async def test_a_running_request_is_answered_when_there_is_no_room_for_the_next() -> None:
+    """Guards against a request that is cancelled for the bytes that follow it."""
+    async with loaded_server() as loaded:
+        loaded.may_answer.clear()
+        reader, writer = await loaded.connect()
+        writer.write(request(SMALL))
+        await wait_until(lambda: loaded.running == 1, "the request runs")
+        loaded.load.memory.limit_bytes = 10_000
+        writer.write(request(LARGE))
+        refused = loaded.load.metrics.callers_limited.labels("memory")
+        await wait_until(lambda: refused._value.get() == 1, "the rest is dropped")
+        loaded.may_answer.set()
+        assert await status_of(reader) == 200
+        async with asyncio.timeout(5.0):
+            await reader.read()
+        assert loaded.running == 1
+
+
+async def test_no_more_than_one_read_is_held_behind_a_running_request() -> None:
+    """Guards against reads behind a running request that add up before reading pauses."""
+    async with loaded_server() as loaded:
+        loaded.may_answer.clear()
+        reader, writer = await loaded.connect()
+        writer.write(request(SMALL))
+        await wait_until(lambda: loaded.running == 1, "the request runs")
+        assert loaded.server is not None
+        (connection,) = loaded.server.connections
+        loaded.receive(request(SMALL)[:100])
+        assert connection.transport is not None
+        assert not connection.transport.is_reading()
+        loaded.receive(request(SMALL)[100:])
+        loaded.may_answer.set()
+        assert [await status_of(reader), await reader.readexactly(4)] == [200, b"4096"]
+        assert [await status_of(reader), await reader.readexactly(4)] == [200, b"4096"]
+
+
 async def test_a_complete_body_is_held_until_its_request_has_ended() -> None:
     """Guards against bodies of running requests that nothing counts."""
     async with loaded_server(memory_bytes=150_000) as loaded:
