Hold lost evacuations, count warm-ups and judge rises by the right events

Cause: a second listing ended the hold of an evacuation that the store may have lost. The time of a message was taken before it arrived, up to a tick too early for the warm-up of a server. A call that found no free connection of the own pool halved the share of a rising server.

Change: an evacuation under its hold stays until it expires or is removed. The time is taken after the message. Such calls end as NO_CONNECTION, for which the router still backs off, but which the pace ignores.

Measured: the three new cases in test_evacuations.py, test_server_pace.py and test_service.py fail before the change and pass after it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -199,8 +199,9 @@
         self.kernel = kernel
         ticking = asyncio.create_task(send_every(mailbox, Tick(), policies.TICK_INTERVAL_S))
         while True:
+            message = await mailbox.receive()
             now = self.now()
-            match await mailbox.receive():
+            match message:
                 case MetadataListed(listing=listing, after_outage=after_outage):
                     self.record_store_contact(now, 0.0, after_outage=after_outage)
                     self.apply_listing(now, listing.items)
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -15,6 +15,7 @@
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
 from azurefield_entry.gateway.messages import MetadataListed, WriteCrashReport
+from azurefield_entry.gateway.policies import TICK_INTERVAL_S
 from azurefield_entry.gateway.ports import (
     CrashReportEntry,
     InstanceEntry,
@@ -23,13 +24,14 @@
     Removed,
     ServerKey,
 )
-from azurefield_entry.kernel import Kernel, Mailbox
+from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 from azurefield_testkit.entry_support.scripted_server import (
     PlainDialect,
     ScriptedServer,
     listening,
 )
+from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -240,6 +242,21 @@
     assert not service.runner.running
 
 
+async def test_a_listing_counts_from_the_time_at_which_it_arrives() -> None:
+    """Guards against a warm-up of a server that counts from the message before its entry."""
+    service = make_gateway()
+    mailbox = Mailbox(name="gateway")
+    running = asyncio.create_task(service.run(Kernel(), mailbox))
+    await asyncio.sleep(TICK_INTERVAL_S / 2)
+    sent_at = service.now()
+    listing = Listing(items=(table(1),), revision=1)
+    mailbox.send(MetadataListed(listing=listing, after_outage=False))
+    await wait_until(lambda: service.ready, "the listing is known")
+    assert service.store_contact_at >= sent_at
+    mailbox.send(Stop())
+    await running
+
+
 async def test_an_instance_is_ready_once_it_has_a_listing() -> None:
     """Guards against an instance that reports readiness before it knows the servers."""
     service = make_gateway()
--- a/packages/azurefield/src/azurefield/call_result.py
+++ b/packages/azurefield/src/azurefield/call_result.py
@@ -10,7 +10,8 @@
 class CallResult(StrEnum):
     """How a leaf call ended, as far as routing is concerned.
 
-    ``NOT_SENT`` says nothing about the server.
+    ``NOT_SENT`` says nothing about the server. ``NO_CONNECTION``: no connection of the own pool was
+    free; the server is avoided for a while, but not taken for overloaded.
     """
 
     ANSWERED = "answered"
@@ -19,9 +20,14 @@
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
+    NO_CONNECTION = "no_connection"
 
 
-FAILURE_RESULTS = frozenset({CallResult.REFUSED, CallResult.FAILED, CallResult.TIMED_OUT})
+FAILURE_RESULTS = frozenset(
+    {CallResult.REFUSED, CallResult.FAILED, CallResult.TIMED_OUT, CallResult.NO_CONNECTION}
+)
+# No byte of such a call reached the server, and it has not refused it.
+UNSENT_RESULTS = frozenset({CallResult.NOT_SENT, CallResult.NO_CONNECTION})
 # The server did not run the call.
 REFUSAL_REASONS = frozenset(
     {
@@ -30,7 +36,6 @@
         LeafFailureReason.VERSION_MISSING,
         LeafFailureReason.WRONG_LEAF,
         LeafFailureReason.WRONG_SERVER,
-        LeafFailureReason.NO_CAPACITY,
     }
 )
 # No byte of the call reached the server, and it is not the reason.
@@ -41,6 +46,8 @@
     """Return how a failed call ended."""
     if failure.reason in NOT_SENT_REASONS:
         return CallResult.NOT_SENT
+    if failure.reason is LeafFailureReason.NO_CAPACITY:
+        return CallResult.NO_CONNECTION
     if failure.reason in REFUSAL_REASONS:
         return CallResult.REFUSED
     if failure.reason is LeafFailureReason.TIMEOUT:
--- a/packages/azurefield/src/azurefield/evacuations.py
+++ b/packages/azurefield/src/azurefield/evacuations.py
@@ -19,8 +19,8 @@
 
     Each method that changes them returns the zones that are no longer evacuated, or that now are.
 
-    :param until: until when each zone stays evacuated although the last listing did not name it;
-        infinity if the store holds the request
+    :param until: until when each zone stays evacuated although a listing did not name it; infinity
+        if the store holds the request
     """
 
     until: dict[str, float] = field(default_factory=dict)
@@ -43,12 +43,14 @@
         :param may_lack_requests: whether the store may have lost some
         """
         missing = self.until.keys() - zones
+        removed = frozenset(zone for zone in missing if self.until[zone] == inf)
         changed = frozenset(zones) - self.until.keys()
         self.until |= dict.fromkeys(zones, inf)
         if not may_lack_requests:
-            for zone in missing:
+            # A request that the store may have lost may still be written again.
+            for zone in removed:
                 del self.until[zone]
-            return changed | missing
+            return changed | removed
         for zone in missing:
             self.until[zone] = min(self.until[zone], now + LOST_REQUEST_HOLD_S)
         return changed
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -153,7 +153,7 @@
                 view.backoff_until = float("-inf")
                 view.answered_at = now
                 view.observe(now, latency_s)
-            case CallResult.FAILED | CallResult.REFUSED:
+            case CallResult.FAILED | CallResult.REFUSED | CallResult.NO_CONNECTION:
                 view.back_off(now)
             case CallResult.CANCELLED | CallResult.TIMED_OUT:
                 if view.was_silent(now, latency_s):
--- a/packages/azurefield/src/azurefield/server_pace.py
+++ b/packages/azurefield/src/azurefield/server_pace.py
@@ -6,7 +6,7 @@
 from math import inf
 from typing import Protocol
 
-from azurefield.call_result import FAILURE_RESULTS, CallResult
+from azurefield.call_result import FAILURE_RESULTS, UNSENT_RESULTS, CallResult
 
 SHARE_MIN = 0.1
 # Time in which the share rises evenly to 1 while the answers say nothing else.
@@ -187,7 +187,7 @@
     ) -> None:
         """Judge a call to a rising server."""
         rise = self.rises.get(server)
-        if rise is None or result is CallResult.NOT_SENT or now - latency_s < rise.changed_at:
+        if rise is None or result in UNSENT_RESULTS or now - latency_s < rise.changed_at:
             return
         rise.advance(now)
         if rise.share >= 1.0:
--- a/packages/azurefield/tests/test_evacuations.py
+++ b/packages/azurefield/tests/test_evacuations.py
@@ -85,3 +85,17 @@
     directory.on_evacuation("one")
     directory.expire_evacuations(evacuated_until + 100.0)
     assert directory.is_evacuated("one"), "written again"
+
+
+def test_a_further_listing_does_not_end_an_evacuation_that_the_store_may_have_lost() -> None:
+    """Guards against a hold that ends with the next listing, before the request can be written."""
+    directory = make_directory("one", "two")
+    directory.on_evacuation("one")
+    directory.on_outage_end(0.0)
+    directory.on_evacuations_listed(0.0, ())
+    second_at = 2.5
+    directory.on_evacuations_listed(second_at, ())
+    assert directory.is_evacuated("one")
+    assert directory.expire_evacuations(LOST_REQUEST_HOLD_S) == {"one"}
+    directory.on_evacuation("two")
+    assert directory.on_evacuations_listed(LOST_REQUEST_HOLD_S, ()) == {"two"}
--- a/packages/azurefield/tests/test_server_pace.py
+++ b/packages/azurefield/tests/test_server_pace.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from azurefield.call_result import CallResult
+from azurefield.call_result import CallResult, result_of
+from azurefield.failures import LeafFailure, LeafFailureReason
+from azurefield.model import Outcome
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_pace import (
     DOUBLING_INTERVAL_S,
@@ -23,6 +25,7 @@
 )
 
 USUAL_S = 0.01
+NO_CAPACITY = LeafFailure(reason=LeafFailureReason.NO_CAPACITY, outcome=Outcome.NOT_RUN)
 LEAF = ("new", "w1", "w2")
 
 
@@ -100,8 +103,12 @@
 
 @pytest.mark.parametrize(
     ("result", "now", "latency_s"),
-    [(CallResult.NOT_SENT, 2.0, 0.0), (CallResult.FAILED, 2.1, 0.2)],
-    ids=["not-sent", "sent-before-the-last-change"],
+    [
+        (CallResult.NOT_SENT, 2.0, 0.0),
+        (result_of(NO_CAPACITY), 2.0, 0.0),
+        (CallResult.FAILED, 2.1, 0.2),
+    ],
+    ids=["not-sent", "no-connection-of-the-own-pool", "sent-before-the-last-change"],
 )
 def test_a_call_that_says_nothing_of_the_last_step_changes_nothing(
     result: CallResult, now: float, latency_s: float
