Pass over a coordinator without memory for one request only

Cause: a refusal for memory counted as a failure of the coordinator in the sender's router and made the sender avoid the instance. The request was charged to its workspace before.

Change: the refusal says that only memory is missing. The router learns nothing from it, and the next target is asked. The coordinator takes the memory before its decision on the workspace's part, and returns it if that refuses.

Measured: the new case in test_forwarding.py fails before the change, on the charge and the backoff, and passes after it; the one in test_pass_on.py needs the new mark of a refusal, so before it fails without reaching the choice. 67 tests of forwarding, passing on, dispatch and the choice of coordinators pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -223,7 +223,12 @@
     def accept(self, link: AcceptedLink, frame: ForwardedRequest) -> None:
         """Start a request, or refuse it."""
         request = decode_request(frame, now())
-        refusal = self.refuse(frame, request) or self.take_memory(link, frame)
+        refusal = self.refuse(frame) or self.take_memory(link, frame)
+        if refusal is None:
+            # Only a request that could run is charged to its workspace.
+            refusal = self.refuse_excess(frame, request)
+            if refusal is not None:
+                self.load.memory.end_use((id(link), frame.number))
         if refusal is not None:
             link.send(refusal)
             return
@@ -235,7 +240,7 @@
         link.running[frame.number] = task
         task.add_done_callback(lambda _: self.end(link, frame.number, activity_id))
 
-    def refuse(self, frame: ForwardedRequest, request: GatewayRequest) -> RequestRefused | None:
+    def refuse(self, frame: ForwardedRequest) -> RequestRefused | None:
         """Build the refusal of a request that can't be run here; None if it can."""
         if self.draining:
             detail = "a planned stop has begun"
@@ -244,7 +249,7 @@
         elif self.version() != frame.version:
             detail = f"version {self.version()} of the configuration is in force"
         else:
-            return self.refuse_excess(frame, request)
+            return None
         return RequestRefused(number=frame.number, detail=detail)
 
     def refuse_excess(
@@ -267,7 +272,8 @@
         """Keep the body of a request; return the refusal if there is no room."""
         if self.load.use((id(link), frame.number), len(frame.body)):
             return None
-        return RequestRefused(number=frame.number, detail="callers hold too much memory")
+        detail = "callers hold too much memory"
+        return RequestRefused(number=frame.number, detail=detail, no_room=True)
 
     def accepts_share(self, request: GatewayRequest, *, late: bool) -> bool:
         """Whether a request is within its workspace's part of what a busy process accepts."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
@@ -62,11 +62,13 @@
     """The coordinator has not run the request and will not run it.
 
     :param retry_after_s: when it expects to accept requests again; None if it does not know
+    :param no_room: whether only the memory for the body is missing
     """
 
     number: int
     detail: str
     retry_after_s: float | None = None
+    no_room: bool = False
 
 
 class RequestAnswered(msgspec.Struct, tag="answered", frozen=True, kw_only=True):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING, TypeVar
@@ -67,12 +67,14 @@
 
     :param retry_after_s: when the instance that refused it expects to accept requests again
     :param link_lost: whether the link to the instance has ended
+    :param no_room: whether it refused only because it has no memory for the body
     """
 
     problem: ForwardProblem
     detail: str
     retry_after_s: float | None = None
     link_lost: bool = False
+    no_room: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -100,9 +102,12 @@
         match frame:
             case RequestAccepted():
                 set_result(self.accepted, Ok(None))
-            case RequestRefused(detail=detail, retry_after_s=retry_after_s):
+            case RequestRefused(detail=detail, retry_after_s=retry_after_s, no_room=no_room):
                 refused = NotForwarded(
-                    problem=ForwardProblem.REFUSED, detail=detail, retry_after_s=retry_after_s
+                    problem=ForwardProblem.REFUSED,
+                    detail=detail,
+                    retry_after_s=retry_after_s,
+                    no_room=no_room,
                 )
                 set_result(self.accepted, Err(refused))
             case RequestAnswered() | RequestServed() | RequestFailed():
@@ -191,10 +196,13 @@
         names = {name for zone in zones for name in self.view.by_zone.get(zone, ())}
         return [self.view.profiles[name] for name in sorted(names)]
 
-    def choose(self, route: Route) -> str | None:
-        """Choose the coordinator of a request; None if this instance runs it itself."""
+    def choose(self, route: Route, tried: Collection[str] = ()) -> str | None:
+        """Choose the coordinator of a request; None if this instance runs it itself.
+
+        :param tried: those that are not asked again
+        """
         zones = self.zones.get(route.name)
-        return None if zones is None else self.choice.choose(now(), zones)
+        return None if zones is None else self.choice.choose(now(), zones, tried)
 
     async def forward(
         self, target: ForwardTarget, request: GatewayRequest, route: Route, version: int
@@ -214,7 +222,7 @@
                     )
                 case Ok(link):
                     result = await self.exchange(link, target, request, route, version)
-            call_result = CallResult.ANSWERED if isinstance(result, Ok) else CallResult.FAILED
+            call_result = call_result_of(result)
             silent = is_silent(result)
             return result
         finally:
@@ -285,6 +293,16 @@
         return Err(NotForwarded(problem=ForwardProblem.LOST, detail="no result in time"))
 
 
+def call_result_of(result: Result[RequestResult, NotForwarded]) -> CallResult:
+    """Return what a forwarded request says of its coordinator.
+
+    One without memory for a body still runs smaller requests.
+    """
+    if isinstance(result, Ok):
+        return CallResult.ANSWERED
+    return CallResult.NOT_SENT if result.err_value.no_room else CallResult.FAILED
+
+
 def is_silent(result: Result[RequestResult, NotForwarded]) -> bool:
     """Whether an instance did not accept a request in time, or its link ended under it.
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -71,7 +71,9 @@
             if not route.idempotent:
                 return Err(refusal(FailureKind.SHUTTING_DOWN, "it might not end before the stop"))
             request = replace(request, deadline=request.stops_at)
-        result = await self.run_on(self.coordinators(route), request, route, version)
+        tried: list[str] = []
+        coordinators = self.coordinators(route, tried)
+        result = await self.run_on(coordinators, request, route, version, tried)
         if result is None and self.passes_on():
             result = await self.pass_on(request, route, version)
         if result is not None:
@@ -104,20 +106,26 @@
         """Whether servers still answer over connections that were opened before a partition."""
         return max(self.contacts.up_at.values(), default=0.0) > now() - OPEN_CONNECTION_S
 
-    def coordinators(self, route: Route) -> Iterator[ForwardTarget]:
-        """Choose coordinators one after the other; none if this instance runs the route itself."""
+    def coordinators(self, route: Route, tried: list[str]) -> Iterator[ForwardTarget]:
+        """Choose coordinators one after the other; none if this instance runs the route itself.
+
+        :param tried: those that are not asked again
+        """
         for _ in range(TARGETS_MAX):
-            coordinator = self.forwarding.choose(route)
+            coordinator = self.forwarding.choose(route, tried)
             if coordinator is None:
                 return
             yield ForwardTarget(instance=coordinator)
 
-    def other_instances(self, request: GatewayRequest, route: Route) -> Iterator[ForwardTarget]:
+    def other_instances(
+        self, request: GatewayRequest, route: Route, tried: list[str]
+    ) -> Iterator[ForwardTarget]:
         """Choose other instances one after the other, coordinators of the route if it has any.
 
         One that refuses because it is late may be asked again when no other is left.
+
+        :param tried: those that are not asked again
         """
-        tried: list[str] = []
         deadline = request.deadline_on(route.timeout_s)
         for targets_left in reversed(range(TARGETS_MAX)):
             choice = self.peers.choose(now(), self.forwarding.profiles_for(route), tried)
@@ -134,12 +142,13 @@
         self, request: GatewayRequest, route: Route, version: int
     ) -> RequestResult | None:
         """Let another instance run a request; None if none has accepted it."""
-        targets = self.other_instances(request, route)
+        tried: list[str] = []
+        targets = self.other_instances(request, route, tried)
         first = next(targets, None)
         if first is None:
             # All are avoided for a while, or the time is over, which says nothing new of them.
             return None
-        result = await self.run_on(chain([first], targets), request, route, version)
+        result = await self.run_on(chain([first], targets), request, route, version, tried)
         self.found_no_instance = result is None
         return result
 
@@ -165,23 +174,35 @@
         return repeatable and attempts_left and in_time
 
     async def run_on(
-        self, targets: Iterator[ForwardTarget], request: GatewayRequest, route: Route, version: int
+        self,
+        targets: Iterator[ForwardTarget],
+        request: GatewayRequest,
+        route: Route,
+        version: int,
+        tried: list[str],
     ) -> RequestResult | None:
         """Let the first of some instances that accepts a request run it.
 
+        :param tried: gets those that have no memory for the request
         :return: the result; None if none has accepted it
         """
         for target in targets:
-            result = await self.forward(target, request, route, version)
+            result = await self.forward(target, request, route, version, tried)
             if result is not None:
                 return result
         return None
 
     async def forward(
-        self, target: ForwardTarget, request: GatewayRequest, route: Route, version: int
+        self,
+        target: ForwardTarget,
+        request: GatewayRequest,
+        route: Route,
+        version: int,
+        tried: list[str],
     ) -> RequestResult | None:
         """Let one instance run a request.
 
+        :param tried: gets the instance if it has no memory for the request
         :return: the result; None if it was refused, so that it has not run
         """
         sent = await self.forwarding.forward(target, request, route, version)
@@ -193,7 +214,9 @@
         if isinstance(sent, Err):
             problem = sent.err_value
             refused = problem.problem is ForwardProblem.REFUSED
-            if refused or problem.link_lost:
+            if problem.no_room:
+                tried.append(target.instance)
+            elif refused or problem.link_lost:
                 self.peers.on_refused(now(), target.instance, problem.retry_after_s)
         self.metrics.forwarded.labels(label).inc()
         if self.forwarding.view.is_distant(target.instance):
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -374,6 +374,25 @@
         assert coordinator.admission.asked == {greedy: 1, small: 1}
 
 
+async def test_a_coordinator_without_memory_for_a_body_still_gets_other_requests() -> None:
+    """Guards against a coordinator that is avoided, or a workspace charged, for one large body."""
+    runner = Runner()
+    runner.release.set()
+    async with pair(runner) as instances:
+        coordinator = instances.coordinator
+        coordinator.load.memory.limit_bytes = 8192
+        coordinator.classify = lambda asked: RequestClass.of(0, asked.workspace)
+        large = replace(request(1, Workspace(name="w")), body=bytes(8192))
+        refused = await instances.forward(large)
+        assert isinstance(refused, Err)
+        assert refused.err_value.problem is ForwardProblem.REFUSED
+        assert not runner.started
+        assert not coordinator.admission.asked
+        view = instances.forwarding.router.view("c1")
+        assert (view.consecutive_failures, view.backoff_until) == (0, float("-inf"))
+        assert await instances.forward(request(2)) == Ok(ANSWER)
+
+
 async def test_a_planned_stop_finishes_the_requests_of_other_instances() -> None:
     """Guards against a planned stop that cuts requests which the coordinator has accepted."""
     runner = Runner()
--- a/packages/azurefield-entry/tests/gateway/test_pass_on.py
+++ b/packages/azurefield-entry/tests/gateway/test_pass_on.py
@@ -198,6 +198,29 @@
             assert [target.last_choice for target in asked].count(True) == 1
 
 
+async def test_an_instance_without_memory_for_a_request_is_asked_once_and_not_avoided(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an instance that gets no requests because of one large body."""
+    asked: list[str] = []
+
+    async def forward(_: Forwarding, target: ForwardTarget, *__: Any) -> Any:
+        asked.append(target.instance)
+        if len(asked) > 1:
+            return Ok(Ok(ANSWER))
+        refused = ForwardProblem.REFUSED
+        return Err(NotForwarded(problem=refused, detail="no memory", no_room=True))
+
+    async with neighbours() as pair:
+        monkeypatch.setattr(Forwarding, "forward", forward)
+        pair.dispatcher.forwarding.view.on_profile(
+            replace(profile(pair.other.address), instance="other")
+        )
+        assert await pair.served()
+        assert sorted(asked) == ["i2", "other"]
+        assert not pair.dispatcher.peers.avoided_until
+
+
 async def test_a_request_without_a_deadline_has_the_time_of_its_route() -> None:
     """Guards against an instance that is late without limit and accepts all the same."""
     async with neighbours() as pair:
--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -36,17 +36,22 @@
     router: OwnObservationRouter
     silent: dict[str, float] = field(default_factory=dict)
 
-    def choose(self, now: float, zones: Collection[str]) -> str | None:
+    def choose(self, now: float, zones: Collection[str], tried: Collection[str] = ()) -> str | None:
         """Choose a coordinator for a request over servers in some zones.
 
+        :param tried: those that are not asked again
         :return: its name; None if this instance is one of the nearest itself, or if there is none
         """
         nearest = self.view.candidates(zones)
         if self.view.own in nearest:
             return None
+        nearest = tuple(name for name in nearest if name not in tried)
         if self.router.any_responsive(now, nearest):
             return self.router.choose(now, nearest)
-        return self.router.choose(now, nearest + self.view.distant_candidates(zones))
+        distant = self.view.distant_candidates(zones)
+        return self.router.choose(
+            now, nearest + tuple(name for name in distant if name not in tried)
+        )
 
     def on_silent(self, now: float, coordinator: str) -> None:
         """Avoid a coordinator that has not accepted a request in time, or was lost under it."""
