Count large frames of other instances before they have arrived

Cause: the body of a forwarded request was counted once its frame was read and decoded, so each link could hold an unfinished frame of up to 16 MiB that nothing counted.

Change: the length of a frame of more than 32 KiB is counted before the rest is read. Without room, the frame is read on and dropped, and its request is refused by the number in its first bytes; the other requests of the link go on.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -22,6 +22,7 @@
     ServerEndedFrame,
 )
 from azurefield_entry.gateway.messages import Tick
+from azurefield_entry.gateway.peers.counted_frames import CountedFrames, SkippedRequest
 from azurefield_entry.gateway.peers.forward_frames import (
     CancelRequest,
     ForwardedRequest,
@@ -30,8 +31,8 @@
     decode_request,
     encode_result,
 )
-from azurefield_entry.gateway.peers.frames import TO_PEER, FromPeer, Heartbeat
-from azurefield_entry.gateway.peers.framing import encode, listen_for_instances, read_frame
+from azurefield_entry.gateway.peers.frames import FromPeer, Heartbeat, ToPeer
+from azurefield_entry.gateway.peers.framing import encode, listen_for_instances
 from azurefield_entry.gateway.ports import GatewayRequest
 from azurefield_entry.gateway.quotas.frames import (
     LimitEnded,
@@ -174,23 +175,10 @@
         """Serve one instance until it disconnects; this cancels its requests."""
         link = AcceptedLink(writer=writer)
         self.links.add(link)
+        frames = CountedFrames(reader=reader, load=self.load)
         try:
             while True:
-                match await read_frame(reader, TO_PEER):
-                    case ForwardedRequest() as frame:
-                        self.accept(link, frame)
-                    case CancelRequest(number=number) if number in link.running:
-                        link.running[number].cancel()
-                    case QuotaAsked() as frame:
-                        self.ask_quota(link, frame)
-                    case ShareAsked() as frame:
-                        link.send(self.answer_share(frame))
-                    case QuotaWithdrawn(number=number):
-                        self.withdraw_quota(link, number)
-                    case LimitEnded(server=server):
-                        self.quota_issuer.on_limit_ended(server)
-                    case ServerEndedFrame() | RequestAnsweredFrame() as frame:
-                        self.on_crash_report(frame)
+                self.on_frame(link, await frames.read())
         except (OSError, EOFError, msgspec.DecodeError) as error:
             log.debug("The connection of a forwarding instance has ended: {!r}.", error)
         finally:
@@ -201,6 +189,26 @@
                 self.withdraw_quota(link, number)
             writer.close()
 
+    def on_frame(self, link: AcceptedLink, frame: ToPeer | SkippedRequest) -> None:
+        """Apply a frame of another instance."""
+        match frame:
+            case ForwardedRequest():
+                self.accept(link, frame)
+            case SkippedRequest(number=number):
+                link.send(no_memory(number))
+            case CancelRequest(number=number) if number in link.running:
+                link.running[number].cancel()
+            case QuotaAsked():
+                self.ask_quota(link, frame)
+            case ShareAsked():
+                link.send(self.answer_share(frame))
+            case QuotaWithdrawn(number=number):
+                self.withdraw_quota(link, number)
+            case LimitEnded(server=server):
+                self.quota_issuer.on_limit_ended(server)
+            case ServerEndedFrame() | RequestAnsweredFrame():
+                self.on_crash_report(frame)
+
     def ask_quota(self, link: AcceptedLink, frame: QuotaAsked) -> None:
         """Take a request for quota; the reply follows now or when a token is due."""
 
@@ -272,8 +280,7 @@
         """Keep the body of a request; return the refusal if there is no room."""
         if self.load.use((id(link), frame.number), len(frame.body)):
             return None
-        detail = "callers hold too much memory"
-        return RequestRefused(number=frame.number, detail=detail, no_room=True)
+        return no_memory(frame.number)
 
     def accepts_share(self, request: GatewayRequest, *, late: bool) -> bool:
         """Whether a request is within its workspace's part of what a busy process accepts."""
@@ -300,3 +307,8 @@
                 "A forwarded request failed with an unexpected error: {!r}.", task.exception()
             )
             link.writer.close()
+
+
+def no_memory(number: int) -> RequestRefused:
+    """Build the refusal of a request whose body there is no memory for."""
+    return RequestRefused(number=number, detail="callers hold too much memory", no_room=True)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/framing.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/framing.py
@@ -34,10 +34,27 @@
     :raises EOFError: if the connection ends before the frame does
     :raises msgspec.DecodeError: if it is too long or of another kind
     """
+    length = await read_length(reader)
+    return decode_frame(await reader.readexactly(length), decoder)
+
+
+async def read_length(reader: asyncio.StreamReader) -> int:
+    """Read the length of the next frame in bytes.
+
+    :raises EOFError: if the connection ends before
+    :raises msgspec.DecodeError: if the frame is too long
+    """
     length = int.from_bytes(await reader.readexactly(LENGTH_PREFIX_BYTES), "big")
     if length > FRAME_BYTES_MAX:
         raise msgspec.DecodeError(f"a frame of {length} bytes is too long")
-    body = await reader.readexactly(length)
+    return length
+
+
+def decode_frame(body: bytes, decoder: msgspec.msgpack.Decoder[T]) -> T:
+    """Decode a frame behind its length.
+
+    :raises msgspec.DecodeError: if it is of another kind
+    """
     try:
         return decoder.decode(body)
     except RecursionError as error:
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -23,7 +24,12 @@
 from azurefield.sharing import RequestClass, SharedAdmission
 from azurefield.workspaces import Workspace
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
-from azurefield_entry.gateway.peers.forward_frames import RequestServed, decode_result
+from azurefield_entry.gateway.peers.counted_frames import HEAD_BYTES, request_number
+from azurefield_entry.gateway.peers.forward_frames import (
+    RequestServed,
+    decode_result,
+    encode_request,
+)
 from azurefield_entry.gateway.peers.forwarding import (
     Forwarding,
     ForwardProblem,
@@ -32,7 +38,7 @@
     is_silent,
 )
 from azurefield_entry.gateway.peers.frames import Heartbeat
-from azurefield_entry.gateway.peers.framing import encode
+from azurefield_entry.gateway.peers.framing import LENGTH_PREFIX_BYTES, encode
 from azurefield_entry.gateway.peers.links import SILENCE_TIMEOUT_S
 from azurefield_entry.gateway.ports import GatewayRequest
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
@@ -393,6 +399,41 @@
         assert await instances.forward(request(2)) == Ok(ANSWER)
 
 
+async def test_a_large_frame_counts_before_it_has_arrived_and_is_refused_alone() -> None:
+    """Guards against unfinished frames that nothing counts, and a link that ends for one."""
+    runner = Runner()
+    async with pair(runner) as instances:
+        memory = instances.coordinator.load.memory
+        memory.limit_bytes = 1_000_000
+        running = asyncio.create_task(instances.forward(request(1)))
+        await wait_until(lambda: len(runner.started) == 1, what="the first request to run")
+        host, _, port = instances.coordinator.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write((400_000).to_bytes(4, "big") + bytes(100))
+        await wait_until(lambda: memory.used_bytes == 800_000, what="the frame to count")
+        large = replace(request(2), body=bytes(200_000))
+        refused = await instances.forward(large)
+        assert isinstance(refused, Err)
+        assert refused.err_value.no_room
+        runner.release.set()
+        assert await running == Ok(ANSWER)
+        writer.close()
+        await wait_until(lambda: memory.used_bytes == 0, what="the frame to be dropped")
+        assert await instances.forward(large) == Ok(ANSWER)
+
+
+@pytest.mark.parametrize("number", [0, 127, 128, 255, 256, 65_536, 1 << 40])
+async def test_the_number_of_a_request_is_read_from_the_first_bytes_of_its_frame(
+    number: int,
+) -> None:
+    """Guards against the refusal of another request than the one without memory."""
+    frame = encode(encode_request(number, VERSION, request(), now=0.0))
+    assert request_number(frame[LENGTH_PREFIX_BYTES:][:HEAD_BYTES]) == number
+    other = encode(Heartbeat())
+    with pytest.raises(msgspec.DecodeError):
+        request_number(other[LENGTH_PREFIX_BYTES:])
+
+
 async def test_a_planned_stop_finishes_the_requests_of_other_instances() -> None:
     """Guards against a planned stop that cuts requests which the coordinator has accepted."""
     runner = Runner()
