Issue no tokens before a listing, and keep connections after a slow connect

Cause: an instance without a listing took itself for the only issuer and issued the whole limit. A time-out of a new connection to the store also gave up the open ones.

Change: without a listing, an instance issues nothing to itself, and to others at most a deputy's part. Only a reply that does not come in time gives up the open connections.

Measured: the new cases in test_quotas.py and test_silent_connections.py fail before the change and pass after it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -13,6 +13,7 @@
 from result import Ok
 
 from azurefield.quota import (
+    DEPUTY_FRACTION,
     QuotaDenied,
     QuotaGranted,
     issuer_order,
@@ -64,6 +65,8 @@
 
     :param own: the name of this instance
     :param instances: returns the instances that run
+    :param listing_known: whether these were listed; without a listing, this instance issues nothing
+        to itself, and to others that take it for the issuer no more than a deputy does
     :param unreachable_until: when an issuer that did not reply is asked again
     :param orders: the instances for which the order of a service's issuers was computed, and it
     """
@@ -73,6 +76,7 @@
     peers: PeerLinks
     instances: Callable[[], frozenset[str]]
     metrics: GatewayMetrics
+    listing_known: Callable[[], bool] = lambda: True
     warmups: WarmupLimits = field(default_factory=WarmupLimits)
     issuer: QuotaIssuer = field(init=False)
     unreachable_until: dict[str, float] = field(default_factory=dict)
@@ -130,6 +134,8 @@
         For a server that warms up, this one is asked only as one of the first issuers: otherwise
         many instances that reach no other would each send a first call.
         """
+        if not self.listing_known():
+            return []
         at = now()
         remote = [
             name
@@ -153,6 +159,8 @@
 
     def own_fraction(self, service: str) -> float:
         """Return the part of a limit that this instance issues for a service's servers."""
+        if not self.listing_known():
+            return DEPUTY_FRACTION
         order = self.order(service)
         return rate_fraction(order.index(self.own), len(order))
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -127,6 +127,7 @@
             peers=self.forwarding.peers,
             instances=lambda: self.instances.names,
             metrics=self.metrics,
+            listing_known=lambda: self.listing_received,
         )
         self.workspace_quotas = WorkspaceQuotas(
             own=self.instance, peers=self.forwarding.peers, metrics=self.metrics
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -9,7 +9,7 @@
 import pytest
 
 from azurefield.directory import RegisteredServer, RegisteredState
-from azurefield.quota import issuer_order
+from azurefield.quota import DEPUTY_FRACTION, issuer_order
 from azurefield.routes import ServiceLimits
 from azurefield.server_limits import NO_LIMIT, NamedLimit, ServerLimits
 from azurefield.warmup_limits import WarmupBound
@@ -19,6 +19,7 @@
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
+from azurefield_testkit.entry_support.gateway_parts import make_gateway
 from azurefield_testkit.entry_support.peers import (
     RunningService,
     refuse_request,
@@ -134,6 +135,20 @@
         assert instances[LAST].quotas.limits.opens_at("s1", 1) > now()
 
 
+async def test_an_instance_without_a_listing_issues_no_token_to_itself() -> None:
+    """Guards against new instances that each take themselves for the only issuer."""
+    service = make_gateway()
+    service.listing_received = False
+    quotas = service.quotas
+    quotas.limits.known["s1"] = NamedLimit(per_s=LIMIT_PER_S, named_at=now())
+    assert not await quotas.acquire(SERVER, 1, now())
+    assert quotas.own_fraction("desk") == DEPUTY_FRACTION
+    service.apply_listing(now(), ())
+    assert await quotas.acquire(SERVER, 1, now())
+    assert quotas.own_fraction("desk") == 1.0
+    quotas.close()
+
+
 async def test_a_call_waits_for_its_turn_and_leaves_the_queue_when_it_is_cancelled() -> None:
     """Guards against tokens for calls that were cancelled."""
     async with fleet() as instances:
--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -159,7 +159,12 @@
         return URL(str(self.base).rstrip("/") + path, encoded=True)
 
     def abandon_silent(self, error: BaseException) -> None:
-        """Use no open connection again after a reply that did not come in time."""
+        """Use no open connection again after a reply that did not come in time.
+
+        A new connection that is not open in time says nothing of the open ones.
+        """
+        if isinstance(error, aiohttp.ConnectionTimeoutError):
+            return
         connector = self.session.connector
         if isinstance(error, TimeoutError) and isinstance(connector, CheckedConnector):
             connector.abandon_kept()
--- a/packages/azurefield-platform/tests/test_silent_connections.py
+++ b/packages/azurefield-platform/tests/test_silent_connections.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import aiohttp
 import pytest
 from result import Err, Ok
 
@@ -81,6 +82,23 @@
         assert lost == Err(PlatformUnavailable(detail="no reply in time"))
 
 
+async def test_connections_are_kept_if_a_new_one_is_not_open_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against open connections that are given up for one that could not be opened."""
+
+    async def time_out(*_: object, **__: object) -> None:
+        raise aiohttp.ConnectionTimeoutError
+
+    async with silent_service() as (service, http):
+        assert isinstance(await http.read("/"), Ok)
+        with monkeypatch.context() as patched:
+            patched.setattr(aiohttp.TCPConnector, "connect", time_out)
+            assert isinstance(await http.read("/"), Err)
+        assert isinstance(await http.read("/"), Ok)
+        assert len(service.writers) == 1
+
+
 async def test_connections_are_kept_after_a_reply_in_time() -> None:
     """Guards against a new connection for each call."""
     async with silent_service() as (service, http):
