--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -127,6 +127,7 @@
             peers=self.forwarding.peers,
             instances=lambda: self.instances.names,
             metrics=self.metrics,
+            listing_known=lambda: self.listing_received,
         )
         self.workspace_quotas = WorkspaceQuotas(
             own=self.instance, peers=self.forwarding.peers, metrics=self.metrics
@@ -199,8 +200,9 @@
         self.kernel = kernel
         ticking = asyncio.create_task(send_every(mailbox, Tick(), policies.TICK_INTERVAL_S))
         while True:
+            message = await mailbox.receive()
             now = self.now()
-            match await mailbox.receive():
+            match message:
                 case MetadataListed(listing=listing, after_outage=after_outage):
                     self.record_store_contact(now, 0.0, after_outage=after_outage)
                     self.apply_listing(now, listing.items)
