Let a denial of a quota end with the version that it was given under

Cause: an instance kept the time until which a share has no token when a newer version raised the quota, and went on refusing without asking. Change: the state of a workspace has its newest version; a newer one drops the denials, and a late denial of an older version is ignored. Measured: the new test fails without the change (run with the check of the version switched off) and passes with it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -157,7 +157,7 @@
         self, workspace: str, quota: RequestQuota, version: int
     ) -> list[ShareRequest]:
         """Build the requests to the shares, in the order in which they are asked."""
-        slots = self.choice.slots(now(), workspace, quota)
+        slots = self.choice.slots(now(), workspace, quota, version)
         return [
             ShareRequest(slot=slot, workspace=workspace, quota=quota, version=version)
             for slot in sorted(slots, key=self.silent)
@@ -228,7 +228,7 @@
         else:
             decision = await self.ask_other(holder, request)
         if isinstance(decision, QuotaDenied):
-            self.choice.on_denied(now(), request.workspace, request.slot, decision.wait_s)
+            self.choice.on_denied(now(), request, decision.wait_s)
         return decision
 
     async def ask_other(self, holder: str, request: ShareRequest) -> ShareDecision:
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -311,7 +311,7 @@
     def begin(self, index: int, sent_at: float, now: float) -> None:
         """Begin to ask the shares for a token."""
         node = self.nodes[index]
-        slots = node.choice.slots(node.clock(now), "w", node.quota)
+        slots = node.choice.slots(node.clock(now), "w", node.quota, node.version)
         request = Pending(node=node, number=index, sent_at=sent_at, slots=slots)
         self.ask_next(now, request)
 
@@ -336,7 +336,7 @@
         def answer(at: float) -> None:
             node = self.nodes[issuer]
             decision = node.issuer.request(node.clock(at), frame)
-            apply = partial(self.on_reply, request, asked, slot, decision)
+            apply = partial(self.on_reply, request, asked, frame, decision)
             self.transmit(at, issuer, request.number, apply)
 
         self.transmit(now, request.number, issuer, answer)
@@ -364,7 +364,7 @@
             self.ask_next(now, request)
 
     def on_reply(
-        self, request: Pending, asked: int, slot: int, decision: ShareDecision, now: float
+        self, request: Pending, asked: int, frame: ShareRequest, decision: ShareDecision, now: float
     ) -> None:
         """Run a granted request; a reply to an earlier question is no longer waited for."""
         if request.done or request.asked != asked:
@@ -376,5 +376,5 @@
             return
         if isinstance(decision, QuotaDenied):
             clock = request.node.clock(now)
-            request.node.choice.on_denied(clock, "w", slot, decision.wait_s)
+            request.node.choice.on_denied(clock, frame, decision.wait_s)
         self.ask_next(now, request)
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -131,6 +131,7 @@
     """What an instance knows of the shares of one workspace.
 
     :param slots: the issuer slots of the shares
+    :param version: the newest version of the configuration that a request has named
     :param turn: counts requests, so that they alternate between the shares
     :param denied_until: until when no token of a slot is expected
     :param returns_at: when the last refused caller was asked to return
@@ -138,6 +139,7 @@
 
     slots: tuple[int, ...]
     used_at: float
+    version: int
     turn: int = 0
     denied_until: dict[int, float] = field(default_factory=dict)
     returns_at: float = 0.0
@@ -154,13 +156,20 @@
     first_turn: int = 0
     workspaces: dict[str, WorkspaceState] = field(default_factory=dict)
 
-    def slots(self, now: float, workspace: str, quota: RequestQuota) -> list[int]:
-        """List the slots to ask in order; empty if no share is expected to have a token."""
+    def slots(self, now: float, workspace: str, quota: RequestQuota, version: int) -> list[int]:
+        """List the slots to ask in order; empty if no share is expected to have a token.
+
+        :param version: the version of the configuration that names the quota; a newer one ends
+            the denials of earlier ones
+        """
         state = self.workspaces.get(workspace)
         if state is None:
             state = self.workspaces[workspace] = WorkspaceState(
-                slots=share_slots(workspace), used_at=now, turn=self.first_turn
+                slots=share_slots(workspace), used_at=now, version=version, turn=self.first_turn
             )
+        if version > state.version:
+            state.version = version
+            state.denied_until.clear()
         state.used_at = now
         state.turn += 1
         shares = share_limit(quota, self.bounds).shares
@@ -169,9 +178,14 @@
         order = used[first:] + used[:first]
         return [slot for slot in order if state.denied_until.get(slot, now) <= now]
 
-    def on_denied(self, now: float, workspace: str, slot: int, wait_s: float) -> None:
-        """Record that a share has no token until ``wait_s`` from now."""
-        self.workspaces[workspace].denied_until[slot] = now + wait_s
+    def on_denied(self, now: float, request: ShareRequest, wait_s: float) -> None:
+        """Record that a share has no token until ``wait_s`` from now.
+
+        A denial that arrives after a newer version of the quota is dropped.
+        """
+        state = self.workspaces[request.workspace]
+        if request.version >= state.version:
+            state.denied_until[request.slot] = now + wait_s
 
     def any_empty(self, now: float, workspace: str) -> bool:
         """Whether a share is known to have no token."""
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -259,12 +259,31 @@
     assert fleet.results.keys() == {"admitted"}
 
 
+def deny_all(choice: ShareChoice, quota: RequestQuota, wait_s: float) -> list[ShareRequest]:
+    """Deny a request of version 1 by all shares; return what they were asked."""
+    requests = [
+        ShareRequest(slot=slot, workspace="w", quota=quota, version=1)
+        for slot in choice.slots(0.0, "w", quota, 1)
+    ]
+    for request in requests:
+        choice.on_denied(0.0, request, wait_s)
+    return requests
+
+
+def test_a_denial_ends_with_the_version_that_it_was_given_under() -> None:
+    """Guards against refusals for minutes after the limit of a slow workspace was raised."""
+    choice = ShareChoice(bounds=BOUNDS)
+    late = deny_all(choice, RequestQuota(rate_per_s=0.3, burst=1.0), wait_s=10.0)
+    assert choice.slots(1.0, "w", QUOTA, 2), "a newer version"
+    choice.on_denied(1.0, late[0], 10.0)
+    assert len(choice.slots(1.0, "w", QUOTA, 2)) == len(late), "a late denial of the older one"
+
+
 def test_refused_callers_return_at_the_rate_of_the_workspace() -> None:
     """Guards against refused callers that all return at once."""
     choice = ShareChoice(bounds=BOUNDS)
-    for slot in choice.slots(0.0, "w", QUOTA):
-        choice.on_denied(0.0, "w", slot, 0.1)
-    assert choice.slots(0.05, "w", QUOTA) == []
+    deny_all(choice, QUOTA, wait_s=0.1)
+    assert choice.slots(0.05, "w", QUOTA, 1) == []
     waits = [choice.retry_after_s(0.0, "w", QUOTA) for _ in range(50)]
     assert waits == pytest.approx([0.1 + number / QUOTA.rate_per_s for number in range(50)])
 
@@ -292,6 +311,5 @@
 def test_a_refused_caller_never_returns_at_once() -> None:
     """Guards against a Retry-After of 0, sent when the next token is due just now."""
     choice = ShareChoice(bounds=BOUNDS)
-    for slot in choice.slots(0.0, "w", QUOTA):
-        choice.on_denied(0.0, "w", slot, 0.1)
+    deny_all(choice, QUOTA, wait_s=0.1)
     assert choice.retry_after_s(0.0999, "w", QUOTA) >= 1 / QUOTA.rate_per_s
