Go on with the next claim when the store refuses one for an issuer slot

Cause: a claim that another instance was faster with (412) counted as a failed call and stopped all calls for the slots, renewals too, for 1 to 3 s. Change: the store's client tells such a write from a failed call; the slot is not claimed again until its key is seen.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -18,6 +18,7 @@
     InstanceEntry,
     InstanceKey,
     Item,
+    KeyChanged,
     Lease,
     LeaseEnded,
     MetadataStore,
@@ -152,13 +153,17 @@
         return True
 
     async def claim(self, claim: SlotClaim, lease: Lease) -> bool:
-        """Claim a slot; return whether the store has written its key."""
+        """Claim a slot; return whether further calls may follow."""
         key = SlotKey(slot=claim.slot, instance=self.own, lease=lease.number, revision=0)
         match await self.store.put(key, lease, claim.revision):
             case Ok(_):
                 self.tenure.on_claimed(claim.slot, lease.number)
                 self.publish_slots()
                 return True
+            case Err(KeyChanged()):
+                self.claims.on_refused(claim.slot)
+                log.info("The key of issuer slot {} has changed; it is not claimed.", claim.slot)
+                return True
             case Err(LeaseEnded()):
                 self.on_lease_ended()
                 return False
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -12,6 +12,7 @@
 from azurefield.routes import RouteTable
 from azurefield.server_limits import NO_LIMIT
 from azurefield.workspaces import Workspace
+from azurefield_platform.failures import InvalidCall
 
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest, Response
@@ -20,7 +21,6 @@
     from azurefield.failures import LeafFailure, RequestFailure
     from azurefield.merge import MergedParts
     from azurefield_platform.failures import (
-        InvalidCall,
         MalformedReply,
         PlatformUnavailable,
         ReplyLost,
@@ -304,6 +304,11 @@
     """The lease of an entry has ended, or the store has lost it."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class KeyChanged(InvalidCall):
+    """A conditional write was not applied, as the key has another revision."""
+
+
 class MetadataStore(Protocol):
     """The platform's store, in the gateway's terms."""
 
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -57,12 +57,15 @@
     """What one instance knows of the slots, and which ones it claims.
 
     :param own: the name of this instance
+    :param refused: the slots that the store refused to give to this instance under the key known
+        here; they are not claimed until their key is seen
     :param free_since: when each slot without a key was first seen free
     :param ranks: for each slot, the instances for which the rank of this one was computed, and it
     """
 
     own: str
     keys: dict[int, SlotKey] = field(default_factory=dict)
+    refused: set[int] = field(default_factory=set)
     free_since: dict[int, float] = field(default_factory=dict)
     ranks: dict[int, tuple[frozenset[str], int]] = field(default_factory=dict)
 
@@ -78,13 +81,19 @@
     def on_key(self, key: SlotKey) -> None:
         """Record that a key was written."""
         self.keys[key.slot] = key
+        self.refused.discard(key.slot)
         self.free_since.pop(key.slot, None)
 
     def on_removed(self, now: float, slot: int) -> None:
         """Record that a key does not exist."""
         self.keys.pop(slot, None)
+        self.refused.discard(slot)
         self.free_since.setdefault(slot, now)
 
+    def on_refused(self, slot: int) -> None:
+        """Record that a claim was refused, as the slot's key is not as it is known here."""
+        self.refused.add(slot)
+
     def holder(self, slot: int) -> str | None:
         """Return the instance that holds a slot as far as is known."""
         key = self.keys.get(slot)
@@ -113,6 +122,7 @@
         return [
             SlotClaim(slot=slot, revision=self.keys[slot].revision if slot in self.keys else 0)
             for slot in slots
+            if slot not in self.refused
         ]
 
     def may_claim(self, free_s: float, slot: int, instances: frozenset[str]) -> bool:
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -11,6 +11,7 @@
 from result import Err, Ok
 
 from azurefield.directory import RegisteredServer
+from azurefield.issuer_slots import SlotKey
 from azurefield.routes import RouteTable
 from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.gateway.ports import (
@@ -18,6 +19,7 @@
     EvacuationKey,
     HistoryLost,
     InstanceEntry,
+    KeyChanged,
     Lease,
     LeaseEnded,
     Removed,
@@ -140,6 +142,17 @@
         assert await store.renew_lease(replace(lease, number=lease.number + 1)) == Err(LeaseEnded())
 
 
+async def test_a_write_under_a_condition_that_no_longer_holds_is_told_from_a_failed_call() -> None:
+    """Guards against a store that counts as down because another instance was first."""
+    async with opened() as (stand_in, store):
+        lease = (await store.new_lease(5.0)).unwrap()
+        for revision, refused in ((0, False), (0, True), (stand_in.revision + 7, True)):
+            written = await store.put(
+                SlotKey(slot=1, instance="n1", lease=1, revision=0), lease, revision
+            )
+            assert isinstance(written.err(), KeyChanged) is refused
+
+
 async def test_a_listing_whose_pages_are_of_two_eras_is_no_listing() -> None:
     """Guards against a listing that mixes what the store held before and after a loss."""
     async with opened() as (stand_in, store):
