Let the lease of issuer slots outlast an outage of the store of 30 s

Cause: with a renewal each 5 s and a pause of up to 3 s after a failed call, a lease of 30 s ended in an outage of 25 s. Change: the lease is 45 s, the interval of renewals stays. The fleet of the testkit has the constants of a deployment; the check of the sum keeps its short lease with a renewal each tick, which makes more leases end. Measured: the new test fails with a lease of 30 s and passes with 45 s.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -10,7 +10,15 @@
 from logbook import Logger
 from result import Err, Ok
 
-from azurefield.issuer_slots import SLOT_LEASE_S, SlotClaim, SlotClaims, SlotKey, SlotTenure
+from azurefield.issuer_slots import (
+    RENEW_INTERVAL_S,
+    RETRY_DELAY_S,
+    SLOT_LEASE_S,
+    SlotClaim,
+    SlotClaims,
+    SlotKey,
+    SlotTenure,
+)
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import IssuerSlotsChanged
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -26,10 +34,7 @@
     SlotName,
 )
 
-RENEW_INTERVAL_S = 5.0
 CHECK_INTERVAL_S = 0.25
-# After a call that failed, nothing more is sent to the store for this time.
-RETRY_DELAY_S = 2.0
 log = Logger("metadata")
 
 
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -11,6 +12,7 @@
 
 from azurefield.issuer_slots import SETTLE_S, SlotKey
 from azurefield.quota_shares import ISSUER_SLOTS
+from azurefield_entry.gateway.metadata import issuer_slots
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
@@ -21,16 +23,23 @@
     Removed,
     SlotName,
 )
+from azurefield_platform.failures import PlatformUnavailable
 
 if TYPE_CHECKING:
     from azurefield_entry.gateway.messages import IssuerSlotsChanged
     from azurefield_platform.failures import InvalidCall
 
+# How long a call waits that is not answered.
+CALL_TIMEOUT_S = 1.3
 ALL = frozenset(range(ISSUER_SLOTS))
 OTHER = SlotKey(slot=3, instance="i2", lease=40, revision=7)
 EARLIER = SlotKey(slot=4, instance="i1", lease=41, revision=8)
 
 
+class EndOfPlay(Exception):  # noqa: N818
+    """Ends a task that runs for ever."""
+
+
 @dataclass(slots=True, kw_only=True)
 class SlotStore:
     """Fake store with the keys of slots."""
@@ -45,7 +54,9 @@
         self.leases += 1
         return Ok(Lease(number=self.leases))
 
-    async def renew_lease(self, lease: Lease) -> Result[None, LeaseEnded]:  # noqa: ARG002
+    async def renew_lease(
+        self, lease: Lease  # noqa: ARG002
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         self.calls += 1
         return Err(LeaseEnded()) if self.ended else Ok(None)
 
@@ -60,6 +71,26 @@
         return Ok(None)
 
 
+@dataclass(slots=True, kw_only=True)
+class StoreWithOutages(SlotStore):
+    """A store that does not answer renewals during outages, given by their begin and length.
+
+    :param clock: the time, which a call that is not answered moves on
+    """
+
+    clock: list[float]
+    outages: list[tuple[float, float]]
+
+    async def renew_lease(
+        self, lease: Lease  # noqa: ARG002
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
+        at = self.clock[0]
+        if any(begin <= at < begin + length for begin, length in self.outages):
+            self.clock[0] += CALL_TIMEOUT_S
+            return Err(PlatformUnavailable(detail="no reply"))
+        return Ok(None)
+
+
 def build(
     store: SlotStore,
     published: list[IssuerSlotsChanged],
@@ -144,6 +175,31 @@
     assert published[-1].held == ALL, "the store has lost the lease before its end"
 
 
+@pytest.mark.parametrize("seed", range(5))
+async def test_the_lease_outlasts_an_outage_of_the_store(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against slots that end in an outage of 30 s, whenever that begins."""
+    clock = [1000.0]
+    outages = [(1020.0 + 60.0 * number + 0.37 * number, 30.0) for number in range(20)]
+
+    async def sleep(delay_s: float) -> None:
+        clock[0] += delay_s
+        assert clock[0] < slots.tenure.lease_until or not slots.tenure.held
+        if clock[0] > outages[-1][0] + 60.0:
+            raise EndOfPlay
+
+    slots = build(StoreWithOutages(clock=clock, outages=outages), [])
+    slots.random = Random(seed)
+    slots.claims.free_since = dict.fromkeys(ALL, 0.0)
+    monkeypatch.setattr(issuer_slots, "now", lambda: clock[0])
+    monkeypatch.setattr(issuer_slots, "lease_now", lambda: clock[0])
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    with pytest.raises(EndOfPlay):
+        await slots.run()
+    assert slots.tenure.held == ALL
+
+
 async def test_after_a_restore_of_the_store_only_held_slots_are_claimed() -> None:
     """Guards against claims of slots whose keys the store has lost while they are held."""
     store = SlotStore(keys={3: OTHER})
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -13,7 +13,15 @@
 from itertools import count
 from random import Random
 
-from azurefield.issuer_slots import SlotClaim, SlotClaims, SlotKey, SlotTenure
+from azurefield.issuer_slots import (
+    RENEW_INTERVAL_S,
+    RETRY_DELAY_S,
+    SLOT_LEASE_S,
+    SlotClaim,
+    SlotClaims,
+    SlotKey,
+    SlotTenure,
+)
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds
 from azurefield.workspace_quota import ShareChoice, ShareDecision, ShareIssuer, ShareRequest
@@ -53,6 +61,7 @@
     """One process of an instance.
 
     :param rate: seconds of its clock per second
+    :param next_renewal_at: when its lease is renewed next
     """
 
     name: str
@@ -64,6 +73,7 @@
     claims: SlotClaims
     version: int
     quota: RequestQuota
+    next_renewal_at: float = float("-inf")
 
     def clock(self, now: float) -> float:
         """Return the time of the process's clock."""
@@ -105,7 +115,8 @@
     loss: float = 0.0
     views_differ: bool = False
     clock_error: float = 0.0
-    lease_s: float = 6.0
+    lease_s: float = SLOT_LEASE_S
+    renew_interval_s: float = RENEW_INTERVAL_S
     make_issuer: Callable[..., ShareIssuer] = ShareIssuer
     store: SlotStoreModel = field(init=False)
     nodes: list[Node] = field(default_factory=list)
@@ -211,7 +222,9 @@
         asked_at = node.clock(now)
         lease = node.tenure.lease
         if lease is not None:
-            self.call(now, index, partial(self.store.renew, lease), self.renewed, asked_at)
+            if asked_at >= node.next_renewal_at:
+                node.next_renewal_at = asked_at + min(RETRY_DELAY_S, self.renew_interval_s)
+                self.call(now, index, partial(self.store.renew, lease), self.renewed, asked_at)
             for claim in wanted:
                 apply = partial(self.claim, claim, node.name, lease)
                 self.call(now, index, apply, self.claimed, asked_at)
@@ -252,6 +265,7 @@
         node = self.nodes[index]
         if renewed:
             node.tenure.on_renewed(asked_at)
+            node.next_renewal_at = asked_at + self.renew_interval_s
         else:
             node.tenure.on_ended(node.clock(now))
         node.update_issuer(now)
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -19,9 +19,12 @@
 SETTLE_S = 2.0
 # The next instance in the order claims a slot that stays free for this time.
 CLAIM_STEP_S = 2.0
-# Long enough for the usual outage of the store; a holder that was lost for good keeps its slots so
-# long.
-SLOT_LEASE_S = 30.0
+# Outlasts an outage of the store of 30 s that begins just before a renewal, with the time until the
+# next attempt after it. A holder that was lost for good keeps its slots so long.
+SLOT_LEASE_S = 45.0
+RENEW_INTERVAL_S = 5.0
+# After a call that failed, nothing more is sent to the store for this time.
+RETRY_DELAY_S = 2.0
 # Part of a lease's length that its holder does not use, as its clock may be slow.
 LEASE_MARGIN_FRACTION = 0.01
 
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -103,6 +103,8 @@
             loss=self.loss,
             views_differ=self.views_differ,
             clock_error=0.0004,
+            lease_s=6.0,
+            renew_interval_s=0.0,
             make_issuer=make_issuer,
         )
         receivers = random.sample(range(self.instances), min(self.receivers, self.instances))
