--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -10,7 +10,15 @@
 from logbook import Logger
 from result import Err, Ok
 
-from azurefield.issuer_slots import SLOT_LEASE_S, SlotClaim, SlotClaims, SlotKey, SlotTenure
+from azurefield.issuer_slots import (
+    RENEW_INTERVAL_S,
+    RETRY_DELAY_S,
+    SLOT_LEASE_S,
+    SlotClaim,
+    SlotClaims,
+    SlotKey,
+    SlotTenure,
+)
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import IssuerSlotsChanged
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -18,6 +26,7 @@
     InstanceEntry,
     InstanceKey,
     Item,
+    KeyChanged,
     Lease,
     LeaseEnded,
     MetadataStore,
@@ -25,10 +34,7 @@
     SlotName,
 )
 
-RENEW_INTERVAL_S = 5.0
 CHECK_INTERVAL_S = 0.25
-# After a call that failed, nothing more is sent to the store for this time.
-RETRY_DELAY_S = 2.0
 log = Logger("metadata")
 
 
@@ -152,13 +158,17 @@
         return True
 
     async def claim(self, claim: SlotClaim, lease: Lease) -> bool:
-        """Claim a slot; return whether the store has written its key."""
+        """Claim a slot; return whether further calls may follow."""
         key = SlotKey(slot=claim.slot, instance=self.own, lease=lease.number, revision=0)
         match await self.store.put(key, lease, claim.revision):
             case Ok(_):
                 self.tenure.on_claimed(claim.slot, lease.number)
                 self.publish_slots()
                 return True
+            case Err(KeyChanged()):
+                self.claims.on_refused(claim.slot)
+                log.info("The key of issuer slot {} has changed; it is not claimed.", claim.slot)
+                return True
             case Err(LeaseEnded()):
                 self.on_lease_ended()
                 return False
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import asyncio
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -11,19 +12,34 @@
 
 from azurefield.issuer_slots import SETTLE_S, SlotKey
 from azurefield.quota_shares import ISSUER_SLOTS
+from azurefield_entry.gateway.metadata import issuer_slots
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.ports import InstanceEntry, Lease, LeaseEnded
-from azurefield_platform.failures import InvalidCall
+from azurefield_entry.gateway.ports import (
+    InstanceEntry,
+    KeyChanged,
+    Lease,
+    LeaseEnded,
+    Removed,
+    SlotName,
+)
+from azurefield_platform.failures import PlatformUnavailable
 
 if TYPE_CHECKING:
     from azurefield_entry.gateway.messages import IssuerSlotsChanged
+    from azurefield_platform.failures import InvalidCall
 
+# How long a call waits that is not answered.
+CALL_TIMEOUT_S = 1.3
 ALL = frozenset(range(ISSUER_SLOTS))
 OTHER = SlotKey(slot=3, instance="i2", lease=40, revision=7)
 EARLIER = SlotKey(slot=4, instance="i1", lease=41, revision=8)
 
 
+class EndOfPlay(Exception):  # noqa: N818
+    """Ends a task that runs for ever."""
+
+
 @dataclass(slots=True, kw_only=True)
 class SlotStore:
     """Fake store with the keys of slots."""
@@ -38,7 +54,9 @@
         self.leases += 1
         return Ok(Lease(number=self.leases))
 
-    async def renew_lease(self, lease: Lease) -> Result[None, LeaseEnded]:  # noqa: ARG002
+    async def renew_lease(
+        self, lease: Lease  # noqa: ARG002
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         self.calls += 1
         return Err(LeaseEnded()) if self.ended else Ok(None)
 
@@ -48,11 +66,31 @@
         self.calls += 1
         known = self.keys.get(entry.slot)
         if (0 if known is None else known.revision) != revision:
-            return Err(InvalidCall(detail="status 412"))
+            return Err(KeyChanged(detail="status 412"))
         self.keys[entry.slot] = entry
         return Ok(None)
 
 
+@dataclass(slots=True, kw_only=True)
+class StoreWithOutages(SlotStore):
+    """A store that does not answer renewals during outages, given by their begin and length.
+
+    :param clock: the time, which a call that is not answered moves on
+    """
+
+    clock: list[float]
+    outages: list[tuple[float, float]]
+
+    async def renew_lease(
+        self, lease: Lease  # noqa: ARG002
+    ) -> Result[None, LeaseEnded | PlatformUnavailable]:
+        at = self.clock[0]
+        if any(begin <= at < begin + length for begin, length in self.outages):
+            self.clock[0] += CALL_TIMEOUT_S
+            return Err(PlatformUnavailable(detail="no reply"))
+        return Ok(None)
+
+
 def build(
     store: SlotStore,
     published: list[IssuerSlotsChanged],
@@ -99,13 +137,24 @@
 
 
 async def test_a_slot_that_another_instance_was_given_is_not_held() -> None:
-    """Guards against two issuers after claims at the same time."""
+    """Guards against two issuers, and a pause of all calls, after claims at the same time."""
     store = SlotStore()
     published: list[IssuerSlotsChanged] = []
     slots = build(store, published)
     store.keys[0] = OTHER
-    assert not await slots.send_due_calls()
-    assert 0 not in slots.tenure.held
+    assert await slots.send_due_calls()
+    assert published[-1].held == ALL - {0}, "the next claims follow at once"
+    sent = store.calls
+    assert await slots.send_due_calls()
+    assert store.calls == sent, "no claim follows until the key is seen"
+    slots.on_changes((replace(OTHER, slot=0),))
+    assert await slots.send_due_calls()
+    assert store.calls == sent, "another instance holds the slot"
+    slots.on_changes((Removed(key=SlotName(slot=0)),))
+    del store.keys[0]
+    slots.claims.free_since[0] -= SETTLE_S
+    assert await slots.send_due_calls()
+    assert published[-1].held == ALL
 
 
 async def test_nothing_is_held_once_the_lease_has_ended() -> None:
@@ -126,6 +175,31 @@
     assert published[-1].held == ALL, "the store has lost the lease before its end"
 
 
+@pytest.mark.parametrize("seed", range(5))
+async def test_the_lease_outlasts_an_outage_of_the_store(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against slots that end in an outage of 30 s, whenever that begins."""
+    clock = [1000.0]
+    outages = [(1020.0 + 60.0 * number + 0.37 * number, 30.0) for number in range(20)]
+
+    async def sleep(delay_s: float) -> None:
+        clock[0] += delay_s
+        assert clock[0] < slots.tenure.lease_until or not slots.tenure.held
+        if clock[0] > outages[-1][0] + 60.0:
+            raise EndOfPlay
+
+    slots = build(StoreWithOutages(clock=clock, outages=outages), [])
+    slots.random = Random(seed)
+    slots.claims.free_since = dict.fromkeys(ALL, 0.0)
+    monkeypatch.setattr(issuer_slots, "now", lambda: clock[0])
+    monkeypatch.setattr(issuer_slots, "lease_now", lambda: clock[0])
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    with pytest.raises(EndOfPlay):
+        await slots.run()
+    assert slots.tenure.held == ALL
+
+
 async def test_after_a_restore_of_the_store_only_held_slots_are_claimed() -> None:
     """Guards against claims of slots whose keys the store has lost while they are held."""
     store = SlotStore(keys={3: OTHER})
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -19,9 +19,12 @@
 SETTLE_S = 2.0
 # The next instance in the order claims a slot that stays free for this time.
 CLAIM_STEP_S = 2.0
-# Long enough for the usual outage of the store; a holder that was lost for good keeps its slots so
-# long.
-SLOT_LEASE_S = 30.0
+# Outlasts an outage of the store of 30 s that begins just before a renewal, with the time until the
+# next attempt after it. A holder that was lost for good keeps its slots so long.
+SLOT_LEASE_S = 45.0
+RENEW_INTERVAL_S = 5.0
+# After a call that failed, nothing more is sent to the store for this time.
+RETRY_DELAY_S = 2.0
 # Part of a lease's length that its holder does not use, as its clock may be slow.
 LEASE_MARGIN_FRACTION = 0.01
 
@@ -57,12 +60,15 @@
     """What one instance knows of the slots, and which ones it claims.
 
     :param own: the name of this instance
+    :param refused: the slots that the store refused to give to this instance under the key known
+        here; they are not claimed until their key is seen
     :param free_since: when each slot without a key was first seen free
     :param ranks: for each slot, the instances for which the rank of this one was computed, and it
     """
 
     own: str
     keys: dict[int, SlotKey] = field(default_factory=dict)
+    refused: set[int] = field(default_factory=set)
     free_since: dict[int, float] = field(default_factory=dict)
     ranks: dict[int, tuple[frozenset[str], int]] = field(default_factory=dict)
 
@@ -78,13 +84,19 @@
     def on_key(self, key: SlotKey) -> None:
         """Record that a key was written."""
         self.keys[key.slot] = key
+        self.refused.discard(key.slot)
         self.free_since.pop(key.slot, None)
 
     def on_removed(self, now: float, slot: int) -> None:
         """Record that a key does not exist."""
         self.keys.pop(slot, None)
+        self.refused.discard(slot)
         self.free_since.setdefault(slot, now)
 
+    def on_refused(self, slot: int) -> None:
+        """Record that a claim was refused, as the slot's key is not as it is known here."""
+        self.refused.add(slot)
+
     def holder(self, slot: int) -> str | None:
         """Return the instance that holds a slot as far as is known."""
         key = self.keys.get(slot)
@@ -113,6 +125,7 @@
         return [
             SlotClaim(slot=slot, revision=self.keys[slot].revision if slot in self.keys else 0)
             for slot in slots
+            if slot not in self.refused
         ]
 
     def may_claim(self, free_s: float, slot: int, instances: frozenset[str]) -> bool:
