--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -23,7 +23,6 @@
     forwarded: Counter = field(init=False)
     forwarded_other_zone: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
-    further_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     stray_bytes: Counter = field(init=False)
     unnamed_answers: Counter = field(init=False)
@@ -102,11 +101,6 @@
             ("result",),
             registry=registry,
         )
-        self.further_calls = Counter(
-            "azurefield_gateway_further_calls",
-            "Retries and hedges: calls to a leaf after the first one of their request.",
-            registry=registry,
-        )
         self.connections_opened = Counter(
             "azurefield_gateway_connections_opened",
             "Connections opened to backend servers.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
@@ -24,10 +24,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class RequestPlanner:
-    """Builds the fan-out of each request from the policies that all requests share.
-
-    :param coordinated_routes: the routes that coordinators run for the whole fleet
-    """
+    """Builds the fan-out of each request from the policies that all requests share."""
 
     holders: Holders
     router: Router
@@ -35,7 +32,6 @@
     limits: ServerLimits = field(default_factory=ServerLimits)
     weighted_round_robin: WeightedRoundRobin = field(default_factory=WeightedRoundRobin)
     hedging: dict[str, SharedDelayHedging] = field(default_factory=dict)
-    coordinated_routes: frozenset[str] = frozenset()
     request_count: int = 0
 
     def retain_only(self, table: RouteTable) -> None:
@@ -53,23 +49,12 @@
             hedging = self.hedging.get(route.name)
             if hedging is not None:
                 hedging.latencies.quantile = self.hedge_quantile(now, route)
-                hedging.goal_s = self.hedge_goal_s(route)
 
     def hedge_quantile(self, now: float, route: Route) -> float:
         """Return the latency quantile beyond which the budget can pay for hedges."""
         share = policies.HEDGE_BUDGET_FRACTION * self.budget.share(now, route.services)
         return max(policies.HEDGE_QUANTILE_MIN, 1.0 - share)
 
-    def hedge_goal_s(self, route: Route) -> float | None:
-        """Return in which time a coordinated route needs an answer; None if there is no such time.
-
-        A coordinator calls so many servers for its zone that early hedges are a large part of the
-        calls to servers of other zones.
-        """
-        if route.goal_s is None or route.name not in self.coordinated_routes:
-            return None
-        return route.goal_s - 2 * policies.CALLER_TRANSIT_S
-
     def fan_out(
         self,
         now: float,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -165,8 +165,6 @@
                 case SendLeafCall():
                     task = asyncio.create_task(self.run_leaf_call(running, action))
                     self.active_calls[action.call_id] = ActiveCall(task=task)
-                    if not action.first:
-                        self.metrics.further_calls.inc()
                     running.fan_out.set_stage(action.call_id, CallStage.WAITING)
                 case CancelLeafCall(call_id=call_id):
                     self.cancel_call(call_id)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -331,7 +331,6 @@
         """Decide again which requests are forwarded, and divide the connections accordingly."""
         before = self.forwarding.zones
         self.forwarding.update(table, self.directory, len(self.instances))
-        self.planner.coordinated_routes = frozenset(self.forwarding.zones)
         if self.forwarding.zones != before:
             zones = {route: sorted(zones) for route, zones in self.forwarding.zones.items()}
             log.info("Coordinators run the requests of these routes, in these zones: {}.", zones)
--- a/packages/azurefield-entry/tests/gateway/test_dispatch.py
+++ b/packages/azurefield-entry/tests/gateway/test_dispatch.py
@@ -11,7 +11,7 @@
 from azurefield.directory import Directory
 from azurefield.model import Outcome
 from azurefield.retry import WindowedBudget
-from azurefield.routes import CallerLimits, Route, RouteTable, SingleService
+from azurefield.routes import Route, SingleService
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.peers.forward_frames import decode_request, encode_request
@@ -73,22 +73,3 @@
     )
     fan_out = planner.fan_out(now(), decode_request(frame, now()), ROUTE, 7)
     assert fan_out.attempts_max == 1
-
-
-@pytest.mark.parametrize("coordinated", [False, True])
-@pytest.mark.parametrize("goal_s", [None, 0.2])
-def test_only_hedges_of_coordinated_routes_with_a_goal_wait_for_it(
-    coordinated: bool, goal_s: float | None
-) -> None:
-    """Guards against later hedges in fleets whose instances run their requests themselves."""
-    route = replace(ROUTE, goal_s=goal_s)
-    planner = RequestPlanner(
-        holders=Directory(),
-        router=OwnObservationRouter(random=Random(1)),
-        budget=WindowedBudget(ratio=0.2, window_s=10.0),
-        coordinated_routes=frozenset({ROUTE.name} if coordinated else ()),
-    )
-    hedging = planner.route_hedging(0.0, route)
-    table = RouteTable.build(version=7, routes=[route], services={}, limits=CallerLimits())
-    planner.tick(0.0, table)
-    assert (hedging.goal_s is not None) == (coordinated and goal_s is not None)
--- a/packages/azurefield/src/azurefield/hedging.py
+++ b/packages/azurefield/src/azurefield/hedging.py
@@ -27,8 +27,6 @@
 # Hedges may use this fraction of a budget shared with retries. Without a retry a leaf is missing,
 # without a hedge it is late.
 SHARED_BUDGET_FRACTION = 0.75
-# Time that is kept for the answer to a hedge, as a multiple of the time after which a call is slow.
-HEDGE_ANSWER_FACTOR = 2.0
 
 
 class HedgePolicy(Protocol):
@@ -154,14 +152,11 @@
     enough. The query credits its first calls to the budget, so ``on_first_call`` does nothing.
 
     :param initial_delay_s: the delay while too few calls were observed; None to send no hedges then
-    :param goal_s: the time in which the answer is needed, so that a hedge may wait until it would
-        just arrive in time; None if an answer is wanted as early as possible
     """
 
     latencies: LeafLatencies
     budget: WindowedBudget
     initial_delay_s: float | None = None
-    goal_s: float | None = None
 
     def on_first_call(self, leaf: str) -> None:
         """Do nothing."""
@@ -175,11 +170,7 @@
         if self.latencies.all_servers_slow:
             return None
         observed_s = self.latencies.delay_s
-        if observed_s is None:
-            return self.initial_delay_s
-        if self.goal_s is None:
-            return observed_s
-        return max(observed_s, self.goal_s - HEDGE_ANSWER_FACTOR * observed_s)
+        return self.initial_delay_s if observed_s is None else observed_s
 
     def try_spend(self, now: float, leaf: str) -> bool:
         """Spend one hedge if the budget allows it; return whether it did."""
--- a/packages/azurefield/src/azurefield/query.py
+++ b/packages/azurefield/src/azurefield/query.py
@@ -324,7 +324,6 @@
                 snapshot=self.snapshot,
                 deadline=deadline,
                 start_by=self.start_by(now, leaf, deadline),
-                first=len(progress.tried) == 1,
             )
         )
         return True
--- a/packages/azurefield/src/azurefield/query_actions.py
+++ b/packages/azurefield/src/azurefield/query_actions.py
@@ -18,7 +18,6 @@
     """Send one call; its answer or failure must be passed back with the same ``call_id``.
 
     :param start_by: latest time until which the call may wait for quota of a server with a limit
-    :param first: whether it is the first call for its leaf, so neither a retry nor a hedge
     """
 
     call_id: str
@@ -27,7 +26,6 @@
     snapshot: Snapshot
     deadline: float
     start_by: float = float("inf")
-    first: bool = True
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield/tests/test_shared_hedging.py
+++ b/packages/azurefield/tests/test_shared_hedging.py
@@ -41,26 +41,3 @@
     for _ in range(QUANTILE_CALLS_MIN):
         policy.observe("s", 0.02)
     assert policy.delay_s("s") == 0.02
-
-
-@pytest.mark.parametrize(
-    ("goal_s", "answers_s", "delay_s"),
-    [
-        (None, 0.02, 0.02),
-        (0.15, 0.02, 0.11),
-        (0.15, 0.04, 0.07),
-        (0.15, 0.06, 0.06),
-        (0.04, 0.02, 0.02),
-        (0.01, 0.02, 0.02),
-    ],
-    ids=["no-goal", "fast", "usual", "slow", "short-goal", "goal-missed"],
-)
-def test_a_hedge_waits_as_long_as_its_answer_may_still_come_in_time(
-    goal_s: float | None, answers_s: float, delay_s: float
-) -> None:
-    """Guards against hedges to other zones for calls that will be answered in time anyway."""
-    policy = hedging()
-    policy.goal_s = goal_s
-    for _ in range(QUANTILE_CALLS_MIN):
-        policy.observe("s", answers_s)
-    assert policy.delay_s("s") == pytest.approx(delay_s)
