Refuse a body that waits behind an answer in place of closing its connection

Cause: a connection that gave up closed with the next answer, so a parsed request behind it got none.

Change: the connection closes after the answer of the refused or running request, not of the one before it.

Measured: the new case in test_caller_load.py fails before the change and passes after it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -231,7 +231,6 @@
             return
         if not self.body_taken:
             body.set_exception(BodyRefusedError())
-        self.close()
         # Closing with unread bytes would reset the connection, and the answer could be lost.
         self._resume_transport_reading()
 
@@ -327,6 +326,9 @@
         self.answer_bytes = self.body_bytes = self.fed_bytes = 0
         if self.transport is None:
             return
+        if self.rejected:
+            self.close()
+            return
         self.load.on_progress(self)
         # A request whose head has been parsed already begins by itself.
         if self.unparsed and not self._messages:
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -77,6 +77,14 @@
         """Connect as a caller."""
         return await asyncio.open_connection("127.0.0.1", self.port)
 
+    async def connect_running(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect as a caller whose first request runs until ``may_answer`` is set."""
+        self.may_answer.clear()
+        reader, writer = await self.connect()
+        writer.write(request(SMALL))
+        await wait_until(lambda: self.running == 1, "the request runs")
+        return reader, writer
+
 
 @asynccontextmanager
 async def loaded_server(
@@ -197,10 +205,7 @@
 async def test_a_running_request_is_answered_when_there_is_no_room_for_the_next() -> None:
     """Guards against a request that is cancelled for the bytes that follow it."""
     async with loaded_server() as loaded:
-        loaded.may_answer.clear()
-        reader, writer = await loaded.connect()
-        writer.write(request(SMALL))
-        await wait_until(lambda: loaded.running == 1, "the request runs")
+        reader, writer = await loaded.connect_running()
         loaded.load.memory.limit_bytes = 10_000
         writer.write(request(LARGE))
         refused = loaded.load.metrics.callers_limited.labels("memory")
@@ -212,13 +217,25 @@
         assert loaded.running == 1
 
 
+async def test_a_body_that_there_is_no_room_for_is_refused_behind_an_answer() -> None:
+    """Guards against a refused request whose connection closes with the answer to another one."""
+    async with loaded_server() as loaded:
+        reader, writer = await loaded.connect_running()
+        writer.write(request(LARGE))
+        memory = loaded.load.memory
+        await wait_until(lambda: memory.total_bytes > len(LARGE), "the second request waits")
+        memory.limit_bytes = 20_000
+        loaded.may_answer.set()
+        assert [await status_of(reader), await reader.readexactly(4)] == [200, b"4096"]
+        assert await status_of(reader) == 503
+        async with asyncio.timeout(5.0):
+            await reader.read()
+
+
 async def test_no_more_than_one_read_is_held_behind_a_running_request() -> None:
     """Guards against reads behind a running request that add up before reading pauses."""
     async with loaded_server() as loaded:
-        loaded.may_answer.clear()
-        reader, writer = await loaded.connect()
-        writer.write(request(SMALL))
-        await wait_until(lambda: loaded.running == 1, "the request runs")
+        reader, _ = await loaded.connect_running()
         assert loaded.server is not None
         (connection,) = loaded.server.connections
         loaded.receive(request(SMALL)[:100])
