Give workspaces without a quota the largest weight

Cause: without a quota a workspace had weight 1 beside others with their rate as weight, so an unlimited one starved. Change: it has the largest weight of those that ask, in the queue and in the division of a capacity alike. The test of a busy coordinator built its classes by hand with weight 1; it builds them as the coordinator does. Measured: the new test fails without the change and passes with it.

--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -361,7 +361,7 @@
     """Guards against one workspace that takes the whole coordinator, or all that are refused."""
     runner = Runner()
     runner.release.set()
-    greedy, small = (RequestClass(priority=0, workspace=name) for name in ("greedy", "small"))
+    greedy, small = (RequestClass.of(0, Workspace(name=name)) for name in ("greedy", "small"))
     async with pair(runner) as instances:
         coordinator = instances.coordinator
         coordinator.classify = lambda asked: RequestClass.of(0, asked.workspace)
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -11,7 +11,7 @@
 from azurefield.fairness import FairQueue
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from azurefield.workspaces import Workspace
 
@@ -45,19 +45,23 @@
 
     :param priority: 0 first
     :param workspace: empty for requests without a workspace
-    :param weight: above 0; the workspace's weight among those of the same priority
+    :param weight: above 0; the workspace's weight among those of the same priority; None for the
+        largest weight of the others
     """
 
     priority: int
     workspace: str = ""
-    weight: float = 1.0
+    weight: float | None = 1.0
 
     @classmethod
     def of(cls, priority: int, workspace: Workspace | None) -> RequestClass:
-        """Return the class of a workspace's requests; a quota's rate is its weight."""
+        """Return the class of a workspace's requests; a quota's rate is its weight.
+
+        Without a quota, nothing says that a workspace is entitled to less than another one.
+        """
         if workspace is None:
-            return cls(priority=priority)
-        weight = 1.0 if workspace.quota is None else workspace.quota.rate_per_s
+            return cls(priority=priority, weight=None)
+        weight = None if workspace.quota is None else workspace.quota.rate_per_s
         return cls(priority=priority, workspace=workspace.name, weight=weight)
 
 
@@ -75,6 +79,8 @@
 
     by_priority: dict[int, FairQueue[ItemT]] = field(default_factory=dict)
     weights: dict[str, float] = field(default_factory=dict)
+    unweighted: set[str] = field(default_factory=set)
+    largest_weight: float = 0.0
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self.by_priority.values())
@@ -84,9 +90,21 @@
         queue = self.by_priority.get(request_class.priority)
         if queue is None:
             queue = self.by_priority[request_class.priority] = FairQueue(weights=self.weights)
-        self.weights[request_class.workspace] = request_class.weight
+        self.set_weight(request_class.workspace, request_class.weight)
         queue.push(request_class.workspace, 1.0, item)
 
+    def set_weight(self, workspace: str, weight: float | None) -> None:
+        """Set a workspace's weight; those without one follow the largest."""
+        if weight is None:
+            self.unweighted.add(workspace)
+            self.weights[workspace] = self.largest_weight or 1.0
+            return
+        self.unweighted.discard(workspace)
+        self.weights[workspace] = weight
+        if weight > self.largest_weight:
+            self.largest_weight = weight
+            self.weights.update(dict.fromkeys(self.unweighted, weight))
+
     def first(self, now: float) -> ItemT | None:
         """Return the item that ``pop`` would remove; None if none is queued."""
         if not self.by_priority:
@@ -119,6 +137,8 @@
             del self.by_priority[priority]
         if not self.by_priority:
             self.weights.clear()
+            self.unweighted.clear()
+            self.largest_weight = 0.0
 
 
 def divide(capacity: float, demand: Mapping[RequestClass, float]) -> dict[RequestClass, float]:
@@ -138,9 +158,10 @@
     floor = FLOOR_FRACTION * capacity / total
     parts = {one: floor * asked for one, asked in demand.items()}
     left = capacity - sum(parts.values())
+    weights = weights_of(demand)
     for priority in sorted({one.priority for one in demand}):
         asked = {one: rate for one, rate in demand.items() if one.priority == priority}
-        granted = fill_by_weight(left + sum(parts[one] for one in asked), asked)
+        granted = fill_by_weight(left + sum(parts[one] for one in asked), asked, weights)
         for one, part in granted.items():
             extra = min(left, max(0.0, part - parts[one]))
             parts[one] += extra
@@ -148,17 +169,25 @@
     return parts
 
 
+def weights_of(classes: Collection[RequestClass]) -> dict[RequestClass, float]:
+    """Return the weights of classes; those without one have the largest of the others."""
+    largest = max((one.weight for one in classes if one.weight is not None), default=1.0)
+    return {one: largest if one.weight is None else one.weight for one in classes}
+
+
 def fill_by_weight(
-    capacity: float, asked: Mapping[RequestClass, float]
+    capacity: float,
+    asked: Mapping[RequestClass, float],
+    weights: Mapping[RequestClass, float],
 ) -> dict[RequestClass, float]:
     """Divide a capacity by weight; what a class does not ask for goes to the others."""
     # Those that ask least for their weight come first: what they leave goes to the others.
-    order = sorted(asked, key=lambda one: asked[one] / one.weight)
+    order = sorted(asked, key=lambda one: asked[one] / weights[one])
     # Sums of the weights from each class on; subtracting them could leave 0 for small weights.
-    weights_left = [*accumulate(one.weight for one in reversed(order))][::-1]
+    weights_left = [*accumulate(weights[one] for one in reversed(order))][::-1]
     granted: dict[RequestClass, float] = {}
     for one, weight_left in zip(order, weights_left, strict=True):
-        part = min(asked[one], capacity * (one.weight / weight_left))
+        part = min(asked[one], capacity * (weights[one] / weight_left))
         granted[one] = part
         capacity -= part
     return granted
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -17,6 +17,7 @@
     SharedQueue,
     divide,
 )
+from azurefield.workspaces import RequestQuota, Workspace
 
 INTERVAL_S = 0.1
 STEP_S = 0.002
@@ -172,6 +173,33 @@
         assert 0.999 * FLOOR_FRACTION * served * asked <= parts[one] <= 1.001 * asked
 
 
+@pytest.mark.parametrize("rates", [(), (7.0,), (20.0, 30.0)], ids=["none", "one", "several"])
+def test_a_workspace_without_a_quota_gets_as_much_as_the_largest_quota(
+    rates: tuple[float, ...],
+) -> None:
+    """Guards against an unlimited workspace that starves, and a queue that shares unlike divide."""
+    classes = [RequestClass.of(0, Workspace(name="first")), RequestClass.of(0, None)]
+    for rate in rates:
+        quota = RequestQuota(rate_per_s=rate, burst=rate)
+        classes.append(RequestClass.of(0, Workspace(name=f"w{rate}", quota=quota)))
+    classes.append(RequestClass.of(0, Workspace(name="last")))
+    room = 400
+    parts = divide(room, dict.fromkeys(classes, 4.0 * room))
+    queue: SharedQueue[RequestClass] = SharedQueue()
+    for one in classes:
+        for _ in range(room):
+            queue.push(one, one)
+    served = Counter(queue.pop(0.0) for _ in range(room))
+    floor = FLOOR_FRACTION * room / len(classes)
+    for one in classes:
+        assert parts[one] >= floor
+        assert served[one] == pytest.approx(max(floor, parts[one]), abs=2 + 0.02 * room)
+    largest = max(parts[one] for one in classes)
+    for one in (classes[0], classes[1], classes[-1]):
+        assert parts[one] == pytest.approx(largest)
+        assert served[one] == pytest.approx(max(served.values()), abs=1)
+
+
 def test_a_queue_serves_workspaces_in_turn_whoever_came_first() -> None:
     """Guards against a workspace that waits behind all calls that another one has queued."""
     queue: SharedQueue[str] = SharedQueue()
