Keep issuer slots and their buckets over a restore of the store

Cause: after a restore, a listing with the old key of this instance dropped its slot; a late end of the old lease emptied the list of slots to claim again; a new lease dropped the buckets of the slots not yet claimed; and a claim overwrote a key that another instance had written since. Change: keys of the old lease say nothing about slots that are claimed again; the list only grows with a further restore; the slots stay held under the end of the old lease until all are claimed, and are published once; a slot whose key names another instance is given up. Replies for a lease that was given up meanwhile are dropped.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -114,10 +114,14 @@
         """Send the calls to the store that are due; return whether none has failed."""
         if self.lease is not None and now() >= self.next_renewal_at:
             return await self.renew(self.lease)
+        if self.lease is None and self.due_claims() and not await self.new_lease():
+            return False
+        lease = self.lease
+        if lease is None:
+            return True
+        # A restore of the store while the lease was asked for may have changed what is due.
         for claim in self.due_claims():
-            if self.lease is None and not await self.new_lease():
-                return False
-            if self.lease is not None and not await self.claim(claim, self.lease):
+            if not await self.claim(claim, lease):
                 return False
         return True
 
@@ -126,9 +130,11 @@
         needed = self.used or bool(self.claims.keys)
         if not needed or not self.can_issue():
             return []
-        if lease_now() < self.tenure.claims_from:
-            return self.claims.claims_of(self.tenure.reclaims)
-        return self.claims.wanted(now(), frozenset(self.issuers), self.tenure.held)
+        claims = self.claims.claims_of(sorted(self.tenure.reclaims))
+        if lease_now() >= self.tenure.claims_from:
+            known = self.tenure.held | self.tenure.reclaims
+            claims += self.claims.wanted(now(), frozenset(self.issuers), known)
+        return claims
 
     async def new_lease(self) -> bool:
         """Get a lease; return whether that succeeded."""
@@ -145,7 +151,10 @@
     async def renew(self, lease: Lease) -> bool:
         """Renew the lease; return whether that succeeded."""
         asked_at = lease_now()
-        match await self.store.renew_lease(lease):
+        renewed = await self.store.renew_lease(lease)
+        if self.lease is not lease:
+            return True  # It was given up meanwhile, since the store was restored.
+        match renewed:
             case Ok(_):
                 self.tenure.on_renewed(asked_at)
             case Err(LeaseEnded()):
@@ -160,13 +169,19 @@
     async def claim(self, claim: SlotClaim, lease: Lease) -> bool:
         """Claim a slot; return whether further calls may follow."""
         key = SlotKey(slot=claim.slot, instance=self.own, lease=lease.number, revision=0)
-        match await self.store.put(key, lease, claim.revision):
+        written = await self.store.put(key, lease, claim.revision)
+        if self.lease is not lease:
+            return False  # It was given up meanwhile, since the store was restored.
+        match written:
             case Ok(_):
                 self.tenure.on_claimed(claim.slot, lease.number)
-                self.publish_slots()
+                if not self.tenure.reclaims:
+                    self.publish_slots()
                 return True
             case Err(KeyChanged()):
                 self.claims.on_refused(claim.slot)
+                self.tenure.on_refused(claim.slot)
+                self.publish_slots()
                 log.info("The key of issuer slot {} has changed; it is not claimed.", claim.slot)
                 return True
             case Err(LeaseEnded()):
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -26,6 +27,7 @@
 from azurefield_platform.failures import PlatformUnavailable
 
 if TYPE_CHECKING:
+
     from azurefield_entry.gateway.messages import IssuerSlotsChanged
     from azurefield_platform.failures import InvalidCall
 
@@ -48,6 +50,7 @@
     leases: int = 0
     ended: bool = False
     calls: int = 0
+    before_reply: Callable[[], None] | None = None
 
     async def new_lease(self, ttl_s: float) -> Result[Lease, InvalidCall]:  # noqa: ARG002
         self.calls += 1
@@ -58,6 +61,8 @@
         self, lease: Lease  # noqa: ARG002
     ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         self.calls += 1
+        if self.before_reply is not None:
+            self.before_reply()
         return Err(LeaseEnded()) if self.ended else Ok(None)
 
     async def put(
@@ -200,6 +205,47 @@
     assert slots.tenure.held == ALL
 
 
+@pytest.mark.parametrize("late_end", [False, True], ids=["listing", "late-end-of-lease"])
+async def test_slots_are_held_throughout_a_restore_that_keeps_their_keys(late_end: bool) -> None:
+    """Guards against slots and buckets that are dropped because of the keys of the old lease."""
+    store = SlotStore(keys={3: OTHER})
+    published: list[IssuerSlotsChanged] = []
+    slots = build(store, published)
+    await slots.send_due_calls()
+    lease = slots.lease
+    assert lease is not None
+    listed = tuple(store.keys.values())
+    if late_end:
+        store.ended = True
+        store.before_reply = slots.on_restored
+        assert await slots.renew(lease)
+    else:
+        slots.on_restored()
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *listed))
+    assert slots.tenure.held == ALL - {3}
+    old_until = published[-1].lease_until
+    begun = len(published)
+    assert await slots.send_due_calls()
+    assert [sent.held for sent in published[begun:]] == [ALL - {3}], "once, after all claims"
+    assert published[-1].lease_until > old_until
+    assert {key.lease for key in store.keys.values()} == {40, 2}
+
+
+async def test_a_key_that_another_instance_wrote_after_a_restore_is_not_overwritten() -> None:
+    """Guards against two issuers of a slot that another instance was given after the restore."""
+    store = SlotStore()
+    published: list[IssuerSlotsChanged] = []
+    slots = build(store, published)
+    await slots.send_due_calls()
+    slots.on_restored()
+    store.keys = {3: OTHER}
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), OTHER))
+    assert published[-1].held == ALL - {3}
+    assert await slots.send_due_calls()
+    assert store.keys[3] == OTHER
+    assert published[-1].held == ALL - {3}
+
+
 async def test_after_a_restore_of_the_store_only_held_slots_are_claimed() -> None:
     """Guards against claims of slots whose keys the store has lost while they are held."""
     store = SlotStore(keys={3: OTHER})
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -151,6 +151,7 @@
     :param lease_s: length of the lease
     :param lease: the number of the lease; None if there is none
     :param lease_until: when the slots count as no longer held unless the lease is renewed
+    :param renewed_until: the same for the present lease; differs only while slots are reclaimed
     :param claims_from: before this time only slots of ``reclaims`` are claimed
     :param reclaims: the slots that were held when the store was restored, and not claimed since
     """
@@ -159,49 +160,76 @@
     lease_s: float = SLOT_LEASE_S
     lease: int | None = None
     lease_until: float = float("-inf")
+    renewed_until: float = float("-inf")
     claims_from: float = float("-inf")
     held: set[int] = field(default_factory=set)
     reclaims: set[int] = field(default_factory=set)
 
     def on_granted(self, lease: int, asked_at: float) -> None:
-        """Record a new lease, which was asked for at a time."""
-        self.held.clear()
+        """Record a new lease, which was asked for at a time.
+
+        Slots that are reclaimed stay held until the end of the earlier lease.
+        """
+        self.held &= self.reclaims
         self.lease = lease
-        self.lease_until = float("-inf")
+        self.renewed_until = float("-inf")
+        if not self.reclaims:
+            self.lease_until = float("-inf")
         self.on_renewed(asked_at)
 
     def on_renewed(self, asked_at: float) -> None:
         """Record that the store has renewed the lease, at some time after it was asked to."""
         until = asked_at + self.lease_s * (1 - LEASE_MARGIN_FRACTION)
-        self.lease_until = max(self.lease_until, until)
+        self.renewed_until = max(self.renewed_until, until)
+        self.use_lease()
+
+    def use_lease(self) -> None:
+        """Count with the present lease once no slot is held under an earlier one."""
+        if self.lease is not None and not self.reclaims:
+            self.lease_until = self.renewed_until
 
     def on_ended(self, now: float) -> None:
         """Record that the store does not know the lease.
 
         If it should not have ended yet, the store was restored from a copy.
         """
-        if now < self.lease_until:
+        if now < max(self.lease_until, self.renewed_until):
             self.on_restored(now)
         self.lease = None
-        self.lease_until = float("-inf")
+        self.lease_until = self.renewed_until = float("-inf")
         self.held.clear()
 
     def on_claimed(self, slot: int, lease: int) -> None:
         """Record that the store has written a slot's key under a lease."""
-        self.reclaims.discard(slot)
         if lease == self.lease:
             self.held.add(slot)
+            self.end_reclaim(slot)
+
+    def end_reclaim(self, slot: int) -> None:
+        """Record that a slot needs no claim because of a restore any more."""
+        self.reclaims.discard(slot)
+        self.use_lease()
+
+    def on_refused(self, slot: int) -> None:
+        """Record that the store has refused a claim, since the key is not as it was known."""
+        self.held.discard(slot)
+        self.end_reclaim(slot)
 
     def on_key(self, key: SlotKey) -> None:
-        """Apply a key that was read; a claim may be confirmed only by it."""
+        """Apply a key that was read; a claim may be confirmed only by it.
+
+        After a restore, a key of another instance may be new, so its slot is not reclaimed; this
+        instance's key under an earlier lease says nothing.
+        """
         if key.instance == self.own and key.lease == self.lease:
-            self.held.add(key.slot)
-        else:
-            self.held.discard(key.slot)
+            self.on_claimed(key.slot, key.lease)
+        elif key.instance != self.own or key.slot not in self.reclaims:
+            self.on_refused(key.slot)
 
     def on_removed(self, slot: int) -> None:
         """Record that a key no longer exists."""
-        self.held.discard(slot)
+        if slot not in self.reclaims:
+            self.held.discard(slot)
 
     def on_restored(self, now: float) -> None:
         """Record that the store was restored from a copy, which may lack the keys of held slots.
@@ -210,6 +238,6 @@
         instances claim none until then.
         """
         if now < self.lease_until:
-            self.reclaims = set(self.held)
+            self.reclaims |= self.held
         self.lease = None
         self.claims_from = now + self.lease_s
