Count the lease of issuer slots with the length that the store names

Cause: the store may apply another length than the requested one, and names it in its reply, which was not read. Change: the length is part of the granted lease; without one, the requested length counts.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -142,7 +142,8 @@
         match await self.store.new_lease(SLOT_LEASE_S):
             case Ok(lease):
                 self.lease = lease
-                self.tenure.on_granted(lease.number, asked_at)
+                length_s = SLOT_LEASE_S if lease.length_s is None else lease.length_s
+                self.tenure.on_granted(lease.number, asked_at, length_s)
                 self.plan_renewal()
                 return True
             case Err(failure):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -293,10 +293,12 @@
     """A lease of the store; its number means another lease in another era.
 
     :param era: the store's era when it was granted; None if the store names none
+    :param length_s: the length that applies; None if it is the requested one
     """
 
     number: int
     era: int | None = None
+    length_s: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -13,6 +13,7 @@
 
 from azurefield.issuer_slots import SETTLE_S, SlotKey
 from azurefield.quota_shares import ISSUER_SLOTS
+from azurefield_entry.clock import lease_now
 from azurefield_entry.gateway.metadata import issuer_slots
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -48,6 +49,7 @@
 
     keys: dict[int, SlotKey] = field(default_factory=dict)
     leases: int = 0
+    length_s: float | None = None
     ended: bool = False
     calls: int = 0
     before_reply: Callable[[], None] | None = None
@@ -55,7 +57,7 @@
     async def new_lease(self, ttl_s: float) -> Result[Lease, InvalidCall]:  # noqa: ARG002
         self.calls += 1
         self.leases += 1
-        return Ok(Lease(number=self.leases))
+        return Ok(Lease(number=self.leases, length_s=self.length_s))
 
     async def renew_lease(
         self, lease: Lease  # noqa: ARG002
@@ -162,6 +164,15 @@
     assert published[-1].held == ALL
 
 
+@pytest.mark.parametrize("length_s", [10.0, 600.0])
+async def test_the_lease_is_counted_with_the_length_that_the_store_names(length_s: float) -> None:
+    """Guards against an issuer that goes on after the store has ended a shorter lease."""
+    slots = build(SlotStore(length_s=length_s), [])
+    asked_at = lease_now()
+    await slots.send_due_calls()
+    assert 0.98 * length_s <= slots.tenure.lease_until - asked_at < length_s
+
+
 async def test_nothing_is_held_once_the_lease_has_ended() -> None:
     """Guards against an issuer that goes on while another one holds its slots."""
     store = SlotStore()
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -257,7 +257,7 @@
     def granted(self, index: int, lease: int, asked_at: float, now: float) -> None:
         """Apply the reply to a request for a lease."""
         node = self.nodes[index]
-        node.tenure.on_granted(lease, asked_at)
+        node.tenure.on_granted(lease, asked_at, self.lease_s)
         node.update_issuer(now)
 
     def renewed(self, index: int, renewed: bool, asked_at: float, now: float) -> None:
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -148,7 +148,7 @@
     """The lease of one instance and the slots that it holds under it.
 
     :param own: the name of this instance
-    :param lease_s: length of the lease
+    :param lease_s: length of the lease, which the store may change when it grants one
     :param lease: the number of the lease; None if there is none
     :param lease_until: when the slots count as no longer held unless the lease is renewed
     :param renewed_until: the same for the present lease; differs only while slots are reclaimed
@@ -165,13 +165,14 @@
     held: set[int] = field(default_factory=set)
     reclaims: set[int] = field(default_factory=set)
 
-    def on_granted(self, lease: int, asked_at: float) -> None:
+    def on_granted(self, lease: int, asked_at: float, lease_s: float) -> None:
         """Record a new lease, which was asked for at a time.
 
         Slots that are reclaimed stay held until the end of the earlier lease.
         """
         self.held &= self.reclaims
         self.lease = lease
+        self.lease_s = lease_s
         self.renewed_until = float("-inf")
         if not self.reclaims:
             self.lease_until = float("-inf")
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -136,6 +136,7 @@
     async with opened() as (stand_in, store):
         lease = (await store.new_lease(5.0)).ok()
         assert lease is not None
+        assert lease.length_s == 5.0
         assert await store.put(InstanceEntry(instance="n1"), lease) == Ok(None)
         assert stand_in.items["azurefield/instances/n1"]["lease"] == lease.number
         assert await store.renew_lease(lease) == Ok(None)
