--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -12,6 +13,7 @@
 
 from azurefield.issuer_slots import SETTLE_S, SlotKey
 from azurefield.quota_shares import ISSUER_SLOTS
+from azurefield_entry.clock import lease_now
 from azurefield_entry.gateway.metadata import issuer_slots
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -26,6 +28,7 @@
 from azurefield_platform.failures import PlatformUnavailable
 
 if TYPE_CHECKING:
+
     from azurefield_entry.gateway.messages import IssuerSlotsChanged
     from azurefield_platform.failures import InvalidCall
 
@@ -46,18 +49,22 @@
 
     keys: dict[int, SlotKey] = field(default_factory=dict)
     leases: int = 0
+    length_s: float | None = None
     ended: bool = False
     calls: int = 0
+    before_reply: Callable[[], None] | None = None
 
     async def new_lease(self, ttl_s: float) -> Result[Lease, InvalidCall]:  # noqa: ARG002
         self.calls += 1
         self.leases += 1
-        return Ok(Lease(number=self.leases))
+        return Ok(Lease(number=self.leases, length_s=self.length_s))
 
     async def renew_lease(
         self, lease: Lease  # noqa: ARG002
     ) -> Result[None, LeaseEnded | PlatformUnavailable]:
         self.calls += 1
+        if self.before_reply is not None:
+            self.before_reply()
         return Err(LeaseEnded()) if self.ended else Ok(None)
 
     async def put(
@@ -157,6 +164,15 @@
     assert published[-1].held == ALL
 
 
+@pytest.mark.parametrize("length_s", [10.0, 600.0])
+async def test_the_lease_is_counted_with_the_length_that_the_store_names(length_s: float) -> None:
+    """Guards against an issuer that goes on after the store has ended a shorter lease."""
+    slots = build(SlotStore(length_s=length_s), [])
+    asked_at = lease_now()
+    await slots.send_due_calls()
+    assert 0.98 * length_s <= slots.tenure.lease_until - asked_at < length_s
+
+
 async def test_nothing_is_held_once_the_lease_has_ended() -> None:
     """Guards against an issuer that goes on while another one holds its slots."""
     store = SlotStore()
@@ -200,6 +216,47 @@
     assert slots.tenure.held == ALL
 
 
+@pytest.mark.parametrize("late_end", [False, True], ids=["listing", "late-end-of-lease"])
+async def test_slots_are_held_throughout_a_restore_that_keeps_their_keys(late_end: bool) -> None:
+    """Guards against slots and buckets that are dropped because of the keys of the old lease."""
+    store = SlotStore(keys={3: OTHER})
+    published: list[IssuerSlotsChanged] = []
+    slots = build(store, published)
+    await slots.send_due_calls()
+    lease = slots.lease
+    assert lease is not None
+    listed = tuple(store.keys.values())
+    if late_end:
+        store.ended = True
+        store.before_reply = slots.on_restored
+        assert await slots.renew(lease)
+    else:
+        slots.on_restored()
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *listed))
+    assert slots.tenure.held == ALL - {3}
+    old_until = published[-1].lease_until
+    begun = len(published)
+    assert await slots.send_due_calls()
+    assert [sent.held for sent in published[begun:]] == [ALL - {3}], "once, after all claims"
+    assert published[-1].lease_until > old_until
+    assert {key.lease for key in store.keys.values()} == {40, 2}
+
+
+async def test_a_key_that_another_instance_wrote_after_a_restore_is_not_overwritten() -> None:
+    """Guards against two issuers of a slot that another instance was given after the restore."""
+    store = SlotStore()
+    published: list[IssuerSlotsChanged] = []
+    slots = build(store, published)
+    await slots.send_due_calls()
+    slots.on_restored()
+    store.keys = {3: OTHER}
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), OTHER))
+    assert published[-1].held == ALL - {3}
+    assert await slots.send_due_calls()
+    assert store.keys[3] == OTHER
+    assert published[-1].held == ALL - {3}
+
+
 async def test_after_a_restore_of_the_store_only_held_slots_are_claimed() -> None:
     """Guards against claims of slots whose keys the store has lost while they are held."""
     store = SlotStore(keys={3: OTHER})
