Set the first share per instance and mend docstrings of this change

Instances began with the same share of a quota, since nothing set first_turn. It follows from the instance's name now. can_issue is set in one place, where the services are built. The limits of log lines of callers use LineLimit, so a line may follow the one before it a little earlier or later.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -62,10 +62,10 @@
     :param head_bytes_left: how many bytes of a head may follow
     :param head_tail: the last bytes of a head that is not complete
     :param rejected: whether what the caller sends is dropped, for what it has sent before
-    :param unparsed: what was read behind these
+    :param unparsed: bytes that were read and wait to be parsed
     :param body: the body of the running request; None if none runs
     :param body_bytes: what the reader of the body has taken of it, until the body is complete
-    :param fed_bytes: what was parsed behind that
+    :param fed_bytes: body bytes that were parsed and not yet taken by the reader
     """
 
     __slots__ = (
@@ -209,7 +209,7 @@
         self.force_close()
 
     def reject(self) -> None:
-        """Ignore what follows, such as what follows a head that can't be parsed."""
+        """Drop whatever arrives from now on, for example after a head that can't be parsed."""
         self.rejected = True
         self.unparsed.clear()
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -14,6 +14,7 @@
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.callers.connection import CallerConnection
 from azurefield_entry.gateway.metrics import GatewayMetrics
+from azurefield_entry.log_limit import LineLimit
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
@@ -24,7 +25,8 @@
 # A body is held once more in a frame to another instance.
 COPIES_IN_USE = 2
 CONNECTIONS_MAX = 4096
-LOG_INTERVAL_S = 1.0
+# Bounds the lines of each kind, which a crowd of callers causes in any number.
+LOG_LINES_PER_S = 1.0
 log = Logger("callers")
 
 
@@ -38,7 +40,6 @@
     :param connections: the open connections
     :param turns: the connections that wait until their bytes are parsed
     :param turn_scheduled: whether the next turn will be run
-    :param logged_at: when a line of each kind was last written, on the event loop's clock
     """
 
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
@@ -50,7 +51,10 @@
     )
     turns: ParsingTurns[CallerConnection] = field(default_factory=ParsingTurns)
     turn_scheduled: bool = False
-    logged_at: dict[str, float] = field(default_factory=dict)
+    connection_lines: LineLimit = field(
+        default_factory=lambda: LineLimit(lines_per_s=LOG_LINES_PER_S)
+    )
+    refused_lines: LineLimit = field(default_factory=lambda: LineLimit(lines_per_s=LOG_LINES_PER_S))
 
     def set_limits(
         self,
@@ -76,9 +80,8 @@
         if closing is None:
             return
         self.metrics.callers_limited.labels("connection").inc()
-        self.log_now_and_then(
-            "connections", f"Callers have {self.connections.open_count} connections; closing one."
-        )
+        if self.connection_lines.allow(now()):
+            log.warning("Callers have {} connections; closing one.", self.connections.open_count)
         closing.abort()
 
     def on_progress(self, connection: CallerConnection) -> None:
@@ -161,13 +164,7 @@
 
     def log_refused(self, request_id: str) -> None:
         """Log that a body was refused."""
-        self.log_now_and_then(
-            "memory", f"Refused the body of request id={request_id}: callers hold too much memory."
-        )
-
-    def log_now_and_then(self, kind: str, line: str) -> None:
-        """Write at most one line of a kind in ``LOG_INTERVAL_S``."""
-        at = now()
-        if at - self.logged_at.get(kind, float("-inf")) >= LOG_INTERVAL_S:
-            self.logged_at[kind] = at
-            log.warning("{}", line)
+        if self.refused_lines.allow(now()):
+            log.warning(
+                "Refused the body of request id={}: callers hold too much memory.", request_id
+            )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -88,7 +88,7 @@
     """From ``metadata``: who holds the issuer slots of workspaces' quotas.
 
     :param holders: the instance of each slot that has a key in the store
-    :param lease_until: until when this instance holds its slots, on the event loop's clock
+    :param lease_until: until when this instance holds its slots, on the clock of ``lease_now``
     :param held: the slots that this instance holds
     """
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -92,7 +92,10 @@
             self.publish_slots()
 
     def on_restored(self) -> None:
-        """Give up the slots after the store was restored from a copy."""
+        """Claim the held slots again under a new lease after the store was restored from a copy.
+
+        Until the old lease ends they stay held.
+        """
         self.tenure.on_restored(lease_now())
         self.lease = None
         self.publish_slots()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -82,7 +82,7 @@
     :param entry: this instance's entry in the store
     :param relay_addresses: ``host:port`` of the instances that can relay changes, by name
     :param avoided_until: when each lost relay may be used again
-    :param can_issue: whether other instances reach this process
+    :param can_issue: whether other instances reach this process, so that it may hold issuer slots
     :param position: up to where the store's changes are known; kept while they are read again
     :param history_unconfirmed: whether the next watch must return at once, since the store may have
         been restored meanwhile
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -31,7 +31,9 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CallerKey:
-    """What a caller says of its identity; it is never logged, and never leaves this instance.
+    """What a caller says of its identity; it is never logged.
+
+    It is passed on, as ordinary headers, only while the configuration has no workspaces.
 
     :param value: the key of a workspace; None if the caller sent none, or two different ones
     :param headers: the headers that it was taken from, and those in which the caller named a
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from math import ceil
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from logbook import Logger
 
@@ -80,13 +81,17 @@
     peers: PeerLinks
     metrics: GatewayMetrics
     issuer: ShareIssuer = field(default_factory=ShareIssuer)
-    choice: ShareChoice = field(default_factory=ShareChoice)
+    choice: ShareChoice = field(init=False)
     holders: dict[int, str] = field(default_factory=dict)
     silent_until: dict[str, float] = field(default_factory=dict)
     refused_lines: LineLimit = field(
         default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
     )
 
+    def __post_init__(self) -> None:
+        # Instances begin with different shares, so that the first requests use all of them.
+        self.choice = ShareChoice(first_turn=crc32(self.own.encode()))
+
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Apply changes of the issuer slots and of the settings until ``Stop``."""
         ticking = asyncio.create_task(send_every(mailbox, Tick(), TICK_INTERVAL_S))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -27,7 +27,7 @@
     from azurefield.workspaces import WorkspaceKeys
 
 # While the store was last heard of longer ago than this, an unknown key may be a new one. In calm,
-# a watch of the store returns after 3 s at the latest.
+# a watch of the store returns after 2.5 s at the latest.
 KEYS_STALE_S = 4.0
 # Log lines for requests without a known key.
 REFUSED_LINES_PER_S = 10.0
@@ -96,7 +96,7 @@
     ) -> Result[AdmittedRequest, RequestFailure]:
         """Find the route and the workspace of a caller's request.
 
-        :param table: None while no configuration and no servers are known
+        :param table: None until both a configuration and a listing of the servers are known
         """
         if table is None:
             return Err(no_configuration_failure())
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -90,23 +90,12 @@
     )
     gateway.workspace_quotas.set_bounds(settings.quota_bounds)
     finish_timeout_s = max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S)
-    metadata = MetadataService(
-        entry=InstanceEntry(
-            instance=settings.instance,
-            availability_zone=settings.availability_zone,
-            relay_address=settings.relay_address,
-            coordinator_address=settings.coordinator_address,
-            capacity=settings.capacity,
-        ),
-        store=adapters.store,
-        random=random,
-        metrics=metrics,
-    )
+    coordinator = make_coordinator(settings, gateway, caller_load, finish_timeout_s)
     services: dict[str, Service] = {
         "settings": ReloadService(load=load, current=settings),
         "gateway": gateway,
         "workspace-quotas": gateway.workspace_quotas,
-        "metadata": metadata,
+        "metadata": make_metadata(settings, adapters.store, random, metrics, coordinator),
         "front": GatewayFront(
             address=settings.callers_address,
             readiness_address=settings.readiness_address,
@@ -116,21 +105,8 @@
             load=caller_load,
         ),
     }
-    if settings.coordinator_address is not None:
-        coordinator = services["coordinator"] = CoordinatorService(
-            address=settings.coordinator_address,
-            version=lambda: None if gateway.table is None else gateway.table.version,
-            run_request=gateway.run_forwarded,
-            quota_issuer=gateway.quotas.issuer,
-            answer_share=gateway.workspace_quotas.answer,
-            on_crash_report=gateway.on_crash_report_frame,
-            partitioned=lambda: gateway.partition_watch.partitioned,
-            finish_timeout_s=finish_timeout_s,
-            load=caller_load,
-            classify=lambda request: gateway.access.classify(request, gateway.table),
-            on_share_refused=metrics.share_refusals.inc,
-        )
-        metadata.issuer_slots.can_issue = lambda: coordinator.listening
+    if coordinator is not None:
+        services["coordinator"] = coordinator
     if settings.relay_address is not None:
         services["relay"] = RelayService(address=settings.relay_address)
     if settings.admin_address is not None:
@@ -139,3 +115,50 @@
     for name, service in services.items():
         kernel.register(name, service)
     return kernel
+
+
+def make_coordinator(
+    settings: GatewaySettings,
+    gateway: GatewayService,
+    caller_load: CallerLoad,
+    finish_timeout_s: float,
+) -> CoordinatorService | None:
+    """Build the service that runs forwarded requests; None if the settings name no address."""
+    if settings.coordinator_address is None:
+        return None
+    return CoordinatorService(
+        address=settings.coordinator_address,
+        version=lambda: None if gateway.table is None else gateway.table.version,
+        run_request=gateway.run_forwarded,
+        quota_issuer=gateway.quotas.issuer,
+        answer_share=gateway.workspace_quotas.answer,
+        on_crash_report=gateway.on_crash_report_frame,
+        partitioned=lambda: gateway.partition_watch.partitioned,
+        finish_timeout_s=finish_timeout_s,
+        load=caller_load,
+        classify=lambda request: gateway.access.classify(request, gateway.table),
+        on_share_refused=gateway.metrics.share_refusals.inc,
+    )
+
+
+def make_metadata(
+    settings: GatewaySettings,
+    store: MetadataStore,
+    random: Random,
+    metrics: GatewayMetrics,
+    coordinator: CoordinatorService | None,
+) -> MetadataService:
+    """Build the service that follows the store."""
+    return MetadataService(
+        entry=InstanceEntry(
+            instance=settings.instance,
+            availability_zone=settings.availability_zone,
+            relay_address=settings.relay_address,
+            coordinator_address=settings.coordinator_address,
+            capacity=settings.capacity,
+        ),
+        store=store,
+        random=random,
+        metrics=metrics,
+        can_issue=lambda: coordinator is not None and coordinator.listening,
+    )
--- a/packages/azurefield/src/azurefield/__init__.py
+++ b/packages/azurefield/src/azurefield/__init__.py
@@ -9,5 +9,5 @@
 to end). Then the policies: ``routing``, ``hedging``, ``retry``, ``admission``, ``fairness``,
 ``limits`` and ``quarantine``. Then the protocols: ``booking``, ``configuration`` and
 ``membership``. Then what large fleets add: ``coordinators``, ``relay_tree`` and ``overload``,
-and the customers who share the tier: ``workspaces``, ``sharing`` and ``served_ratio``.
+and the customers of the gateway: ``workspaces``, ``sharing`` and ``served_ratio``.
 """
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -56,6 +56,8 @@
 class SlotClaims:
     """What one instance knows of the slots, and which ones it claims.
 
+    All times are those of the event loop's clock.
+
     :param own: the name of this instance
     :param free_since: when each slot without a key was first seen free
     :param ranks: for each slot, the instances for which the rank of this one was computed, and it
@@ -134,6 +136,8 @@
 class SlotTenure:
     """The lease of one instance and the slots that it holds under it.
 
+    All times are of a clock that also counts while the machine is suspended.
+
     :param own: the name of this instance
     :param lease_s: length of the lease
     :param lease: the number of the lease; None if there is none
--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -1,4 +1,4 @@
-"""Workspaces: the customers who share the tier, each with a priority and a quota of requests."""
+"""Workspaces: the customers of the gateway, each with a priority and a quota of requests."""
 
 from __future__ import annotations
 
@@ -23,7 +23,8 @@
 class RequestQuota:
     """How many requests of a workspace may run on all instances together.
 
-    In any time of ``t`` seconds, these are at most ``rate_per_s * t + burst``.
+    In any time of ``t`` seconds, these are at most ``rate_per_s * t + burst``, apart from what
+    ``QuotaBounds`` tolerates.
 
     :param rate_per_s: requests per second, above 0
     :param burst: requests that may run at once in addition, 0 or more
