Use the usual terms in the names of this change

SlotLease, TokenDecision, request_class and Simulation replace private or shortened names, faults of the fleet on virtual time have a kind of their own, and slow start is named as such. A share without a rate has a wait of its own, so that it no longer follows from when unused workspaces are forgotten. The log line of a coordinator that did not reply in time says so. No behaviour changes.

--- a/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
@@ -124,7 +124,7 @@
 
 async def _read(response: ClientResponse) -> Result[HttpAnswer, LeafFailure]:
     if not is_final_status(response.status):
-        return Err(malformed(f"status {response.status} is none of an answer"))
+        return Err(malformed(f"status {response.status} is not a valid final HTTP status"))
     chunks: list[bytes] = []
     size = 0
     async for chunk in response.content.iter_any():
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 from result import Err, Ok
 
-from azurefield.issuer_slots import SLOT_LEASE_S, SlotClaim, SlotClaims, SlotKey, SlotTenure
+from azurefield.issuer_slots import SLOT_LEASE_S, SlotClaim, SlotClaims, SlotKey, SlotLease
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import IssuerSlotsChanged
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -54,7 +54,7 @@
     publish: Callable[[IssuerSlotsChanged], None]
     used: bool = False
     claims: SlotClaims = field(init=False)
-    tenure: SlotTenure = field(init=False)
+    slot_lease: SlotLease = field(init=False)
     lease: Lease | None = None
     issuers: set[str] = field(default_factory=set)
     next_renewal_at: float = float("inf")
@@ -62,7 +62,7 @@
 
     def __post_init__(self) -> None:
         self.claims = SlotClaims(own=self.own)
-        self.tenure = SlotTenure(own=self.own)
+        self.slot_lease = SlotLease(own=self.own)
 
     def on_listing(self, items: tuple[Item, ...]) -> None:
         """Apply a complete listing of the store."""
@@ -82,11 +82,11 @@
                     self.issuers.discard(instance)
                 case SlotKey():
                     self.claims.on_key(item)
-                    self.tenure.on_key(item)
+                    self.slot_lease.on_key(item)
                     changed = True
                 case Removed(key=SlotName(slot=slot)):
                     self.claims.on_removed(now(), slot)
-                    self.tenure.on_removed(slot)
+                    self.slot_lease.on_removed(slot)
                     changed = True
         if changed:
             self.publish_slots()
@@ -96,7 +96,7 @@
 
         Until the old lease ends they stay held.
         """
-        self.tenure.on_restored(lease_now())
+        self.slot_lease.on_restored(lease_now())
         self.lease = None
         self.publish_slots()
 
@@ -123,9 +123,9 @@
         needed = self.used or bool(self.claims.keys)
         if not needed or not self.can_issue():
             return []
-        if lease_now() < self.tenure.claims_from:
-            return self.claims.claims_of(self.tenure.reclaims)
-        return self.claims.wanted(now(), frozenset(self.issuers), self.tenure.held)
+        if lease_now() < self.slot_lease.claims_from:
+            return self.claims.claims_of(self.slot_lease.reclaims)
+        return self.claims.wanted(now(), frozenset(self.issuers), self.slot_lease.held)
 
     async def new_lease(self) -> bool:
         """Get a lease; return whether that succeeded."""
@@ -133,7 +133,7 @@
         match await self.store.new_lease(SLOT_LEASE_S):
             case Ok(lease):
                 self.lease = lease
-                self.tenure.on_granted(lease.number, asked_at)
+                self.slot_lease.on_granted(lease.number, asked_at)
                 self.plan_renewal()
                 return True
             case Err(failure):
@@ -144,7 +144,7 @@
         asked_at = lease_now()
         match await self.store.renew_lease(lease):
             case Ok(_):
-                self.tenure.on_renewed(asked_at)
+                self.slot_lease.on_renewed(asked_at)
             case Err(LeaseEnded()):
                 self.on_lease_ended()
                 return True
@@ -159,7 +159,7 @@
         key = SlotKey(slot=claim.slot, instance=self.own, lease=lease.number, revision=0)
         match await self.store.put(key, lease, claim.revision):
             case Ok(_):
-                self.tenure.on_claimed(claim.slot, lease.number)
+                self.slot_lease.on_claimed(claim.slot, lease.number)
                 self.publish_slots()
                 return True
             case Err(LeaseEnded()):
@@ -172,7 +172,7 @@
         """Stop issuing, since the store does not know the lease."""
         log.info("The lease of this instance's issuer slots has ended.")
         self.lease = None
-        self.tenure.on_ended(lease_now())
+        self.slot_lease.on_ended(lease_now())
         self.publish_slots()
 
     def plan_renewal(self) -> None:
@@ -188,11 +188,11 @@
     def publish_slots(self) -> None:
         """Publish the holders and the lease."""
         holders = {slot: key.instance for slot, key in self.claims.keys.items()}
-        holders.update(dict.fromkeys(self.tenure.held, self.own))
+        holders.update(dict.fromkeys(self.slot_lease.held, self.own))
         self.publish(
             IssuerSlotsChanged(
                 holders=holders,
-                lease_until=self.tenure.lease_until,
-                held=frozenset(self.tenure.held),
+                lease_until=self.slot_lease.lease_until,
+                held=frozenset(self.slot_lease.held),
             )
         )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -142,12 +142,12 @@
         self.listening = server is not None
         return server
 
-    def on_tick(self, now: float) -> None:
+    def on_tick(self, ticked_at: float) -> None:
         """Record how late the event loop is, and divide the room for requests anew."""
         limited = self.admission.limiting
-        self.lag.on_tick(now)
-        self.admission.on_interval(now, self.lag.tick_late_s)
-        if self.admission.limiting and not limited and self.busy_lines.allow(now):
+        self.lag.on_tick(ticked_at)
+        self.admission.on_interval(ticked_at, self.lag.tick_late_s)
+        if self.admission.limiting and not limited and self.busy_lines.allow(ticked_at):
             log.info(
                 "Busy: {:.0f} forwarded requests/s are accepted, shared by workspaces.",
                 self.admission.capacity_per_s,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forward_frames.py
@@ -184,7 +184,7 @@
                 RequestFailure(
                     kind=FailureKind.LEAF_UNAVAILABLE,
                     outcome=Outcome.MAY_HAVE_RUN,
-                    detail=f"status {status} is none of an answer",
+                    detail=f"status {status} is not a valid final HTTP status",
                 )
             )
         case RequestServed():
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -222,7 +222,11 @@
             self.router.on_result(ended_at, coordinator, call_result, ended_at - sent_at)
             if silent and not target.accepts_until_deadline:
                 self.choice.on_silent(ended_at, coordinator)
-                log.info("Request id={}: {} is silent.", request.request_id, coordinator)
+                log.info(
+                    "Request id={}: instance {} did not reply in time.",
+                    request.request_id,
+                    coordinator,
+                )
 
     async def exchange(
         self,
@@ -255,7 +259,7 @@
         self.view.retain_only(instances)
         for name in self.peers.retain_only(instances):
             self.router.forget(name)
-            self.choice.silent.pop(name, None)
+            self.choice.forget(name)
 
 
 def acceptance_wait_s(route: Route) -> float:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/asking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/asking.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from azurefield.quota import QuotaDenied, QuotaGranted
-from azurefield.workspace_quota import QuotaNotIssued, ShareDecision
+from azurefield.workspace_quota import QuotaNotIssued, TokenDecision
 from azurefield_entry.gateway.quotas.frames import (
     QuotaAsked,
     QuotaGiven,
@@ -26,7 +26,7 @@
     from azurefield_entry.gateway.peers.links import PeerLinks
 
 
-def new_decision() -> asyncio.Future[ShareDecision | None]:
+def new_decision() -> asyncio.Future[TokenDecision | None]:
     """Build the future of a decision."""
     return asyncio.get_running_loop().create_future()
 
@@ -35,7 +35,7 @@
 class QuotaReply:
     """The reply to one request; None in place of a decision if the link was lost."""
 
-    decision: asyncio.Future[ShareDecision | None] = field(default_factory=new_decision)
+    decision: asyncio.Future[TokenDecision | None] = field(default_factory=new_decision)
 
     def on_frame(self, frame: FromPeer) -> None:
         """Apply the issuer's decision."""
@@ -51,12 +51,12 @@
         """Record that the link has ended."""
         self.set(None)
 
-    def set(self, decision: ShareDecision | None) -> None:
+    def set(self, decision: TokenDecision | None) -> None:
         """Set the decision unless there is one."""
         if not self.decision.done():
             self.decision.set_result(decision)
 
-    async def wait(self, wait_s: float) -> ShareDecision | None:
+    async def wait(self, wait_s: float) -> TokenDecision | None:
         """Wait for the decision; None if none has come by then."""
         await asyncio.wait([self.decision], timeout=wait_s)
         return self.decision.result() if self.decision.done() else None
@@ -68,7 +68,7 @@
     frame: Callable[[int], QuotaAsked | ShareAsked],
     reply: QuotaReply,
     timeout_s: float,
-) -> ShareDecision | None:
+) -> TokenDecision | None:
     """Send a request for a token to another instance and wait for its reply.
 
     :param frame: builds the request with its number on the link
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
     from azurefield.server_limits import NamedLimit
-    from azurefield.workspace_quota import ShareDecision
+    from azurefield.workspace_quota import TokenDecision
 
 # Another instance that has not replied for this time counts as unreachable, unless the request may
 # wait for longer.
@@ -163,7 +163,7 @@
         kind: TokenKind,
         priority: int,
         start_by: float,
-    ) -> ShareDecision | None:
+    ) -> TokenDecision | None:
         """Request a token from one issuer; None if it does not reply."""
         limit = self.limit_of(server, kind)
         if limit is None:
@@ -187,7 +187,7 @@
             return await self.ask_self(frame(next(self.numbers)), reply)
         return await self.ask_other(issuer, frame, reply, wait_s)
 
-    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> ShareDecision | None:
+    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> TokenDecision | None:
         """Request a token from the issuer of this instance."""
         key = (self.own, frame.number)
         self.issuer.ask(key, frame, reply.set)
@@ -199,7 +199,7 @@
 
     async def ask_other(
         self, issuer: str, frame: Callable[[int], QuotaAsked], reply: QuotaReply, wait_s: float
-    ) -> ShareDecision | None:
+    ) -> TokenDecision | None:
         """Request a token from another instance."""
         # While a request waits, the silence of its link shows that the issuer is lost.
         timeout_s = max(wait_s, REPLY_TIMEOUT_S)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -16,9 +16,9 @@
 from azurefield.workspace_quota import (
     QuotaNotIssued,
     ShareChoice,
-    ShareDecision,
     ShareIssuer,
     ShareRequest,
+    TokenDecision,
 )
 from azurefield.workspaces import RequestQuota
 from azurefield_entry.clock import lease_now, now
@@ -57,8 +57,8 @@
 # latest after this time.
 NEXT_SHARE_FRACTION = 0.25
 NEXT_SHARE_MAX_S = 0.02
-# An issuer that did not reply so soon is asked last for this time.
-SILENT_S = 1.0
+# An issuer that did not reply before the next share was asked is asked last for this time.
+SILENT_AVOIDED_S = 1.0
 TICK_INTERVAL_S = 10.0
 # Bounds the lines of refused requests, which a greedy workspace sends in any number.
 REFUSED_LINES_PER_S = 5.0
@@ -177,7 +177,7 @@
             retry_after_s=self.choice.retry_after_s(now(), workspace, quota),
         )
 
-    async def ask_in_turn(self, requests: list[ShareRequest], wait_s: float) -> ShareDecision:
+    async def ask_in_turn(self, requests: list[ShareRequest], wait_s: float) -> TokenDecision:
         """Ask one share after the other until a token is granted.
 
         :return: granted, denied if all shares that have replied are empty, or not issued if none
@@ -185,15 +185,15 @@
         """
         if not requests:
             return QuotaDenied(key=None, wait_s=0.0)
-        asked: set[asyncio.Task[ShareDecision]] = set()
-        best: ShareDecision = QuotaNotIssued()
+        asked: set[asyncio.Task[TokenDecision]] = set()
+        best: TokenDecision = QuotaNotIssued()
         slice_s = min(NEXT_SHARE_MAX_S, NEXT_SHARE_FRACTION * wait_s)
         try:
             for request in requests:
                 task = asyncio.create_task(self.ask(request))
                 asked.add(task)
                 last = request is requests[-1]
-                # Slices, as time in which this process did not run is no silence of the others.
+                # Waits in slices: time in which this process did not run counts as one slice only.
                 slices_left = ceil(wait_s / slice_s) if last else 1
                 while asked and slices_left:
                     done, asked = await asyncio.wait(
@@ -221,9 +221,9 @@
         holder = self.holders.get(slot)
         if holder is not None and holder != self.own and not self.silent(slot):
             log.info("Instance {} does not reply to requests for quota.", holder)
-            self.silent_until[holder] = now() + SILENT_S
+            self.silent_until[holder] = now() + SILENT_AVOIDED_S
 
-    async def ask(self, request: ShareRequest) -> ShareDecision:
+    async def ask(self, request: ShareRequest) -> TokenDecision:
         """Ask the holder of a share for a token."""
         holder = self.holders.get(request.slot)
         if holder is None:
@@ -236,7 +236,7 @@
             self.choice.on_denied(now(), request.workspace, request.slot, decision.wait_s)
         return decision
 
-    async def ask_other(self, holder: str, request: ShareRequest) -> ShareDecision:
+    async def ask_other(self, holder: str, request: ShareRequest) -> TokenDecision:
         """Ask another instance for a token."""
 
         def frame(number: int) -> ShareAsked:
@@ -274,7 +274,7 @@
     return refusal(FailureKind.NOT_READY, detail)
 
 
-def usefulness(decision: ShareDecision) -> int:
+def usefulness(decision: TokenDecision) -> int:
     """Order decisions: a token first, then the knowledge that there is none."""
     match decision:
         case QuotaGranted():
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -237,7 +237,7 @@
             message, payload = exchange.answers[0]
             interim = is_interim_status(message.code)
             if not interim and not is_final_status(message.code):
-                self.give_up(f"status {message.code} is none of an answer")
+                self.give_up(f"status {message.code} is not a valid final HTTP status")
                 return
             problem = payload.exception()
             if problem is not None:
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -105,7 +105,7 @@
     slots = build(store, published)
     store.keys[0] = OTHER
     assert not await slots.send_due_calls()
-    assert 0 not in slots.tenure.held
+    assert 0 not in slots.slot_lease.held
 
 
 async def test_nothing_is_held_once_the_lease_has_ended() -> None:
--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -176,7 +176,7 @@
 async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
     """Read a body; the rest of one of more than ``REPLY_BYTES_MAX`` bytes is not read.
 
-    :raises aiohttp.ClientResponseError: if the status is none of a reply
+    :raises aiohttp.ClientResponseError: if the status is not a final one
     """
     if not is_final_status(response.status):
         response.close()
@@ -184,7 +184,7 @@
             response.request_info,
             response.history,
             status=response.status,
-            message="the status is none of a reply",
+            message=f"status {response.status} is not a valid final HTTP status",
         )
     body = await response.content.read(REPLY_BYTES_MAX + 1)
     while len(body) <= REPLY_BYTES_MAX and (chunk := await response.content.readany()):
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -8,15 +8,16 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
-from azurefield.issuer_slots import SlotClaim, SlotClaims, SlotKey, SlotTenure
+from azurefield.issuer_slots import SlotClaim, SlotClaims, SlotKey, SlotLease
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds
-from azurefield.workspace_quota import ShareChoice, ShareDecision, ShareIssuer, ShareRequest
+from azurefield.workspace_quota import ShareChoice, ShareIssuer, ShareRequest, TokenDecision
 from azurefield.workspaces import RequestQuota
 from azurefield_testkit.slot_store import SlotStoreModel
 
@@ -28,14 +29,28 @@
 CUT_DROPPED_FRACTION = 0.99
 
 
+class FaultKind(StrEnum):
+    """What happens to an instance."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    CUT_STORE = "cut_store"
+    CUT_PEERS = "cut_peers"
+    SLOW_WATCH = "slow_watch"
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Fault:
-    """A fault of one instance; ``kind`` is kill, freeze, cut_store, cut_peers or slow_watch."""
+    """A fault of one instance.
 
-    kind: str
+    :param begin_s: when it begins
+    :param length_s: how long it lasts
+    """
+
+    kind: FaultKind
     instance: int
-    begin: float
-    length: float
+    begin_s: float
+    length_s: float
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -58,7 +73,7 @@
     name: str
     rate: float
     offset: float
-    tenure: SlotTenure
+    slot_lease: SlotLease
     issuer: ShareIssuer
     choice: ShareChoice
     claims: SlotClaims
@@ -70,9 +85,9 @@
         return self.offset + self.rate * now
 
     def update_issuer(self, now: float) -> None:
-        """Pass the tenure on to the issuer."""
-        held = frozenset(self.tenure.held)
-        self.issuer.on_lease(self.clock(now), self.tenure.lease_until, held)
+        """Pass the lease and its slots on to the issuer."""
+        held = frozenset(self.slot_lease.held)
+        self.issuer.on_lease(self.clock(now), self.slot_lease.lease_until, held)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -80,7 +95,7 @@
     """A caller's request that is being admitted."""
 
     node: Node
-    number: int
+    instance: int
     sent_at: float
     slots: list[int]
     asked: int = 0
@@ -121,8 +136,8 @@
         for index in range(self.instances):
             self.at(self.random.random() * TICK_S, partial(self.tick, index))
         for fault in self.faults:
-            if fault.kind == "kill":
-                self.at(fault.begin + fault.length, partial(self.restart, fault.instance))
+            if fault.kind is FaultKind.KILL:
+                self.at(fault.begin_s + fault.length_s, partial(self.restart, fault.instance))
         for change in self.changes:
             for index in range(self.instances):
                 at = change.at + self.random.random() * change.lag_s
@@ -138,13 +153,13 @@
             self.now, _, action = heappop(self.events)
             action(self.now)
 
-    def active(self, kind: str, index: int, now: float) -> float | None:
+    def active(self, kind: FaultKind, index: int, now: float) -> float | None:
         """Return the end of a fault that an instance has now."""
         ends = [
-            fault.begin + fault.length
+            fault.begin_s + fault.length_s
             for fault in self.faults
             if (fault.kind, fault.instance) == (kind, index)
-            and fault.begin <= now < fault.begin + fault.length
+            and fault.begin_s <= now < fault.begin_s + fault.length_s
         ]
         return max(ends, default=None)
 
@@ -153,10 +168,10 @@
         node = self.nodes[index]
 
         def run(now: float) -> None:
-            wakes_at = self.active("freeze", index, now)
+            wakes_at = self.active(FaultKind.FREEZE, index, now)
             if wakes_at is not None:
                 self.at(wakes_at, run)
-            elif self.nodes[index] is node and self.active("kill", index, now) is None:
+            elif self.nodes[index] is node and self.active(FaultKind.KILL, index, now) is None:
                 action(now)
 
         return run
@@ -170,7 +185,7 @@
             name=name,
             rate=1.0 + self.random.uniform(-error, error),
             offset=self.random.uniform(0.0, 1e6),
-            tenure=SlotTenure(own=name, lease_s=self.lease_s),
+            slot_lease=SlotLease(own=name, lease_s=self.lease_s),
             issuer=self.make_issuer(bounds=self.bounds),
             choice=ShareChoice(bounds=self.bounds, first_turn=index),
             claims=SlotClaims(own=name),
@@ -196,7 +211,10 @@
         self.at(now + TICK_S * self.random.uniform(0.9, 1.1), partial(self.tick, index))
         for slot in self.store.expire(now):
             self.publish(now, partial(self.apply_removed, slot))
-        if self.active("kill", index, now) is None and self.active("freeze", index, now) is None:
+        if (
+            self.active(FaultKind.KILL, index, now) is None
+            and self.active(FaultKind.FREEZE, index, now) is None
+        ):
             self.keep_slots(now, index)
 
     def keep_slots(self, now: float, index: int) -> None:
@@ -207,9 +225,9 @@
         if self.views_differ and len(known) > 1:
             known = self.random.sample(known, self.random.randint(1, len(known) - 1))
         instances = frozenset(other.name for other in known)
-        wanted = node.claims.wanted(node.clock(now), instances, node.tenure.held)
+        wanted = node.claims.wanted(node.clock(now), instances, node.slot_lease.held)
         asked_at = node.clock(now)
-        lease = node.tenure.lease
+        lease = node.slot_lease.lease
         if lease is not None:
             self.call(now, index, partial(self.store.renew, lease), self.renewed, asked_at)
             for claim in wanted:
@@ -227,7 +245,7 @@
         asked_at: float,
     ) -> None:
         """Call the store; without a path the call may arrive late, and its reply is lost."""
-        cut = self.active("cut_store", index, now) is not None
+        cut = self.active(FaultKind.CUT_STORE, index, now) is not None
         lost = cut or self.random.random() < self.loss
         late_s = self.random.uniform(0.0, 3.0) if lost else LATENCY_S
         if cut and self.random.random() < CUT_DROPPED_FRACTION:
@@ -244,16 +262,16 @@
     def granted(self, index: int, lease: int, asked_at: float, now: float) -> None:
         """Apply the reply to a request for a lease."""
         node = self.nodes[index]
-        node.tenure.on_granted(lease, asked_at)
+        node.slot_lease.on_granted(lease, asked_at)
         node.update_issuer(now)
 
     def renewed(self, index: int, renewed: bool, asked_at: float, now: float) -> None:
         """Apply the reply to a renewal."""
         node = self.nodes[index]
         if renewed:
-            node.tenure.on_renewed(asked_at)
+            node.slot_lease.on_renewed(asked_at)
         else:
-            node.tenure.on_ended(node.clock(now))
+            node.slot_lease.on_ended(node.clock(now))
         node.update_issuer(now)
 
     def claim(self, claim: SlotClaim, instance: str, lease: int, now: float) -> SlotKey | None:
@@ -268,28 +286,28 @@
     ) -> None:
         """Apply the reply to a claim."""
         if key is not None:
-            self.nodes[index].tenure.on_claimed(key.slot, key.lease)
+            self.nodes[index].slot_lease.on_claimed(key.slot, key.lease)
             self.nodes[index].update_issuer(now)
 
     def apply_key(self, key: SlotKey, index: int, now: float) -> None:
         """Apply a key that the store has published."""
         node = self.nodes[index]
         node.claims.on_key(key)
-        node.tenure.on_key(key)
+        node.slot_lease.on_key(key)
         node.update_issuer(now)
 
     def apply_removed(self, slot: int, index: int, now: float) -> None:
         """Apply the removal of a key."""
         node = self.nodes[index]
         node.claims.on_removed(node.clock(now), slot)
-        node.tenure.on_removed(slot)
+        node.slot_lease.on_removed(slot)
         node.update_issuer(now)
 
     def publish(self, now: float, apply: Callable[[int, float], None]) -> None:
         """Send a change of the store to all instances, each after a lag of its own."""
         for index in range(self.instances):
             lag_s = self.random.random() * WATCH_LAG_S
-            for kind in ("slow_watch", "cut_store"):
+            for kind in (FaultKind.SLOW_WATCH, FaultKind.CUT_STORE):
                 ends = self.active(kind, index, now)
                 if ends is not None:
                     lag_s += ends - now
@@ -303,7 +321,7 @@
 
     def receive(self, index: int, now: float) -> None:
         """Take a caller's request as soon as the process runs."""
-        if self.active("kill", index, now) is not None:
+        if self.active(FaultKind.KILL, index, now) is not None:
             self.results["no_instance"] += 1
             return
         self.when_awake(index, partial(self.begin, index, now))(now)
@@ -312,7 +330,7 @@
         """Begin to ask the shares for a token."""
         node = self.nodes[index]
         slots = node.choice.slots(node.clock(now), "w", node.quota)
-        request = Pending(node=node, number=index, sent_at=sent_at, slots=slots)
+        request = Pending(node=node, instance=index, sent_at=sent_at, slots=slots)
         self.ask_next(now, request)
 
     def ask_next(self, now: float, request: Pending) -> None:
@@ -337,10 +355,10 @@
             node = self.nodes[issuer]
             decision = node.issuer.request(node.clock(at), frame)
             apply = partial(self.on_reply, request, asked, slot, decision)
-            self.transmit(at, issuer, request.number, apply)
+            self.transmit(at, issuer, request.instance, apply)
 
-        self.transmit(now, request.number, issuer, answer)
-        timeout = self.when_awake(request.number, partial(self.on_timeout, request, asked))
+        self.transmit(now, request.instance, issuer, answer)
+        timeout = self.when_awake(request.instance, partial(self.on_timeout, request, asked))
         self.at(now + ASK_TIMEOUT_S, timeout)
 
     def transmit(
@@ -350,7 +368,7 @@
         if sender == receiver:
             self.when_awake(receiver, action)(now)
             return
-        cut = {self.active("cut_peers", index, now) for index in (sender, receiver)}
+        cut = {self.active(FaultKind.CUT_PEERS, index, now) for index in (sender, receiver)}
         chance = self.random.random()
         if cut != {None} or chance < self.loss:
             return
@@ -364,7 +382,7 @@
             self.ask_next(now, request)
 
     def on_reply(
-        self, request: Pending, asked: int, slot: int, decision: ShareDecision, now: float
+        self, request: Pending, asked: int, slot: int, decision: TokenDecision, now: float
     ) -> None:
         """Run a granted request; a reply to an earlier question is no longer waited for."""
         if request.done or request.asked != asked:
--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -1,6 +1,6 @@
 """Choice of the coordinator that runs a request, by what this instance observes of them.
 
-It answers two loads: a coordinator that turns slow or stops answering, and an availability zone
+Handles two cases: a coordinator that turns slow or stops answering, and an availability zone
 whose coordinators all do, or are lost at once.
 """
 
@@ -59,3 +59,7 @@
         backoff_until = self.silent.pop(coordinator, None)
         if backoff_until is not None:
             self.router.view(coordinator).backoff_until = backoff_until
+
+    def forget(self, coordinator: str) -> None:
+        """Forget a coordinator that no longer runs."""
+        self.silent.pop(coordinator, None)
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -133,7 +133,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class SlotTenure:
+class SlotLease:
     """The lease of one instance and the slots that it holds under it.
 
     All times are of a clock that also counts while the machine is suspended.
--- a/packages/azurefield/src/azurefield/overload.py
+++ b/packages/azurefield/src/azurefield/overload.py
@@ -19,7 +19,7 @@
 class LoopLag:
     """How late the event loop runs what is due, from ticks at an interval.
 
-    The load that it answers: more work than the processor time allows, a machine that is slowed by
+    Protects against more work than the processor time allows, a machine that is slowed by
     others, and the time right after the process was suspended.
 
     :param lag_s: the latest lag, or an earlier greater one that has decayed
--- a/packages/azurefield/src/azurefield/parsing_turns.py
+++ b/packages/azurefield/src/azurefield/parsing_turns.py
@@ -24,7 +24,7 @@
 class ParsingTurns(Generic[C]):
     r"""Limits what is parsed in one turn, and decides whose bytes are next.
 
-    The load that it answers is a crowd that sends bodies in chunks of a few bytes: one read may
+    Protects against a crowd that sends bodies in chunks of a few bytes: one read may
     hold tens of thousands, each of which costs as much as a large one. Connections are served in
     the order in which they began to wait, one piece at a time.
 
--- a/packages/azurefield/src/azurefield/server_pace.py
+++ b/packages/azurefield/src/azurefield/server_pace.py
@@ -1,4 +1,4 @@
-"""How fast the load of a backend server rises after it has started or recovered."""
+"""Slow start: how fast the load of a backend server rises after it has started or recovered."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 DOUBLING_INTERVAL_S = 0.25
 # After repeated failures, the interval grows to this.
 DOUBLING_INTERVAL_MAX_S = 2.0
-# A call that took longer than this multiple of the usual latency counts as slow. A server that is
-# only cold stays below it.
+# A call that took longer than this multiple of the usual latency counts as slow. A server that
+# only warms up stays below it.
 SLOW_FACTOR = 2.0
 # The share does not rise for this time after a failed call.
 HOLD_S = 0.5
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -17,8 +17,7 @@
 
 # Fraction of an equal service that each class of requests keeps, whatever its priority.
 FLOOR_FRACTION = 0.3
-# A process that is so late has the work that it should have; below, its capacity rises. An urgent
-# request is delayed by less than another attempt costs.
+# Lateness of a tick at which the capacity stays: below it rises, above it falls.
 LATE_TARGET_S = 0.03
 # By how much the capacity changes in an interval: in proportion to the distance from the target.
 CAPACITY_GAIN = 0.05
@@ -27,7 +26,7 @@
 UNLIMITED_FACTOR = 1.5
 # Time constant of the averages of demand and accepted requests.
 AVERAGE_S = 0.5
-# Lower capacities, in requests per second, could not be told from a process that stands still.
+# A lower capacity, in requests per second, would accept too little to measure a recovery.
 CAPACITY_MIN_PER_S = 1.0
 # Credit is kept for this time: a workspace whose requests come unevenly gets its part all the same.
 CREDIT_MAX_S = 1.0
@@ -136,14 +135,18 @@
     if total <= capacity:
         return dict(demand)
     floor = FLOOR_FRACTION * capacity / total
-    parts = {one: floor * asked for one, asked in demand.items()}
+    parts = {request_class: floor * rate for request_class, rate in demand.items()}
     left = capacity - sum(parts.values())
-    for priority in sorted({one.priority for one in demand}):
-        asked = {one: rate for one, rate in demand.items() if one.priority == priority}
-        granted = fill_by_weight(left + sum(parts[one] for one in asked), asked)
-        for one, part in granted.items():
-            extra = min(left, max(0.0, part - parts[one]))
-            parts[one] += extra
+    for priority in sorted({request_class.priority for request_class in demand}):
+        asked = {
+            request_class: rate
+            for request_class, rate in demand.items()
+            if request_class.priority == priority
+        }
+        granted = fill_by_weight(left + sum(parts[request_class] for request_class in asked), asked)
+        for request_class, part in granted.items():
+            extra = min(left, max(0.0, part - parts[request_class]))
+            parts[request_class] += extra
             left -= extra
     return parts
 
@@ -153,13 +156,13 @@
 ) -> dict[RequestClass, float]:
     """Divide a capacity by weight; what a class does not ask for goes to the others."""
     # Those that ask least for their weight come first: what they leave goes to the others.
-    order = sorted(asked, key=lambda one: asked[one] / one.weight)
+    order = sorted(asked, key=lambda request_class: asked[request_class] / request_class.weight)
     # Sums of the weights from each class on; subtracting them could leave 0 for small weights.
-    weights_left = [*accumulate(one.weight for one in reversed(order))][::-1]
+    weights_left = [*accumulate(request_class.weight for request_class in reversed(order))][::-1]
     granted: dict[RequestClass, float] = {}
-    for one, weight_left in zip(order, weights_left, strict=True):
-        part = min(asked[one], capacity * (one.weight / weight_left))
-        granted[one] = part
+    for request_class, weight_left in zip(order, weights_left, strict=True):
+        part = min(asked[request_class], capacity * (request_class.weight / weight_left))
+        granted[request_class] = part
         capacity -= part
     return granted
 
@@ -168,7 +171,7 @@
 class SharedAdmission:
     """Accepts the requests of a process that is busy: by priority, then by workspaces' weights.
 
-    The load that it answers: more requests than the process runs in time, also from one workspace
+    Protects against more requests than the process runs in time, also from one workspace
     alone. The capacity follows from how late the process is in each interval.
 
     :param capacity_per_s: requests that are accepted per second; infinite while there is no limit
@@ -233,13 +236,17 @@
     def average(self, elapsed_s: float) -> None:
         """Add an interval to the averages."""
         weight = 1.0 - exp(-elapsed_s / AVERAGE_S)
-        for one in self.asked:
-            self.demand.setdefault(one, 0.0)
+        for request_class in self.asked:
+            self.demand.setdefault(request_class, 0.0)
         averages = {
-            one: rate + weight * (self.asked[one] / elapsed_s - rate)
-            for one, rate in self.demand.items()
+            request_class: rate + weight * (self.asked[request_class] / elapsed_s - rate)
+            for request_class, rate in self.demand.items()
+        }
+        self.demand = {
+            request_class: rate
+            for request_class, rate in averages.items()
+            if rate >= DEMAND_MIN_PER_S
         }
-        self.demand = {one: rate for one, rate in averages.items() if rate >= DEMAND_MIN_PER_S}
         self.accepted_per_s += weight * (self.accepted / elapsed_s - self.accepted_per_s)
         self.asked.clear()
         self.accepted = 0
@@ -251,14 +258,18 @@
             return
         parts = divide(self.capacity_per_s, self.demand)
         self.parts = {
-            one: part
-            for one, part in parts.items()
-            if part < (1.0 - ROUNDING_TOLERANCE) * self.demand[one]
+            request_class: part
+            for request_class, part in parts.items()
+            if part < (1.0 - ROUNDING_TOLERANCE) * self.demand[request_class]
+        }
+        self.credits = {
+            request_class: self.credit(request_class, elapsed_s) for request_class in self.parts
         }
-        self.credits = {one: self.credit(one, elapsed_s) for one in self.parts}
 
-    def credit(self, one: RequestClass, elapsed_s: float) -> float:
+    def credit(self, request_class: RequestClass, elapsed_s: float) -> float:
         """Return the credit of a limited class; one that was not limited before has all of it."""
-        credit_max = max(1.0, CREDIT_MAX_S * self.parts[one])
-        known = self.credits.get(one)
-        return credit_max if known is None else min(credit_max, known + self.parts[one] * elapsed_s)
+        credit_max = max(1.0, CREDIT_MAX_S * self.parts[request_class])
+        known = self.credits.get(request_class)
+        if known is None:
+            return credit_max
+        return min(credit_max, known + self.parts[request_class] * elapsed_s)
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -11,6 +11,8 @@
 # A workspace without requests is forgotten after this time. Longer than instances work with
 # different versions of the configuration, so that an older limit does not come back.
 UNUSED_MAX_S = 600.0
+# A share without a rate gets no tokens; it is asked again after this time.
+NO_TOKEN_WAIT_S = 600.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -32,7 +34,7 @@
     """The asked instance does not hold the issuer slot."""
 
 
-ShareDecision = QuotaGranted | QuotaDenied | QuotaNotIssued
+TokenDecision = QuotaGranted | QuotaDenied | QuotaNotIssued
 
 
 @dataclass(slots=True, kw_only=True)
@@ -50,7 +52,7 @@
         self.version = version
         self.tokens = min(self.tokens, limit.tokens_max)
 
-    def take(self, now: float) -> ShareDecision:
+    def take(self, now: float) -> TokenDecision:
         """Take one token."""
         elapsed_s = max(0.0, now - self.filled_at)
         self.tokens = min(self.limit.tokens_max, self.tokens + elapsed_s * self.limit.rate_per_s)
@@ -59,7 +61,7 @@
             self.tokens -= 1.0
             return QuotaGranted(key=None)
         if self.limit.rate_per_s <= 0.0:
-            return QuotaDenied(key=None, wait_s=UNUSED_MAX_S)
+            return QuotaDenied(key=None, wait_s=NO_TOKEN_WAIT_S)
         return QuotaDenied(key=None, wait_s=(1.0 - self.tokens) / self.limit.rate_per_s)
 
 
@@ -96,7 +98,7 @@
         """Whether this instance issues the shares of a slot."""
         return now < self.lease_until and slot in self.held_since
 
-    def request(self, now: float, request: ShareRequest) -> ShareDecision:
+    def request(self, now: float, request: ShareRequest) -> TokenDecision:
         """Decide on a request at once."""
         if not self.holds(now, request.slot):
             return QuotaNotIssued()
--- a/packages/azurefield/tests/test_coordinator_choice.py
+++ b/packages/azurefield/tests/test_coordinator_choice.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Play:
+class Simulation:
     """Instances of zone ``a`` forward requests, each to a coordinator of its choice.
 
     :param troubled: the coordinators that are slow, or silent, for a while
@@ -58,7 +58,7 @@
     sent: dict[int, Counter[str]] = field(default_factory=dict)
 
     def run(self) -> None:
-        """Play all requests."""
+        """Simulate all requests."""
         choices = [choice(f"a-weak{number}", number) for number in range(INSTANCES)]
         events: list[tuple[float, int, int, tuple[str, CallResult, float] | None]] = []
         for number in range(INSTANCES):
@@ -118,22 +118,22 @@
     silent: bool,
 ) -> None:
     """Guards against an instance that keeps to a coordinator which answers late or not at all."""
-    play = Play(troubled=NEAREST[:1], silent=silent)
-    play.run()
-    assert play.share(NEAREST[:1], 5.0, TROUBLE_FROM_S) > 0.3
-    assert play.share(NEAREST[:1], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.15
-    assert play.share(DISTANT, 0.0, END_S) == 0.0
+    simulation = Simulation(troubled=NEAREST[:1], silent=silent)
+    simulation.run()
+    assert simulation.share(NEAREST[:1], 5.0, TROUBLE_FROM_S) > 0.3
+    assert simulation.share(NEAREST[:1], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.15
+    assert simulation.share(DISTANT, 0.0, END_S) == 0.0
 
 
 def test_requests_spread_over_other_zones_while_no_coordinator_of_the_zone_answers() -> None:
     """Guards against a zone that fails as a whole, and against one instance that takes it all."""
-    play = Play(troubled=NEAREST, silent=True)
-    play.run()
-    assert play.share(DISTANT, 0.0, TROUBLE_FROM_S) == 0.0
-    assert play.share(NEAREST, TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.25
+    simulation = Simulation(troubled=NEAREST, silent=True)
+    simulation.run()
+    assert simulation.share(DISTANT, 0.0, TROUBLE_FROM_S) == 0.0
+    assert simulation.share(NEAREST, TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.25
     for name in DISTANT:
-        assert 0.1 < play.share([name], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.4
-    assert play.share(DISTANT, TROUBLE_UNTIL_S + 3.0, END_S) == 0.0
+        assert 0.1 < simulation.share([name], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.4
+    assert simulation.share(DISTANT, TROUBLE_UNTIL_S + 3.0, END_S) == 0.0
 
 
 def test_the_instance_that_is_a_nearest_coordinator_runs_its_requests_itself() -> None:
--- a/packages/azurefield/tests/test_routing.py
+++ b/packages/azurefield/tests/test_routing.py
@@ -94,7 +94,7 @@
 
 
 def test_an_ejected_server_returns_slowly_and_is_ejected_longer_the_next_time() -> None:
-    """Guards against a cold server that gets its full share at once, and against flapping."""
+    """Guards against a new server that gets its full share at once, and against flapping."""
     router = OwnObservationRouter(random=Random(5))
     latency_s = dict.fromkeys(LEAF, 0.01)
     share(router, "a", latency_s)
--- a/packages/azurefield/tests/test_server_pace.py
+++ b/packages/azurefield/tests/test_server_pace.py
@@ -147,7 +147,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Play:
+class Simulation:
     """What calls to three servers got, one of which has started at 0.
 
     :param share: of the calls in each quarter of a second, the part that the server got
@@ -163,7 +163,7 @@
         return 0.25 * min(reached, default=len(self.share))
 
 
-def play(
+def simulate(
     pace: type[AdaptivePace | FixedRamp],
     *,
     instances: int = 4,
@@ -175,7 +175,7 @@
     crowd: int = 0,
     ejected: bool = False,
     length_s: float = 8.0,
-) -> Play:
+) -> Simulation:
     """Send calls at random times from several instances with a router each.
 
     :param crowd: calls that come at once, 0.1 s after the start, beside the others
@@ -216,13 +216,13 @@
             router.on_result(now, chosen, CallResult.REFUSED, 0.0)
         else:
             heappush(events, (ends, next(numbers), instance, chosen, now))
-    return Play(share=[sum(part) / len(part) for part in results], refused=refused, late=late)
+    return Simulation(share=[sum(part) / len(part) for part in results], refused=refused, late=late)
 
 
 @pytest.mark.parametrize(
     ("instances", "per_s", "factor"),
     [(4, 1000.0, 1.6), (85, 1000.0, 1.6), (4, 1150.0, 1.0)],
-    ids=["cold", "cold-and-85-instances", "crowd-beyond-two-servers"],
+    ids=["warms-up", "warms-up-and-85-instances", "crowd-beyond-two-servers"],
 )
 def test_callers_are_refused_less_while_a_server_is_needed(
     instances: int, per_s: float, factor: float
@@ -230,7 +230,7 @@
     """Guards against a server that is left idle while the others refuse calls."""
     ramp, adaptive = (
         sum(
-            play(
+            simulate(
                 pace, instances=instances, per_s=per_s, factor=factor, seed=seed, length_s=4
             ).refused
             for seed in range(3)
@@ -242,7 +242,7 @@
 
 def test_a_server_that_recovered_has_its_full_share_soon() -> None:
     """Guards against a sound server that is left idle after its ejection."""
-    recovered = play(AdaptivePace, ejected=True, factor=1.0, per_s=600.0, length_s=4.0)
+    recovered = simulate(AdaptivePace, ejected=True, factor=1.0, per_s=600.0, length_s=4.0)
     assert recovered.full_at() <= 1.0
     assert recovered.refused == 0
 
@@ -250,14 +250,14 @@
 @pytest.mark.parametrize("instances", [1, 4, 85])
 def test_a_server_that_stays_slow_gets_little(instances: int) -> None:
     """Guards against a pace that rises by time alone under a server that does not answer well."""
-    slow = play(AdaptivePace, factor=10.0, slow_until=99.0, instances=instances)
+    slow = simulate(AdaptivePace, factor=10.0, slow_until=99.0, instances=instances)
     assert max(slow.share[4:]) < 0.1
 
 
 @pytest.mark.parametrize("instances", [1, 4, 85])
 def test_all_instances_together_begin_with_little(instances: int) -> None:
     """Guards against a crowd of first calls from many instances that each send only a few."""
-    begun = play(AdaptivePace, instances=instances, per_s=1000.0, factor=4.0)
+    begun = simulate(AdaptivePace, instances=instances, per_s=1000.0, factor=4.0)
     assert begun.share[0] < 0.5 / 3
     assert sum(begun.share[:4]) / 4 < 0.75 / 3
 
@@ -265,5 +265,5 @@
 @pytest.mark.parametrize("per_s", [600.0, 1150.0], ids=["with-room", "at-the-limit"])
 def test_the_load_does_not_swing(per_s: float) -> None:
     """Guards against instances that raise and cut the load of a server together."""
-    settled = play(AdaptivePace, instances=20, per_s=per_s, length_s=10.0).share[16:]
+    settled = simulate(AdaptivePace, instances=20, per_s=per_s, length_s=10.0).share[16:]
     assert max(settled) - min(settled) < 0.2
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -20,7 +20,7 @@
 
 INTERVAL_S = 0.1
 STEP_S = 0.002
-# Requests per second that the process of the play runs in time.
+# Requests per second that the process of the simulation runs in time.
 CAPACITY_PER_S = 100.0
 NORMAL = tuple(RequestClass(priority=number % 2, workspace=f"w{number}") for number in range(8))
 GREEDY = RequestClass(priority=1, workspace="greedy")
@@ -80,8 +80,8 @@
         return sum(self.accepted[second, one] for second in seconds) / asked
 
 
-def play(shared: SharedAdmission | None, seed: int) -> Process:
-    """Play normal load with a burst of one workspace."""
+def simulate(shared: SharedAdmission | None, seed: int) -> Process:
+    """Simulate normal load with a burst of one workspace."""
     process, random = Process(shared=shared), Random(seed)
     for step in range(int(END_S / STEP_S)):
         now = step * STEP_S
@@ -98,7 +98,7 @@
 def test_a_greedy_workspace_costs_the_others_nothing_beyond_its_share(seed: int) -> None:
     """Guards against one workspace whose burst has the requests of all others refused."""
     shared = SharedAdmission()
-    process = play(shared, seed)
+    process = simulate(shared, seed)
     settled = BURST[0] + 2.0
     during = [process.served(one, settled, BURST[1]) for one in NORMAL]
     assert min(during) >= 0.9
@@ -113,7 +113,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_the_accepted_load_does_not_swing(seed: int) -> None:
     """Guards against a process that accepts everything and then nothing in turn."""
-    process = play(SharedAdmission(), seed)
+    process = simulate(SharedAdmission(), seed)
     seconds = range(int(BURST[0]) + 2, int(BURST[1]))
     rates = [sum(process.accepted[second, one] for one in (*NORMAL, GREEDY)) for second in seconds]
     assert min(rates) >= 0.7 * CAPACITY_PER_S
@@ -123,8 +123,8 @@
 
 
 def test_the_same_burst_is_paid_by_all_workspaces_without_shares() -> None:
-    """Guards against a play that would pass without the decision that it is to show."""
-    process = play(None, seed=1)
+    """Guards against a simulation that would pass without the decision that it is to show."""
+    process = simulate(None, seed=1)
     assert min(process.served(one, BURST[0] + 2.0, BURST[1]) for one in NORMAL) < 0.7
 
 
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -12,14 +12,14 @@
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.workspace_quota import ShareBucket, ShareChoice, ShareIssuer, ShareRequest
 from azurefield.workspaces import RequestQuota
-from azurefield_testkit.quota_fleet import Fault, LimitChange, QuotaFleet
+from azurefield_testkit.quota_fleet import Fault, FaultKind, LimitChange, QuotaFleet
 
 BOUNDS = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
 QUOTA = RequestQuota(rate_per_s=23.0, burst=23.0)
 LOWER = RequestQuota(rate_per_s=6.0, burst=8.0)
 BEGIN_S = 6.0
 END_S = 40.0
-KINDS = ("kill", "freeze", "cut_store", "cut_peers", "slow_watch")
+KINDS = tuple(FaultKind)
 
 
 def most_in_window(runs: list[tuple[float, float]], window_s: float, since: float = 0.0) -> int:
@@ -56,10 +56,10 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class Play:
+class Simulation:
     """Parameters of one run.
 
-    :param herd: how many issuers are hit by the same fault at once
+    :param hit_together: how many issuers are hit by the same fault at once
     :param lowered_at: when a lower limit is accepted; None if it is not
     """
 
@@ -68,21 +68,25 @@
     receivers: int
     factor: float
     fault_count: int
-    herd: int
+    hit_together: int
     loss: float
     views_differ: bool = False
-    kinds: tuple[str, ...] = KINDS
+    kinds: tuple[FaultKind, ...] = KINDS
     lowered_at: float | None = None
 
     def faults(self, random: Random, issuers: list[int]) -> list[Fault]:
         """Draw faults, most of them at issuers."""
         faults = []
         for _ in range(self.fault_count):
-            kind, begin = random.choice(self.kinds), random.uniform(BEGIN_S, END_S)
-            length = random.choice([0.2, 1.0, 3.0, 8.0, 20.0])
+            kind, begin_s = random.choice(self.kinds), random.uniform(BEGIN_S, END_S)
+            length_s = random.choice([0.2, 1.0, 3.0, 8.0, 20.0])
             anybody = [random.randrange(self.instances)]
-            for instance in random.sample(issuers or anybody, min(self.herd, len(issuers) or 1)):
-                faults.append(Fault(kind=kind, instance=instance, begin=begin, length=length))
+            for instance in random.sample(
+                issuers or anybody, min(self.hit_together, len(issuers) or 1)
+            ):
+                faults.append(
+                    Fault(kind=kind, instance=instance, begin_s=begin_s, length_s=length_s)
+                )
         return faults
 
     def run(self, make_issuer: type[ShareIssuer] = ShareIssuer) -> QuotaFleet:
@@ -121,37 +125,37 @@
         return sorted({int(keys[slot].instance[1:]) for slot in share_slots("w") if slot in keys})
 
 
-PLAYS = st.builds(
-    Play,
+SIMULATIONS = st.builds(
+    Simulation,
     seed=st.integers(0, 10_000),
     instances=st.sampled_from([1, 2, 3, 7, 20, 79, 300]),
     receivers=st.sampled_from([1, 3, 40]),
     factor=st.sampled_from([1.0, 3.0, 6.0]),
     fault_count=st.integers(0, 14),
     kinds=st.sampled_from([KINDS, *((kind,) for kind in KINDS)]),
-    herd=st.integers(1, 3),
+    hit_together=st.integers(1, 3),
     loss=st.sampled_from([0.0, 0.02, 0.1]),
     views_differ=st.booleans(),
     lowered_at=st.sampled_from([None, 12.0]),
 )
 
 
-def excess(fleet: QuotaFleet, play: Play) -> float:
+def excess(fleet: QuotaFleet, simulation: Simulation) -> float:
     """Return by how much the fullest window passes what is allowed; at most 0 if none does."""
     most = most_in_window(fleet.runs, BOUNDS.window_s)
     result = most - BOUNDS.requests_max(QUOTA)
-    if play.lowered_at is not None:
-        known_everywhere = play.lowered_at + 3.0 + BOUNDS.window_s
+    if simulation.lowered_at is not None:
+        known_everywhere = simulation.lowered_at + 3.0 + BOUNDS.window_s
         most = most_in_window(fleet.runs, BOUNDS.window_s, since=known_everywhere)
         result = max(result, most - BOUNDS.requests_max(LOWER))
     return result
 
 
 @settings(max_examples=40)
-@given(play=PLAYS)
-def test_no_window_holds_more_requests_than_allowed_whatever_fails(play: Play) -> None:
+@given(simulation=SIMULATIONS)
+def test_no_window_holds_more_requests_than_allowed_whatever_fails(simulation: Simulation) -> None:
     """Guards against a sum over all instances beyond the quota in any kind of trouble."""
-    assert excess(play.run(), play) <= 0
+    assert excess(simulation.run(), simulation) <= 0
 
 
 class FullFromTheStart(ShareIssuer):
@@ -192,27 +196,31 @@
 
 @pytest.mark.parametrize(
     ("weakened", "kinds"),
-    [(FullFromTheStart, ("kill",)), (WithoutLease, ("cut_store",)), (WholeQuota, KINDS)],
+    [
+        (FullFromTheStart, (FaultKind.KILL,)),
+        (WithoutLease, (FaultKind.CUT_STORE,)),
+        (WholeQuota, KINDS),
+    ],
 )
 def test_the_same_check_finds_a_weakened_issuer(
-    weakened: type[ShareIssuer], kinds: tuple[str, ...]
+    weakened: type[ShareIssuer], kinds: tuple[FaultKind, ...]
 ) -> None:
     """Guards against a check that passes whatever the issuers do."""
-    plays = [
-        Play(
+    simulations = [
+        Simulation(
             seed=seed,
             instances=7,
             receivers=40,
             factor=6.0,
             fault_count=14,
-            herd=3,
+            hit_together=3,
             loss=0.0,
             kinds=kinds,
         )
         for seed in range(6)
     ]
-    assert all(excess(play.run(), play) <= 0 for play in plays)
-    assert any(excess(play.run(weakened), play) > 0 for play in plays)
+    assert all(excess(simulation.run(), simulation) <= 0 for simulation in simulations)
+    assert any(excess(simulation.run(weakened), simulation) > 0 for simulation in simulations)
 
 
 def conforming(random: Random, quota: RequestQuota, begin: float, end: float) -> list[float]:
--- a/tests/fleet/test_evacuated_zones.py
+++ b/tests/fleet/test_evacuated_zones.py
@@ -50,7 +50,7 @@
 async def test_an_evacuated_zone_gets_no_calls_and_returns_within_the_bound(
     tmp_path: Path,
 ) -> None:
-    """Guards against calls to an evacuated zone, and against a flood of its cold leafs after it."""
+    """Guards against calls to an evacuated zone, and against a flood of its leafs that warm up."""
     cores = {"n1": 1.0, "n2": 1.0, "n3": 1.0}
     async with serving_fleet(tmp_path, cores, before_start=set_bounds) as sites:
         store, leaf = sites["n1"].store, sites["n1"].leafs["d1"]
