--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -64,6 +64,7 @@
 
     :param own: the name of this instance
     :param instances: returns the instances that run
+    :param warmups: the limits of servers that warm up
     :param unreachable_until: when an issuer that did not reply is asked again
     :param orders: the instances for which the order of a service's issuers was computed, and it
     """
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -309,7 +309,7 @@
             "Configuration version {} is in force with {} routes.", table.version, len(table.routes)
         )
         if table.workspaces is not None and table.workspaces.left_out:
-            log.warning("Version {} has unusable {}.", table.version, table.workspaces.left_out)
+            log.warning("Version {} leaves out {}.", table.version, table.workspaces.left_out)
         if self.kernel is not None:
             notify_all(self.kernel, RouteTableChanged(table=table))
 
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -102,6 +102,7 @@
     """All routes of one version, found by host and longest prefix, and its workspaces.
 
     :param workspaces: None if the version has no workspaces, so that no request needs a key
+    :param route_priorities: the different priorities of the routes, the first one first
 
     >>> route = Route(name="r", host="a", prefix="/x/", target=SingleService(service="s"),
     ...               idempotent=True, timeout_s=1.0)
--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -76,6 +76,9 @@
     :param workspaces: workspaces whose name can't be used or is given twice
     :param unusable_keys: keys that no header can carry unchanged
     :param shared_keys: keys of several workspaces
+
+    >>> print(LeftOutEntries(workspaces=1, shared_keys=2))
+    workspaces=1 unusable_keys=0 shared_keys=2
     """
 
     workspaces: int = 0
@@ -85,6 +88,12 @@
     def __bool__(self) -> bool:
         return self != LeftOutEntries()
 
+    def __str__(self) -> str:
+        return (
+            f"workspaces={self.workspaces} unusable_keys={self.unusable_keys}"
+            f" shared_keys={self.shared_keys}"
+        )
+
 
 @dataclass(slots=True, kw_only=True)
 class WorkspaceKeys:
