Split the longest test modules of this change

Odd statuses, the memory of answers, and busy and silent coordinators have modules of their own, and what they share is in the test support.

--- a/packages/azurefield-entry/tests/gateway/test_connection.py
+++ b/packages/azurefield-entry/tests/gateway/test_connection.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import pytest
 from result import Err, Ok
 
 from azurefield.failures import LeafFailureReason
-from azurefield.held_memory import HeldMemory
 from azurefield.model import Outcome
-from azurefield_entry.gateway.ports import GatewayRequest, LeafCall
 from azurefield_entry.gateway.servers.connection import (
     ANSWER_BYTES_MAX,
     HttpLeafConnection,
@@ -24,55 +21,21 @@
     ScriptedServer,
     listening,
 )
+from azurefield_testkit.entry_support.server_calls import answer, call, chunked, connected
 from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
 
     from result import Result
 
     from azurefield.failures import LeafFailure
-    from azurefield_entry.gateway.ports import Headers, OpaqueAnswer
+    from azurefield_entry.gateway.ports import Headers, LeafCall, OpaqueAnswer
 
 R = LeafFailureReason
 # Four times the size at which a connection gives up on an answer.
 SENT_BYTES_MAX = 4 * ANSWER_BYTES_MAX
 
 
-@asynccontextmanager
-async def connected(server: ScriptedServer) -> AsyncIterator[HttpLeafConnection]:
-    async with listening(server) as address:
-        connection = HttpLeafConnection(address=address, dialect=PlainDialect())
-        try:
-            yield connection
-        finally:
-            await connection.close()
-
-
-def call(target: str, method: str = "GET") -> LeafCall:
-    request = GatewayRequest(
-        request_id=target,
-        method=method,
-        host="x",
-        target=target,
-        headers=(),
-        body=b"",
-        arrived_at=0.0,
-        deadline=None,
-    )
-    return LeafCall(request=request, server="s", deadline=0.0)
-
-
-def answer(identity: str, body: bytes, extra: str = "") -> bytes:
-    head = f"HTTP/1.1 200 OK\r\nId: {identity}\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
-    return head.encode() + body
-
-
-def chunked(identity: str, body: bytes) -> bytes:
-    head = f"HTTP/1.1 200 OK\r\nId: {identity}\r\nTransfer-Encoding: chunked\r\n\r\n"
-    return head.encode() + f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
-
-
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nId: /1\r\n\r\nbody"
 
 
@@ -360,44 +323,6 @@
     listener.close()
 
 
-ODD_STATUSES = ("000", "007", "099", "600", "999", "00", "0200", "20", "-20", "101")
-
-
-@pytest.mark.parametrize("status", ODD_STATUSES)
-@pytest.mark.parametrize("extra", ["", "Refused: 1\r\n"], ids=["answer", "refusal"])
-async def test_an_odd_status_is_no_answer_and_the_call_may_have_run(
-    status: str, extra: str
-) -> None:
-    """Guards against a caller that gets a status that HTTP does not have."""
-    odd = answer("/1", b"body", extra).replace(b"200", status.encode(), 1)
-    async with connected(ScriptedServer(script=[[odd]])) as connection:
-        async with asyncio.timeout(5):
-            result = await connection.exchange(call("/1"))
-        assert isinstance(result, Err), result.ok_value
-        assert result.err_value.reason is R.MALFORMED
-        assert result.err_value.outcome is Outcome.MAY_HAVE_RUN
-        assert not connection.usable
-
-
-async def test_an_odd_status_ends_the_call_before_its_body_has_arrived() -> None:
-    """Guards against a call that waits for a body that nobody needs."""
-    odd = answer("/1", b"body").replace(b"200", b"000", 1)[:-1]
-    async with connected(ScriptedServer(script=[[odd]])) as connection:
-        async with asyncio.timeout(5):
-            result = await connection.exchange(call("/1"))
-        assert isinstance(result, Err)
-
-
-@pytest.mark.parametrize("status", ["100", "102", "103", "199"])
-async def test_the_answer_behind_an_interim_one_is_the_answer(status: str) -> None:
-    """Guards against a call that fails because its server first says that it is at work."""
-    interim = f"HTTP/1.1 {status} Wait\r\nNote: 1\r\n\r\n".encode()
-    async with connected(ScriptedServer(script=[[interim + answer("/1", b"one")]])) as connection:
-        result = await connection.exchange(call("/1"))
-        assert isinstance(result, Ok)
-        assert (result.ok_value.status, result.ok_value.body) == (200, b"one")
-
-
 async def test_headers_that_are_no_text_do_not_lose_an_answer() -> None:
     """Guards against an answer that is lost because of bytes in a header that nobody needs."""
     odd = answer("/1", b"body").replace(
@@ -430,71 +355,3 @@
     result = await connection.exchange(call("/1"))
     assert isinstance(result, Err)
     assert result.err_value.reason is R.CONNECT_FAILED
-
-
-WITHOUT_END = b"HTTP/1.1 200 OK\r\nId: /1\r\n\r\n"
-
-
-@asynccontextmanager
-async def endless_server(pause_s: float) -> AsyncIterator[str]:
-    """Answer each request with a body that ends only when the caller closes the connection."""
-
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(WITHOUT_END)
-        with suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(MEGABYTE)
-                await writer.drain()
-                await asyncio.sleep(pause_s)
-        writer.close()
-
-    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
-    try:
-        yield f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
-    finally:
-        listener.close()
-
-
-async def test_a_connection_that_is_given_up_is_freed_without_the_garbage_collector() -> None:
-    """Guards against answers that stay in memory after their connections were closed."""
-    async with endless_server(0.0) as address:
-        gc.collect()
-        gc.disable()
-        try:
-            for _ in range(3):
-                connection = HttpLeafConnection(address=address, dialect=PlainDialect())
-                assert isinstance(await connection.exchange(call("/1")), Err)
-                del connection
-                await asyncio.sleep(0.02)
-            kept = [one for one in gc.get_objects() if isinstance(one, HttpLeafConnection)]
-            assert not kept
-        finally:
-            gc.enable()
-
-
-async def test_endless_answers_share_one_memory_and_usual_ones_go_on() -> None:
-    """Guards against a process that exceeds its memory because each answer alone is in bounds."""
-    memory: HeldMemory[HttpLeafConnection] = HeldMemory(limit_bytes=6 * len(MEGABYTE))
-    held = 0
-    slow = ScriptedServer(script=[[answer("/1", b"body")[:-1]]])
-    async with endless_server(0.01) as address, listening(slow) as usual_address:
-        usual = HttpLeafConnection(address=usual_address, dialect=PlainDialect(), memory=memory)
-        waiting = asyncio.create_task(usual.exchange(call("/1")))
-        await asyncio.sleep(0.02)
-        endless = [
-            HttpLeafConnection(address=address, dialect=PlainDialect(), memory=memory)
-            for _ in range(8)
-        ]
-        calls = [asyncio.create_task(one.exchange(call("/1"))) for one in endless]
-        while not all(one.done() for one in calls):
-            await asyncio.sleep(0.001)
-            held = max(held, memory.total_bytes)
-        assert all(isinstance(one.result(), Err) for one in calls)
-        assert held <= memory.limit_bytes
-        assert not waiting.done(), "the usual answer must not be ended for the others"
-        assert [*memory.held] == [usual]
-        waiting.cancel()
-        with suppress(asyncio.CancelledError):
-            await waiting
-    assert (memory.held, memory.total_bytes) == ({}, 0)
--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -15,14 +15,13 @@
 from azurefield.warmup_limits import WarmupBound
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
 from azurefield_testkit.entry_support.peers import (
     RunningService,
-    refuse_request,
     running_peers,
+    serve_quotas,
     view_of,
 )
 from azurefield_testkit.waiting import wait_until
@@ -30,6 +29,8 @@
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
+    from azurefield_entry.gateway.peers.coordinator import CoordinatorService
+
 NAMES = frozenset({"i1", "i2", "i3"})
 SERVER = RegisteredServer(
     server="s1",
@@ -73,17 +74,10 @@
         instances=lambda: NAMES,
         metrics=GatewayMetrics(),
     )
-    service = CoordinatorService(
-        address=addresses[name],
-        version=lambda: 1,
-        run_request=refuse_request,  # type: ignore[arg-type]
-        quota_issuer=quotas.issuer,
-        answer_share=lambda frame: ShareNotIssued(number=frame.number),
-        on_crash_report=lambda _: None,
-        partitioned=lambda: False,
-        finish_timeout_s=0.1,
+    running = serve_quotas(
+        addresses[name], quotas.issuer, lambda frame: ShareNotIssued(number=frame.number)
     )
-    return Instance(quotas=quotas, running=RunningService(service=service))
+    return Instance(quotas=quotas, running=running)
 
 
 def fleet() -> AbstractAsyncContextManager[dict[str, Instance]]:
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -17,7 +17,6 @@
 from azurefield.workspaces import RequestQuota, Workspace
 from azurefield_entry.clock import lease_now
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas import workspace_quotas
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
@@ -25,14 +24,15 @@
 from azurefield_testkit.entry_support.gateway_parts import make_request
 from azurefield_testkit.entry_support.peers import (
     RunningService,
-    refuse_request,
     running_peers,
+    serve_quotas,
     view_of,
 )
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
+    from azurefield_entry.gateway.peers.coordinator import CoordinatorService
     from azurefield_entry.gateway.peers.frames import FromPeer
     from azurefield_entry.gateway.quotas.frames import ShareAsked
 
@@ -78,17 +78,8 @@
     quotas.on_slots(HOLDERS, lease_now() + LONG_AGO_S, held)
     for slot in held:
         quotas.issuer.held_since[slot] = lease_now() - LONG_AGO_S
-    service = CoordinatorService(
-        address=addresses[name],
-        version=lambda: 1,
-        run_request=refuse_request,  # type: ignore[arg-type]
-        quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
-        answer_share=quotas.answer,
-        on_crash_report=lambda _: None,
-        partitioned=lambda: False,
-        finish_timeout_s=0.1,
-    )
-    return Instance(quotas=quotas, running=RunningService(service=service))
+    running = serve_quotas(addresses[name], QuotaIssuer(fraction=lambda _: 1.0), quotas.answer)
+    return Instance(quotas=quotas, running=running)
 
 
 def fleet() -> AbstractAsyncContextManager[dict[str, Instance]]:
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
@@ -17,6 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
 
+    from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield_entry.gateway.quotas.frames import ShareAsked
+    from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+
 
 class Peer(Protocol):
     """One instance; ``stop`` ends it."""
@@ -61,6 +65,23 @@
         await self.serving
 
 
+def serve_quotas(
+    address: str, quota_issuer: QuotaIssuer, answer_share: Callable[[ShareAsked], FromPeer]
+) -> RunningService:
+    """Run the service of an instance that others ask only for quota."""
+    service = CoordinatorService(
+        address=address,
+        version=lambda: 1,
+        run_request=refuse_request,  # type: ignore[arg-type]
+        quota_issuer=quota_issuer,
+        answer_share=answer_share,
+        on_crash_report=lambda _: None,
+        partitioned=lambda: False,
+        finish_timeout_s=0.1,
+    )
+    return RunningService(service=service)
+
+
 @asynccontextmanager
 async def running_peers(
     names: Iterable[str], build: Callable[[str, dict[str, str]], PeerT]
