--- a/packages/azurefield-entry/tests/gateway/test_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_quotas.py
@@ -19,7 +19,7 @@
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
 from azurefield_testkit.entry_support.peers import (
-    RunningService,
+    QuotaInstance,
     running_peers,
     serve_quotas,
     view_of,
@@ -29,7 +29,6 @@
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
-    from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 
 NAMES = frozenset({"i1", "i2", "i3"})
 SERVER = RegisteredServer(
@@ -45,23 +44,15 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Instance:
-    """One instance with its service for the others; ``stop`` ends it."""
-
-    quotas: ServerQuotas
-    running: RunningService
-
-    @property
-    def service(self) -> CoordinatorService:
-        return self.running.service
+class Instance(QuotaInstance[ServerQuotas]):
+    """One instance with its service for the others."""
 
     async def acquire(self, wait_s: float = 0.0, priority: int = 1) -> bool:
         return await self.quotas.acquire(SERVER, priority, now() + wait_s)
 
     async def stop(self) -> None:
         self.quotas.close()
-        self.quotas.peers.close()
-        await self.running.stop()
+        await QuotaInstance.stop(self)
 
 
 def build(name: str, addresses: dict[str, str]) -> Instance:
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -23,7 +23,7 @@
 from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
 from azurefield_testkit.entry_support.gateway_parts import make_request
 from azurefield_testkit.entry_support.peers import (
-    RunningService,
+    QuotaInstance,
     running_peers,
     serve_quotas,
     view_of,
@@ -50,24 +50,13 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Instance:
-    """One instance with its service for the others; ``stop`` ends it."""
-
-    quotas: WorkspaceQuotas
-    running: RunningService
-
-    @property
-    def service(self) -> CoordinatorService:
-        return self.running.service
+class Instance(QuotaInstance[WorkspaceQuotas]):
+    """One instance with its service for the others."""
 
     async def admit(self) -> FailureKind | None:
         failure = await self.quotas.admit(make_request(workspace=WORKSPACE), 1, GOAL_S)
         return None if failure is None else failure.kind
 
-    async def stop(self) -> None:
-        self.quotas.peers.close()
-        await self.running.stop()
-
 
 def build(name: str, addresses: dict[str, str]) -> Instance:
     quotas = WorkspaceQuotas(
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
@@ -6,7 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, Protocol, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator, Callable, Iterable
 
     from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield_entry.gateway.peers.links import PeerLinks
     from azurefield_entry.gateway.quotas.frames import ShareAsked
     from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 
@@ -65,6 +66,33 @@
         await self.serving
 
 
+class AsksPeers(Protocol):
+    """What an instance asks others with."""
+
+    peers: PeerLinks
+
+
+QuotasT = TypeVar("QuotasT", bound=AsksPeers)
+
+
+@dataclass(slots=True, kw_only=True)
+class QuotaInstance(Generic[QuotasT]):
+    """One instance that gets quota, with its service for the others; ``stop`` ends it."""
+
+    quotas: QuotasT
+    running: RunningService
+
+    @property
+    def service(self) -> CoordinatorService:
+        """The service for the other instances."""
+        return self.running.service
+
+    async def stop(self) -> None:
+        """Close the links to the others and stop the service."""
+        self.quotas.peers.close()
+        await self.running.stop()
+
+
 def serve_quotas(
     address: str, quota_issuer: QuotaIssuer, answer_share: Callable[[ShareAsked], FromPeer]
 ) -> RunningService:
