--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -81,6 +81,17 @@
     return limit.shares * int(limit.tokens_max)
 
 
+async def test_instances_begin_with_different_shares() -> None:
+    """Guards against one share that gets the first request of every instance."""
+    first = set()
+    for name in (f"i{number}" for number in range(20)):
+        quotas = WorkspaceQuotas(
+            own=name, peers=PeerLinks(view=view_of(name, {})), metrics=GatewayMetrics()
+        )
+        first.add(quotas.choice.slots(0.0, "w", RequestQuota(rate_per_s=9.0, burst=9.0))[0])
+    assert first == set(SLOTS)
+
+
 @pytest.mark.parametrize("receivers", [("i1",), NAMES], ids=["one", "all"])
 async def test_the_instances_together_admit_the_quota_and_no_more(
     receivers: tuple[str, ...],
