--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -17,7 +17,7 @@
     SlotClaim,
     SlotClaims,
     SlotKey,
-    SlotTenure,
+    SlotLease,
 )
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import IssuerSlotsChanged
@@ -60,7 +60,7 @@
     publish: Callable[[IssuerSlotsChanged], None]
     used: bool = False
     claims: SlotClaims = field(init=False)
-    tenure: SlotTenure = field(init=False)
+    slot_lease: SlotLease = field(init=False)
     lease: Lease | None = None
     issuers: set[str] = field(default_factory=set)
     next_renewal_at: float = float("inf")
@@ -68,7 +68,7 @@
 
     def __post_init__(self) -> None:
         self.claims = SlotClaims(own=self.own)
-        self.tenure = SlotTenure(own=self.own)
+        self.slot_lease = SlotLease(own=self.own)
 
     def on_listing(self, items: tuple[Item, ...]) -> None:
         """Apply a complete listing of the store."""
@@ -88,18 +88,21 @@
                     self.issuers.discard(instance)
                 case SlotKey():
                     self.claims.on_key(item)
-                    self.tenure.on_key(item)
+                    self.slot_lease.on_key(item)
                     changed = True
                 case Removed(key=SlotName(slot=slot)):
                     self.claims.on_removed(now(), slot)
-                    self.tenure.on_removed(slot)
+                    self.slot_lease.on_removed(slot)
                     changed = True
         if changed:
             self.publish_slots()
 
     def on_restored(self) -> None:
-        """Give up the slots after the store was restored from a copy."""
-        self.tenure.on_restored(lease_now())
+        """Claim the held slots again under a new lease after the store was restored from a copy.
+
+        Until the old lease ends they stay held.
+        """
+        self.slot_lease.on_restored(lease_now())
         self.lease = None
         self.publish_slots()
 
@@ -130,9 +133,9 @@
         needed = self.used or bool(self.claims.keys)
         if not needed or not self.can_issue():
             return []
-        claims = self.claims.claims_of(sorted(self.tenure.reclaims))
-        if lease_now() >= self.tenure.claims_from:
-            known = self.tenure.held | self.tenure.reclaims
+        claims = self.claims.claims_of(sorted(self.slot_lease.reclaims))
+        if lease_now() >= self.slot_lease.claims_from:
+            known = self.slot_lease.held | self.slot_lease.reclaims
             claims += self.claims.wanted(now(), frozenset(self.issuers), known)
         return claims
 
@@ -143,7 +146,7 @@
             case Ok(lease):
                 self.lease = lease
                 length_s = SLOT_LEASE_S if lease.length_s is None else lease.length_s
-                self.tenure.on_granted(lease.number, asked_at, length_s)
+                self.slot_lease.on_granted(lease.number, asked_at, length_s)
                 self.plan_renewal()
                 return True
             case Err(failure):
@@ -157,7 +160,7 @@
             return True  # It was given up meanwhile, since the store was restored.
         match renewed:
             case Ok(_):
-                self.tenure.on_renewed(asked_at)
+                self.slot_lease.on_renewed(asked_at)
             case Err(LeaseEnded()):
                 self.on_lease_ended()
                 return True
@@ -175,13 +178,13 @@
             return False  # It was given up meanwhile, since the store was restored.
         match written:
             case Ok(_):
-                self.tenure.on_claimed(claim.slot, lease.number)
-                if not self.tenure.reclaims:
+                self.slot_lease.on_claimed(claim.slot, lease.number)
+                if not self.slot_lease.reclaims:
                     self.publish_slots()
                 return True
             case Err(KeyChanged()):
                 self.claims.on_refused(claim.slot)
-                self.tenure.on_refused(claim.slot)
+                self.slot_lease.on_refused(claim.slot)
                 self.publish_slots()
                 log.info("The key of issuer slot {} has changed; it is not claimed.", claim.slot)
                 return True
@@ -195,7 +198,7 @@
         """Stop issuing, since the store does not know the lease."""
         log.info("The lease of this instance's issuer slots has ended.")
         self.lease = None
-        self.tenure.on_ended(lease_now())
+        self.slot_lease.on_ended(lease_now())
         self.publish_slots()
 
     def plan_renewal(self) -> None:
@@ -211,11 +214,11 @@
     def publish_slots(self) -> None:
         """Publish the holders and the lease."""
         holders = {slot: key.instance for slot, key in self.claims.keys.items()}
-        holders.update(dict.fromkeys(self.tenure.held, self.own))
+        holders.update(dict.fromkeys(self.slot_lease.held, self.own))
         self.publish(
             IssuerSlotsChanged(
                 holders=holders,
-                lease_until=self.tenure.lease_until,
-                held=frozenset(self.tenure.held),
+                lease_until=self.slot_lease.lease_until,
+                held=frozenset(self.slot_lease.held),
             )
         )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/server_quotas.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from azurefield.directory import RegisteredServer
     from azurefield.server_limits import NamedLimit
-    from azurefield.workspace_quota import ShareDecision
+    from azurefield.workspace_quota import TokenDecision
 
 # Another instance that has not replied for this time counts as unreachable, unless the request may
 # wait for longer.
@@ -67,6 +67,7 @@
     :param instances: returns the instances that run
     :param listing_known: whether these were listed; without a listing, this instance issues nothing
         to itself, and to others that take it for the issuer no more than a deputy does
+    :param warmups: the limits of servers that warm up
     :param unreachable_until: when an issuer that did not reply is asked again
     :param orders: the instances for which the order of a service's issuers was computed, and it
     """
@@ -171,7 +172,7 @@
         kind: TokenKind,
         priority: int,
         start_by: float,
-    ) -> ShareDecision | None:
+    ) -> TokenDecision | None:
         """Request a token from one issuer; None if it does not reply."""
         limit = self.limit_of(server, kind)
         if limit is None:
@@ -195,7 +196,7 @@
             return await self.ask_self(frame(next(self.numbers)), reply)
         return await self.ask_other(issuer, frame, reply, wait_s)
 
-    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> ShareDecision | None:
+    async def ask_self(self, frame: QuotaAsked, reply: QuotaReply) -> TokenDecision | None:
         """Request a token from the issuer of this instance."""
         key = (self.own, frame.number)
         self.issuer.ask(key, frame, reply.set)
@@ -207,7 +208,7 @@
 
     async def ask_other(
         self, issuer: str, frame: Callable[[int], QuotaAsked], reply: QuotaReply, wait_s: float
-    ) -> ShareDecision | None:
+    ) -> TokenDecision | None:
         """Request a token from another instance."""
         # While a request waits, the silence of its link shows that the issuer is lost.
         timeout_s = max(wait_s, REPLY_TIMEOUT_S)
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -170,7 +170,7 @@
     slots = build(SlotStore(length_s=length_s), [])
     asked_at = lease_now()
     await slots.send_due_calls()
-    assert 0.98 * length_s <= slots.tenure.lease_until - asked_at < length_s
+    assert 0.98 * length_s <= slots.slot_lease.lease_until - asked_at < length_s
 
 
 async def test_nothing_is_held_once_the_lease_has_ended() -> None:
@@ -201,7 +201,7 @@
 
     async def sleep(delay_s: float) -> None:
         clock[0] += delay_s
-        assert clock[0] < slots.tenure.lease_until or not slots.tenure.held
+        assert clock[0] < slots.slot_lease.lease_until or not slots.slot_lease.held
         if clock[0] > outages[-1][0] + 60.0:
             raise EndOfPlay
 
@@ -213,7 +213,7 @@
     monkeypatch.setattr(asyncio, "sleep", sleep)
     with pytest.raises(EndOfPlay):
         await slots.run()
-    assert slots.tenure.held == ALL
+    assert slots.slot_lease.held == ALL
 
 
 @pytest.mark.parametrize("late_end", [False, True], ids=["listing", "late-end-of-lease"])
@@ -233,7 +233,7 @@
     else:
         slots.on_restored()
     slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *listed))
-    assert slots.tenure.held == ALL - {3}
+    assert slots.slot_lease.held == ALL - {3}
     old_until = published[-1].lease_until
     begun = len(published)
     assert await slots.send_due_calls()
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -17,22 +17,22 @@
 from azurefield.workspaces import RequestQuota, Workspace
 from azurefield_entry.clock import lease_now
 from azurefield_entry.gateway.metrics import GatewayMetrics
-from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas import workspace_quotas
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.gateway.quotas.workspace_quotas import WorkspaceQuotas
 from azurefield_testkit.entry_support.gateway_parts import make_request
 from azurefield_testkit.entry_support.peers import (
-    RunningService,
-    refuse_request,
+    QuotaInstance,
     running_peers,
+    serve_quotas,
     view_of,
 )
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
+    from azurefield_entry.gateway.peers.coordinator import CoordinatorService
     from azurefield_entry.gateway.peers.frames import FromPeer
     from azurefield_entry.gateway.quotas.frames import ShareAsked
 
@@ -50,24 +50,13 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Instance:
-    """One instance with its service for the others; ``stop`` ends it."""
-
-    quotas: WorkspaceQuotas
-    running: RunningService
-
-    @property
-    def service(self) -> CoordinatorService:
-        return self.running.service
+class Instance(QuotaInstance[WorkspaceQuotas]):
+    """One instance with its service for the others."""
 
     async def admit(self) -> FailureKind | None:
         failure = await self.quotas.admit(make_request(workspace=WORKSPACE), 1, GOAL_S)
         return None if failure is None else failure.kind
 
-    async def stop(self) -> None:
-        self.quotas.peers.close()
-        await self.running.stop()
-
 
 def build(name: str, addresses: dict[str, str]) -> Instance:
     quotas = WorkspaceQuotas(
@@ -78,17 +67,8 @@
     quotas.on_slots(HOLDERS, lease_now() + LONG_AGO_S, held)
     for slot in held:
         quotas.issuer.held_since[slot] = lease_now() - LONG_AGO_S
-    service = CoordinatorService(
-        address=addresses[name],
-        version=lambda: 1,
-        run_request=refuse_request,  # type: ignore[arg-type]
-        quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
-        answer_share=quotas.answer,
-        on_crash_report=lambda _: None,
-        partitioned=lambda: False,
-        finish_timeout_s=0.1,
-    )
-    return Instance(quotas=quotas, running=RunningService(service=service))
+    running = serve_quotas(addresses[name], QuotaIssuer(fraction=lambda _: 1.0), quotas.answer)
+    return Instance(quotas=quotas, running=running)
 
 
 def fleet() -> AbstractAsyncContextManager[dict[str, Instance]]:
@@ -101,6 +81,17 @@
     return limit.shares * int(limit.tokens_max)
 
 
+async def test_instances_begin_with_different_shares() -> None:
+    """Guards against one share that gets the first request of every instance."""
+    first = set()
+    for name in (f"i{number}" for number in range(20)):
+        quotas = WorkspaceQuotas(
+            own=name, peers=PeerLinks(view=view_of(name, {})), metrics=GatewayMetrics()
+        )
+        first.add(quotas.choice.slots(0.0, "w", RequestQuota(rate_per_s=9.0, burst=9.0))[0])
+    assert first == set(SLOTS)
+
+
 @pytest.mark.parametrize("receivers", [("i1",), NAMES], ids=["one", "all"])
 async def test_the_instances_together_admit_the_quota_and_no_more(
     receivers: tuple[str, ...],
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
@@ -6,7 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, Protocol, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
@@ -17,6 +17,11 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
 
+    from azurefield_entry.gateway.peers.frames import FromPeer
+    from azurefield_entry.gateway.peers.links import PeerLinks
+    from azurefield_entry.gateway.quotas.frames import ShareAsked
+    from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+
 
 class Peer(Protocol):
     """One instance; ``stop`` ends it."""
@@ -61,6 +66,50 @@
         await self.serving
 
 
+class AsksPeers(Protocol):
+    """What an instance asks others with."""
+
+    peers: PeerLinks
+
+
+QuotasT = TypeVar("QuotasT", bound=AsksPeers)
+
+
+@dataclass(slots=True, kw_only=True)
+class QuotaInstance(Generic[QuotasT]):
+    """One instance that gets quota, with its service for the others; ``stop`` ends it."""
+
+    quotas: QuotasT
+    running: RunningService
+
+    @property
+    def service(self) -> CoordinatorService:
+        """The service for the other instances."""
+        return self.running.service
+
+    async def stop(self) -> None:
+        """Close the links to the others and stop the service."""
+        self.quotas.peers.close()
+        await self.running.stop()
+
+
+def serve_quotas(
+    address: str, quota_issuer: QuotaIssuer, answer_share: Callable[[ShareAsked], FromPeer]
+) -> RunningService:
+    """Run the service of an instance that others ask only for quota."""
+    service = CoordinatorService(
+        address=address,
+        version=lambda: 1,
+        run_request=refuse_request,  # type: ignore[arg-type]
+        quota_issuer=quota_issuer,
+        answer_share=answer_share,
+        on_crash_report=lambda _: None,
+        partitioned=lambda: False,
+        finish_timeout_s=0.1,
+    )
+    return RunningService(service=service)
+
+
 @asynccontextmanager
 async def running_peers(
     names: Iterable[str], build: Callable[[str, dict[str, str]], PeerT]
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -59,6 +59,8 @@
 class SlotClaims:
     """What one instance knows of the slots, and which ones it claims.
 
+    All times are those of the event loop's clock.
+
     :param own: the name of this instance
     :param refused: the slots that the store refused to give to this instance under the key known
         here; they are not claimed until their key is seen
@@ -144,9 +146,11 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class SlotTenure:
+class SlotLease:
     """The lease of one instance and the slots that it holds under it.
 
+    All times are of a clock that also counts while the machine is suspended.
+
     :param own: the name of this instance
     :param lease_s: length of the lease, which the store may change when it grants one
     :param lease: the number of the lease; None if there is none
--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -1,4 +1,4 @@
-"""Workspaces: the customers who share the tier, each with a priority and a quota of requests."""
+"""Workspaces: the customers of the gateway, each with a priority and a quota of requests."""
 
 from __future__ import annotations
 
@@ -23,7 +23,8 @@
 class RequestQuota:
     """How many requests of a workspace may run on all instances together.
 
-    In any time of ``t`` seconds, these are at most ``rate_per_s * t + burst``.
+    In any time of ``t`` seconds, these are at most ``rate_per_s * t + burst``, apart from what
+    ``QuotaBounds`` tolerates.
 
     :param rate_per_s: requests per second, above 0
     :param burst: requests that may run at once in addition, 0 or more
@@ -75,6 +76,9 @@
     :param workspaces: workspaces whose name can't be used or is given twice
     :param unusable_keys: keys that no header can carry unchanged
     :param shared_keys: keys of several workspaces
+
+    >>> print(LeftOutEntries(workspaces=1, shared_keys=2))
+    workspaces=1 unusable_keys=0 shared_keys=2
     """
 
     workspaces: int = 0
@@ -84,6 +88,12 @@
     def __bool__(self) -> bool:
         return self != LeftOutEntries()
 
+    def __str__(self) -> str:
+        return (
+            f"workspaces={self.workspaces} unusable_keys={self.unusable_keys}"
+            f" shared_keys={self.shared_keys}"
+        )
+
 
 @dataclass(slots=True, kw_only=True)
 class WorkspaceKeys:
