--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -88,7 +88,8 @@
         quotas = WorkspaceQuotas(
             own=name, peers=PeerLinks(view=view_of(name, {})), metrics=GatewayMetrics()
         )
-        first.add(quotas.choice.slots(0.0, "w", RequestQuota(rate_per_s=9.0, burst=9.0))[0])
+        quota = RequestQuota(rate_per_s=9.0, burst=9.0)
+        first.add(quotas.choice.slots(0.0, "w", quota, 1)[0])
     assert first == set(SLOTS)
 
 
