Claim no issuer slots once a planned stop has begun

Cause: the coordinator counted as listening until its process ended, so an instance that was stopping went on claiming slots. Change: it no longer counts as listening from the begin of a drain or stop; slots already held are issued to the end. Measured: the new test fails without the change and passes with it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -88,7 +88,8 @@
     :param partitioned: whether this instance reaches no server
     :param finish_timeout_s: how long a planned stop waits for running requests
     :param load: what callers may hold together; the bodies of accepted requests count
-    :param listening: whether the address is in use by this process, and so by no earlier one
+    :param listening: whether the address is in use by this process, and so by no earlier one; not
+        while a planned stop runs
     :param classify: returns the class of a request; None if it has no workspace
     :param on_share_refused: called for each request that exceeds its workspace's part
     """
@@ -124,8 +125,10 @@
                     self.send_heartbeats()
                 case BeginDrain():
                     self.draining = True
+                    self.listening = False
                 case Stop():
                     break
+        self.listening = False
         left = await self.finish_running()
         if left:
             log.error("{} forwarded requests did not end in time.", left)
@@ -139,7 +142,7 @@
     async def listen(self, mailbox: Mailbox) -> asyncio.Server | None:
         """Accept connections of other instances; None if the address can't be used."""
         server = await listen_for_instances(self.serve_link, self.address, mailbox)
-        self.listening = server is not None
+        self.listening = server is not None and not self.draining
         return server
 
     def on_tick(self, now: float) -> None:
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -350,6 +350,22 @@
         assert await waiting == Ok(ANSWER)
 
 
+@pytest.mark.parametrize("message", [BeginDrain(), Stop()], ids=["drain", "stop"])
+async def test_a_stopping_coordinator_no_longer_counts_as_reachable(
+    message: BeginDrain | Stop,
+) -> None:
+    """Guards against claims of issuer slots by an instance that is about to end."""
+    async with pair(Runner()) as instances:
+        target = ForwardTarget(instance="c1", accepts_until_deadline=True)
+        forwarded = instances.forwarding.forward(target, request(), ROUTE, VERSION)
+        waiting = asyncio.create_task(forwarded)
+        await wait_until(lambda: bool(instances.coordinator.links), what="the link")
+        assert instances.coordinator.listening
+        instances.mailbox.send(message)
+        await wait_until(lambda: not instances.coordinator.listening, what="the end of claims")
+        waiting.cancel()
+
+
 class FixedAdmission(SharedAdmission):
     """Keeps the parts that a test has set."""
 
