Refuse beyond a quota only if all its shares are empty

Cause: one empty share and two that did not reply gave 429, below the quota. Change: 429 needs a reply of each share, or that it is known to be empty; otherwise the request gets 503. Measured: the new cases fail without the change and pass with it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -136,7 +136,7 @@
         if isinstance(decision, QuotaGranted):
             self.metrics.workspace_quota_requests.labels("granted").inc()
             return None
-        if isinstance(decision, QuotaDenied) or self.choice.any_empty(now(), workspace.name):
+        if isinstance(decision, QuotaDenied):
             result, failure = "denied", self.over_quota(workspace.name, workspace.quota)
         else:
             result, failure = "unreachable", not_issued(workspace.name)
@@ -175,13 +175,10 @@
     async def ask_in_turn(self, requests: list[ShareRequest], wait_s: float) -> ShareDecision:
         """Ask one share after the other until a token is granted.
 
-        :return: granted, denied if all shares that have replied are empty, or not issued if none
-            has replied
+        :return: granted, denied if all shares are empty, or not issued if one has not replied
         """
-        if not requests:
-            return QuotaDenied(key=None, wait_s=0.0)
         asked: set[asyncio.Task[ShareDecision]] = set()
-        best: ShareDecision = QuotaNotIssued()
+        denied = 0
         slice_s = min(NEXT_SHARE_MAX_S, NEXT_SHARE_FRACTION * wait_s)
         try:
             for request in requests:
@@ -194,9 +191,11 @@
                     done, asked = await asyncio.wait(
                         asked, timeout=slice_s, return_when=asyncio.FIRST_COMPLETED
                     )
-                    best = max([best, *(ended.result() for ended in done)], key=usefulness)
-                    if isinstance(best, QuotaGranted):
-                        return best
+                    decisions = [ended.result() for ended in done]
+                    for decision in decisions:
+                        if isinstance(decision, QuotaGranted):
+                            return decision
+                    denied += sum(isinstance(one, QuotaDenied) for one in decisions)
                     if done and not last:
                         break
                     slices_left -= not done
@@ -205,7 +204,9 @@
         finally:
             for task in asked:
                 task.cancel()
-        return best
+        if denied == len(requests):
+            return QuotaDenied(key=None, wait_s=0.0)
+        return QuotaNotIssued()
 
     def silent(self, slot: int) -> bool:
         """Whether the holder of a slot did not reply in time lately."""
@@ -267,13 +268,3 @@
     """Build the failure of a request whose quota no instance has decided on."""
     detail = f"no instance issues the quota of workspace {workspace}"
     return refusal(FailureKind.NOT_READY, detail)
-
-
-def usefulness(decision: ShareDecision) -> int:
-    """Order decisions: a token first, then the knowledge that there is none."""
-    match decision:
-        case QuotaGranted():
-            return 2
-        case QuotaDenied():
-            return 1
-    return 0
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -11,9 +11,9 @@
 import pytest
 
 from azurefield.failures import FailureKind
-from azurefield.quota import QuotaGranted
+from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
-from azurefield.workspace_quota import QuotaNotIssued, ShareRequest
+from azurefield.workspace_quota import QuotaNotIssued, ShareDecision, ShareRequest
 from azurefield.workspaces import RequestQuota, Workspace
 from azurefield_entry.clock import lease_now
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -193,3 +193,48 @@
         await instances["i2"].stop()
         await instances["i3"].stop()
         assert await instances["i1"].admit() is FailureKind.NOT_READY
+
+
+class AnsweringQuotas(WorkspaceQuotas):
+    """Takes the replies of the shares from a table, each after a time in seconds."""
+
+    replies: dict[int, tuple[float, ShareDecision]]
+
+    async def ask(self, request: ShareRequest) -> ShareDecision:
+        delay_s, decision = self.replies[request.slot]
+        await asyncio.sleep(delay_s)
+        return decision
+
+
+def answering(*replies: tuple[float, ShareDecision]) -> AnsweringQuotas:
+    """Build the quotas of an instance that holds no slot."""
+    quotas = AnsweringQuotas(
+        own="i0", peers=PeerLinks(view=view_of("i0", {})), metrics=GatewayMetrics()
+    )
+    quotas.set_bounds(BOUNDS)
+    quotas.holders = HOLDERS
+    # The first request begins with the second share.
+    quotas.replies = dict(zip(SLOTS[1:] + SLOTS[:1], replies, strict=True))
+    return quotas
+
+
+EMPTY = QuotaDenied(key=None, wait_s=1.0)
+
+
+@pytest.mark.parametrize(
+    ("replies", "kind"),
+    [
+        ((EMPTY, EMPTY, EMPTY), FailureKind.QUOTA_EXCEEDED),
+        ((EMPTY, QuotaNotIssued(), QuotaNotIssued()), FailureKind.NOT_READY),
+        ((QuotaNotIssued(), EMPTY, EMPTY), FailureKind.NOT_READY),
+    ],
+    ids=["all-empty", "two-unreachable", "one-unreachable"],
+)
+async def test_a_quota_is_used_up_only_if_all_shares_are_empty(
+    replies: tuple[ShareDecision, ...], kind: FailureKind
+) -> None:
+    """Guards against 429 below the quota while issuers can't be reached."""
+    quotas = answering(*((0.0, reply) for reply in replies))
+    failure = await quotas.admit(make_request(workspace=WORKSPACE), 1, GOAL_S)
+    assert failure is not None
+    assert failure.kind is kind
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -187,10 +187,6 @@
         if request.version >= state.version:
             state.denied_until[request.slot] = now + wait_s
 
-    def any_empty(self, now: float, workspace: str) -> bool:
-        """Whether a share is known to have no token."""
-        return any(until > now for until in self.workspaces[workspace].denied_until.values())
-
     def retry_after_s(self, now: float, workspace: str, quota: RequestQuota) -> float:
         """Return when a refused caller should return.
 
