Run an accepted request only under its version; tell silent issuers from hurried ones

Cause: a request that was accepted under one version ran under the next one if that came into force before its task began; and an issuer whose turn was ended by another share's late reply counted as silent. Change: such a request ends as not run; only an issuer whose time ran out counts as silent. Measured: both new tests fail without the change and pass with it.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -9,7 +9,9 @@
 
 import msgspec
 from logbook import Logger
+from result import Err
 
+from azurefield.failures import FailureKind
 from azurefield.overload import LoopLag
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.sharing import RequestClass, SharedAdmission
@@ -42,6 +44,7 @@
     ShareAsked,
 )
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+from azurefield_entry.gateway.requests.outcomes import refusal
 from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Stop, send_every
 from azurefield_entry.log_limit import LineLimit
@@ -234,7 +237,7 @@
         activity_id = str(self.request_count)
         self.activity.begin(activity_id)
         link.send(RequestAccepted(number=frame.number))
-        task = asyncio.create_task(self.run_accepted(link, frame.number, request))
+        task = asyncio.create_task(self.run_accepted(link, frame, request))
         link.running[frame.number] = task
         task.add_done_callback(lambda _: self.end(link, frame.number, activity_id))
 
@@ -283,9 +286,22 @@
         running = len(self.activity.running)
         return left_s is not None and self.lag.accepts_necessary(now(), left_s, running)
 
-    async def run_accepted(self, link: AcceptedLink, number: int, request: GatewayRequest) -> None:
-        """Run a request and send its result."""
-        link.send(encode_result(number, await self.run_request(request)))
+    async def run_accepted(
+        self, link: AcceptedLink, frame: ForwardedRequest, request: GatewayRequest
+    ) -> None:
+        """Run a request and send its result; it is not run under another version."""
+        if self.version() != frame.version:
+            if self.busy_lines.allow(now()):
+                log.info(
+                    "Request id={} version={} is not run: version {} came into force.",
+                    request.request_id,
+                    frame.version,
+                    self.version(),
+                )
+            result: RequestResult = Err(refusal(FailureKind.NOT_READY, "the version has changed"))
+        else:
+            result = await self.run_request(request)
+        link.send(encode_result(frame.number, result))
 
     def end(self, link: AcceptedLink, number: int, activity_id: str) -> None:
         """Forget a request that has ended."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -199,7 +199,8 @@
                     if done and not last:
                         break
                     slices_left -= not done
-                if not task.done():
+                # Another share's late reply ends the turn of this one early.
+                if not task.done() and not slices_left:
                     self.on_silent(request.slot)
         finally:
             for task in asked:
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -366,6 +366,19 @@
         waiting.cancel()
 
 
+async def test_a_request_that_was_accepted_under_an_earlier_version_is_not_run() -> None:
+    """Guards against a run with the workspace or the quota of another version."""
+    runner = Runner()
+    runner.release.set()
+    async with pair(runner) as instances:
+        versions = iter([VERSION])
+        instances.coordinator.version = lambda: next(versions, VERSION + 1)
+        result = await instances.forward(request())
+        assert isinstance(result, Ok)
+        assert result.ok_value.err_value.outcome is Outcome.NOT_RUN
+        assert not runner.started
+
+
 class FixedAdmission(SharedAdmission):
     """Keeps the parts that a test has set."""
 
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -238,3 +238,14 @@
     failure = await quotas.admit(make_request(workspace=WORKSPACE), 1, GOAL_S)
     assert failure is not None
     assert failure.kind is kind
+
+
+async def test_a_late_denial_of_one_share_does_not_make_the_next_one_silent() -> None:
+    """Guards against issuers that are asked last although they had no time to reply."""
+    wait_s = 10.0
+    first_s = workspace_quotas.NEXT_SHARE_MAX_S + 0.002
+    granted = QuotaGranted(key=None)
+    quotas = answering((first_s, EMPTY), (0.015, EMPTY), (0.0, granted))
+    requests = quotas.share_requests("w", QUOTA, 1)
+    assert await quotas.ask_in_turn(requests, wait_s) == granted
+    assert quotas.silent_until.keys() == {HOLDERS[requests[0].slot]}
