Use other zones' coordinators only if all of the own zone were silent

During a series of configuration versions the coordinators of a zone refuse for a moment, and requests then went to other zones' coordinators.

--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -158,6 +158,35 @@
         assert await waiting == Ok(ANSWER)
 
 
+@pytest.mark.parametrize("message", [BeginDrain(), Stop()], ids=["drain", "stop"])
+async def test_a_stopping_coordinator_no_longer_counts_as_reachable(
+    message: BeginDrain | Stop,
+) -> None:
+    """Guards against claims of issuer slots by an instance that is about to end."""
+    async with pair(Runner()) as instances:
+        target = ForwardTarget(instance="c1", accepts_until_deadline=True)
+        forwarded = instances.forwarding.forward(target, request(), ROUTE, VERSION)
+        waiting = asyncio.create_task(forwarded)
+        await wait_until(lambda: bool(instances.coordinator.links), what="the link")
+        assert instances.coordinator.listening
+        instances.mailbox.send(message)
+        await wait_until(lambda: not instances.coordinator.listening, what="the end of claims")
+        waiting.cancel()
+
+
+async def test_a_request_that_was_accepted_under_an_earlier_version_is_not_run() -> None:
+    """Guards against a run with the workspace or the quota of another version."""
+    runner = Runner()
+    runner.release.set()
+    async with pair(runner) as instances:
+        versions = iter([VERSION])
+        instances.coordinator.version = lambda: next(versions, VERSION + 1)
+        result = await instances.forward(request())
+        assert isinstance(result, Ok)
+        assert result.ok_value.err_value.outcome is Outcome.NOT_RUN
+        assert not runner.started
+
+
 async def test_a_coordinator_without_memory_for_a_body_still_gets_other_requests() -> None:
     """Guards against a coordinator that is avoided, or a workspace charged, for one large body."""
     runner = Runner()
--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -24,8 +24,9 @@
 class CoordinatorChoice:
     """Chooses the coordinator with the shortest expected time to a result.
 
-    Those of the nearest zones are preferred as long as one of them takes requests. Otherwise those
-    of the other zones take part, so that a weak instance does not have to run the request itself.
+    Those of the nearest zones are preferred as long as one of them was not silent; one that refuses
+    requests, for instance under another version, is not. Otherwise those of the other zones take
+    part, so that a weak instance does not have to run the request itself.
 
     :param router: observes how the requests end that were forwarded
     :param silent: when the router's own backoff of each coordinator ends that was silent and has
@@ -46,13 +47,17 @@
         if self.view.own in nearest:
             return None
         nearest = tuple(name for name in nearest if name not in tried)
-        if self.router.any_responsive(now, nearest):
+        if not all(self.is_silent(now, name) for name in nearest):
             return self.router.choose(now, nearest)
         distant = self.view.distant_candidates(zones)
         return self.router.choose(
             now, nearest + tuple(name for name in distant if name not in tried)
         )
 
+    def is_silent(self, now: float, coordinator: str) -> bool:
+        """Whether a coordinator is avoided because it was silent."""
+        return coordinator in self.silent and self.router.view(coordinator).backoff_until > now
+
     def on_silent(self, now: float, coordinator: str) -> None:
         """Avoid a coordinator that has not accepted a request in time, or was lost under it."""
         view = self.router.view(coordinator)
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -121,11 +121,6 @@
         self.view(chosen).usual_s = known_median_s
         return chosen
 
-    def any_responsive(self, now: float, candidates: tuple[str, ...]) -> bool:
-        """Whether one of the candidates is responsive."""
-        median_latency_s = self.median_latency_s(candidates)
-        return any(self.is_responsive(now, server, median_latency_s) for server in candidates)
-
     def is_responsive(self, now: float, server: str, median_latency_s: float) -> bool:
         """Whether a server is neither in backoff after a failed call nor stalled."""
         view = self.view(server)
--- a/packages/azurefield/tests/test_coordinator_choice.py
+++ b/packages/azurefield/tests/test_coordinator_choice.py
@@ -150,5 +150,5 @@
     weak.router.on_result(ACCEPT_WAIT_S, late, CallResult.FAILED, ACCEPT_WAIT_S)
     weak.on_silent(ACCEPT_WAIT_S, late)
     weak.on_heard(late)
-    assert not weak.router.any_responsive(ACCEPT_WAIT_S + 0.5 * BACKOFF_BASE_S, (late,))
-    assert weak.router.any_responsive(ACCEPT_WAIT_S + 1.5 * BACKOFF_BASE_S, (late,))
+    backoff_s = weak.router.view(late).backoff_until - ACCEPT_WAIT_S
+    assert 0.5 * BACKOFF_BASE_S < backoff_s < 1.5 * BACKOFF_BASE_S
