Run an accepted request under the version that has admitted it

Cause: a coordinator accepted a forwarded request, and if another version came into force before its task began, the request ended as not run. Its forwarder passed this on as 503 instead of running it where it arrived. Change: the coordinator finds route and workspace when it accepts a request, refuses what its version does not admit before the acceptance, and runs the request with what it found. The separate callback that classified requests is gone.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -9,9 +9,9 @@
 
 import msgspec
 from logbook import Logger
-from result import Err
+from result import Err, Ok, Result
 
-from azurefield.failures import FailureKind
+from azurefield.failures import RequestFailure
 from azurefield.overload import LoopLag
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.sharing import RequestClass, SharedAdmission
@@ -45,7 +45,7 @@
     ShareAsked,
 )
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
-from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.gateway.requests.access import AdmittedRequest
 from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import BeginDrain, Stop, send_every
 from azurefield_entry.log_limit import LineLimit
@@ -78,14 +78,17 @@
     """Accepts the requests of other instances, runs them and returns their results.
 
     A request is refused, which guarantees that it does not run, while another version of the route
-    table is in force here, while this process is overloaded or reaches no server itself, and after
-    a planned stop has begun. While it is busy, workspaces that ask for more than their part are
-    refused what exceeds it. Some requests that no other instance is asked for are run in spite of
-    an overload if they may still end in time. A request is never passed on again.
+    table is in force here or does not admit it, while this process is overloaded or reaches no
+    server itself, and after a planned stop has begun. While it is busy, workspaces that ask for
+    more than their part are refused what exceeds it. Some requests that no other instance is asked
+    for are run in spite of an overload if they may still end in time. A request is never passed on
+    again.
 
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
-    :param run_request: runs a request; cancelling it cancels its calls
+    :param admit: finds the route and the workspace of a request in the version in force
+    :param run_request: runs an admitted request, also if another version comes into force
+        meanwhile; cancelling it cancels its calls
     :param quota_issuer: issues the quota of limited servers
     :param answer_share: decides on the request for a token of a workspace's quota
     :param on_crash_report: called with each crash report of another instance
@@ -94,13 +97,13 @@
     :param load: what callers may hold together; the bodies of accepted requests count
     :param listening: whether the address is in use by this process, and so by no earlier one; not
         while a planned stop runs
-    :param classify: returns the class of a request; None if it has no workspace
     :param on_share_refused: called for each request that exceeds its workspace's part
     """
 
     address: str
     version: Callable[[], int | None]
-    run_request: Callable[[GatewayRequest], Awaitable[RequestResult]]
+    admit: Callable[[GatewayRequest], Result[AdmittedRequest, RequestFailure]]
+    run_request: Callable[[AdmittedRequest], Awaitable[RequestResult]]
     quota_issuer: QuotaIssuer
     answer_share: Callable[[ShareAsked], FromPeer]
     on_crash_report: Callable[[CrashReportFrame], None]
@@ -112,7 +115,6 @@
     request_count: int = 0
     activity: Activity = field(default_factory=Activity)
     links: set[AcceptedLink] = field(default_factory=set)
-    classify: Callable[[GatewayRequest], RequestClass | None] = lambda _: None
     on_share_refused: Callable[[], None] = lambda: None
     admission: SharedAdmission = field(default_factory=SharedAdmission)
     busy_lines: LineLimit = field(default_factory=lambda: LineLimit(lines_per_s=1.0))
@@ -236,24 +238,40 @@
 
     def accept(self, link: AcceptedLink, frame: ForwardedRequest) -> None:
         """Start a request, or refuse it."""
-        request = decode_request(frame, now())
-        refusal = self.refuse(frame) or self.take_memory(link, frame)
-        if refusal is None:
-            # Only a request that could run is charged to its workspace.
-            refusal = self.refuse_excess(frame, request)
-            if refusal is not None:
-                self.load.memory.end_use((id(link), frame.number))
-        if refusal is not None:
-            link.send(refusal)
-            return
+        match self.admit_frame(link, frame):
+            case Err(refused):
+                link.send(refused)
+                return
+            case Ok(admitted):
+                pass
         self.request_count += 1
         activity_id = str(self.request_count)
         self.activity.begin(activity_id)
         link.send(RequestAccepted(number=frame.number))
-        task = asyncio.create_task(self.run_accepted(link, frame, request))
+        task = asyncio.create_task(self.run_accepted(link, frame.number, admitted))
         link.running[frame.number] = task
         task.add_done_callback(lambda _: self.end(link, frame.number, activity_id))
 
+    def admit_frame(
+        self, link: AcceptedLink, frame: ForwardedRequest
+    ) -> Result[AdmittedRequest, RequestRefused]:
+        """Admit a request and keep its body, or build its refusal."""
+        refused = self.refuse(frame)
+        if refused is not None:
+            return Err(refused)
+        match self.admit(decode_request(frame, now())):
+            case Err(failure):
+                return Err(RequestRefused(number=frame.number, detail=failure.detail))
+            case Ok(admitted):
+                pass
+        refused = self.take_memory(link, frame)
+        if refused is None:
+            # Only a request that could run is charged to its workspace.
+            refused = self.refuse_excess(frame, admitted)
+            if refused is not None:
+                self.load.memory.end_use((id(link), frame.number))
+        return Ok(admitted) if refused is None else Err(refused)
+
     def refuse(self, frame: ForwardedRequest) -> RequestRefused | None:
         """Build the refusal of a request that can't be run here; None if it can."""
         if self.draining:
@@ -267,11 +285,11 @@
         return RequestRefused(number=frame.number, detail=detail)
 
     def refuse_excess(
-        self, frame: ForwardedRequest, request: GatewayRequest
+        self, frame: ForwardedRequest, admitted: AdmittedRequest
     ) -> RequestRefused | None:
         """Build the refusal of a request that there is no room for; None if there is."""
         late = self.lag.overloaded(now())
-        within_share = self.accepts_share(request, late=late)
+        within_share = self.accepts_share(admitted, late=late)
         if (within_share and not late) or self.must_run(frame):
             return None
         if late:
@@ -288,10 +306,13 @@
             return None
         return no_memory(frame.number)
 
-    def accepts_share(self, request: GatewayRequest, *, late: bool) -> bool:
+    def accepts_share(self, admitted: AdmittedRequest, *, late: bool) -> bool:
         """Whether a request is within its workspace's part of what a busy process accepts."""
-        request_class = self.classify(request)
-        return request_class is None or self.admission.accepts(request_class, late=late)
+        workspace = admitted.request.workspace
+        if workspace is None:
+            return True
+        request_class = RequestClass.of(admitted.route.priority, workspace)
+        return self.admission.accepts(request_class, late=late)
 
     def must_run(self, frame: ForwardedRequest) -> bool:
         """Whether a request runs here in spite of an overload, as no other instance is asked."""
@@ -300,21 +321,10 @@
         return left_s is not None and self.lag.accepts_necessary(now(), left_s, running)
 
     async def run_accepted(
-        self, link: AcceptedLink, frame: ForwardedRequest, request: GatewayRequest
+        self, link: AcceptedLink, number: int, admitted: AdmittedRequest
     ) -> None:
-        """Run a request and send its result; it is not run under another version."""
-        if self.version() != frame.version:
-            if self.busy_lines.allow(now()):
-                log.info(
-                    "Request id={} version={} is not run: version {} came into force.",
-                    request.request_id,
-                    frame.version,
-                    self.version(),
-                )
-            result: RequestResult = Err(refusal(FailureKind.NOT_READY, "the version has changed"))
-        else:
-            result = await self.run_request(request)
-        link.send(encode_result(frame.number, result))
+        """Run a request under the version that has admitted it, and send its result."""
+        link.send(encode_result(number, await self.run_request(admitted)))
 
     def end(self, link: AcceptedLink, number: int, activity_id: str) -> None:
         """Forget a request that has ended."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -13,7 +13,6 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 from azurefield.routes import Route
-from azurefield.sharing import RequestClass
 from azurefield.workspaces import Workspace
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -147,18 +146,6 @@
             return Err(refusal(FailureKind.NOT_READY, "no workspace of the coordinator matches"))
         return Ok(admitted(request, route, table, workspace))
 
-    def classify(self, request: GatewayRequest, table: RouteTable | None) -> RequestClass | None:
-        """Return the class of a request that another instance forwards.
-
-        :return: None if it has no workspace or can't be admitted here
-        """
-        if request.workspace is None:
-            return None
-        match self.readmit(request, table):
-            case Ok(found):
-                return RequestClass.of(found.route.priority, found.request.workspace)
-        return None
-
     def log_refused(
         self, request: GatewayRequest, route: Route, version: int, result: LookupResult
     ) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -376,13 +376,9 @@
             return Err(refused)
         return await self.dispatcher.dispatch(request, route, version)
 
-    async def run_forwarded(self, request: GatewayRequest) -> RequestResult:
-        """Run a request that another instance has forwarded under the version in force here."""
-        match self.access.readmit(request, self.table):
-            case Err(failure):
-                return Err(failure)
-            case Ok(admitted):
-                return await self.runner.run(admitted.request, admitted.route, admitted.version)
+    async def run_forwarded(self, admitted: AdmittedRequest) -> RequestResult:
+        """Run a request that another instance has forwarded."""
+        return await self.runner.run(admitted.request, admitted.route, admitted.version)
 
     def publish_crash_report(self, report: CrashReport) -> None:
         """Send a crash report to all instances, directly and through the store."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -129,6 +129,7 @@
     return CoordinatorService(
         address=settings.coordinator_address,
         version=lambda: None if gateway.table is None else gateway.table.version,
+        admit=lambda request: gateway.access.readmit(request, gateway.table),
         run_request=gateway.run_forwarded,
         quota_issuer=gateway.quotas.issuer,
         answer_share=gateway.workspace_quotas.answer,
@@ -136,7 +137,6 @@
         partitioned=lambda: gateway.partition_watch.partitioned,
         finish_timeout_s=finish_timeout_s,
         load=caller_load,
-        classify=lambda request: gateway.access.classify(request, gateway.table),
         on_share_refused=gateway.metrics.share_refusals.inc,
     )
 
--- a/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
+++ b/packages/azurefield-entry/tests/gateway/test_crash_broadcast.py
@@ -19,6 +19,7 @@
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_testkit.entry_support.forwarding_pair import admit
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.processes import Processes
 from azurefield_testkit.waiting import accepts, wait_until
@@ -69,6 +70,7 @@
             service = CoordinatorService(
                 address=address,
                 version=lambda: 1,
+                admit=admit,
                 run_request=lambda _: asyncio.Future(),
                 quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
                 answer_share=lambda frame: ShareNotIssued(number=frame.number),
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/forwarding_pair.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/forwarding_pair.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from result import Ok
+from result import Ok, Result
 
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.merge import MergedParts
@@ -23,6 +23,7 @@
 from azurefield_entry.gateway.ports import GatewayRequest
 from azurefield_entry.gateway.quotas.frames import ShareNotIssued
 from azurefield_entry.gateway.quotas.issuer import QuotaIssuer
+from azurefield_entry.gateway.requests.access import AdmittedRequest
 from azurefield_entry.gateway.requests.running import RequestResult
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.entry_support.instance import free_address
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from azurefield.failures import RequestFailure
     from azurefield.workspaces import Workspace
 
 
@@ -57,13 +59,18 @@
 
     result: RequestResult = field(default_factory=lambda: ANSWER)
     release: asyncio.Event = field(default_factory=asyncio.Event)
-    started: list[GatewayRequest] = field(default_factory=list)
+    admitted: list[AdmittedRequest] = field(default_factory=list)
     cancelled: int = 0
     version: int | None = VERSION
 
-    async def run(self, request: GatewayRequest) -> RequestResult:
+    @property
+    def started(self) -> list[GatewayRequest]:
+        """The requests that were started, in order."""
+        return [admitted.request for admitted in self.admitted]
+
+    async def run(self, admitted: AdmittedRequest) -> RequestResult:
         """Keep a request until the release, then return the result."""
-        self.started.append(request)
+        self.admitted.append(admitted)
         try:
             await self.release.wait()
         except asyncio.CancelledError:
@@ -72,6 +79,11 @@
         return self.result
 
 
+def admit(request: GatewayRequest) -> Result[AdmittedRequest, RequestFailure]:
+    """Admit every request."""
+    return Ok(AdmittedRequest(request=request, route=ROUTE, version=VERSION))
+
+
 @dataclass(slots=True, kw_only=True)
 class Pair:
     """A forwarding instance and a running coordinator."""
@@ -97,6 +109,7 @@
     coordinator = CoordinatorService(
         address=address,
         version=lambda: runner.version,
+        admit=admit,
         run_request=runner.run,
         quota_issuer=QuotaIssuer(fraction=lambda _: 1.0),
         answer_share=lambda frame: ShareNotIssued(number=frame.number),
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/peers.py
@@ -11,6 +11,7 @@
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_testkit.entry_support.forwarding_pair import admit
 from azurefield_testkit.entry_support.instance import free_address
 from azurefield_testkit.waiting import accepts, wait_until
 
@@ -100,6 +101,7 @@
     service = CoordinatorService(
         address=address,
         version=lambda: 1,
+        admit=admit,
         run_request=refuse_request,  # type: ignore[arg-type]
         quota_issuer=quota_issuer,
         answer_share=answer_share,
