Relay configurations with digests in place of the keys

Cause: a relay frame was the store's reply, and so held the keys of workspaces in base64. In a frame the configuration is a JSON object; all fields but the keys are copied unread. An object is unreadable in the store's reply and a key is unreadable in a frame, so neither is taken for the other. A relay passes on what it has decoded, so keys of a relay of an earlier version stop there.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -37,11 +37,11 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreReplyReceived:
-    """From ``metadata`` to ``relay``: the store's reply to a watch, or the revision of a listing.
+    """From ``metadata`` to ``relay``: the changes in a watch's reply, or a listing's revision.
 
     :param after: the revision that was known before
-    :param encoded: the reply as the store sent it; empty if it holds no change
-    :param age_s: time since the store sent it; 0 unless another relay forwarded it
+    :param encoded: the changes as followers get them; empty if there are none
+    :param age_s: time since the store sent them; 0 unless another relay forwarded it
     :param era: the store's era; None if it names none
     """
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
@@ -1,5 +1,7 @@
 """The service ``relay`` and its client: instances forward changes of the store to others.
 
+The keys of workspaces are not among what they forward, only the keys' digests.
+
 If every instance watched the store, each change and each renewal of a watch would cost one call per
 instance. So a few instances of each availability zone watch the store, and the others follow one of
 them.
@@ -49,8 +51,9 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RelayFrame:
-    """The store's reply with the changes between two revisions; a heartbeat if these are equal.
+    """The changes of the store between two revisions; a heartbeat if these are equal.
 
+    :param encoded: the changes, with digests in place of the keys of workspaces
     :param age_s: time since the store confirmed the later revision
     :param era: the store's era; None if it names none
     """
@@ -79,7 +82,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class RelayService:
-    """Sends the store's replies to followers while this instance receives them itself.
+    """Sends the store's changes to followers while this instance receives them itself.
 
     :param address: ``host:port`` on which followers connect
     :param position: the last known revision; None while this instance receives no replies
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -334,19 +334,21 @@
                         return position, RelayLost(detail=malformed.detail)
                     case Ok(changes):
                         self.forward_changes(kernel, changes, age_s=frame.age_s)
-                        self.relay_frame(kernel, frame, position)
+                        self.relay_changes(kernel, changes, frame, position)
                         revision = max(position.revision, changes.revision)
                         position = position.advance(revision, frame.era)
         finally:
             link.close()
 
-    def relay_frame(self, kernel: Kernel, frame: RelayFrame, position: StorePosition) -> None:
-        """Pass a frame on to the followers of this instance, if it is a relay."""
+    def relay_changes(
+        self, kernel: Kernel, changes: Changes, frame: RelayFrame, position: StorePosition
+    ) -> None:
+        """Pass the changes in a frame on to the followers of this instance, if it is a relay."""
         if self.tree.is_relay:
             reply = StoreReplyReceived(
                 after=position.revision,
                 revision=frame.revision,
-                encoded=frame.encoded,
+                encoded=changes.encoded,
                 age_s=frame.age_s,
                 era=frame.era,
             )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -275,7 +275,8 @@
 class Changes:
     """What changed in the store, in order, up to ``revision``.
 
-    :param encoded: the store's reply, for ``decode_changes``; empty if it holds no change
+    :param encoded: the changes without keys of workspaces, for ``decode_changes`` of instances that
+        follow this one; empty if there are none
     :param era: rises when the store is restored from a copy; None if the store names none
     """
 
@@ -330,7 +331,7 @@
         """Wait up to ``wait_s`` for changes after a revision; return none if there were none."""
 
     def decode_changes(self, encoded: bytes) -> Result[Changes, MalformedReply]:
-        """Decode changes that a relay forwarded."""
+        """Decode changes that a relay forwarded; one of an earlier version may send keys."""
 
     async def new_lease(
         self, ttl_s: float
--- a/packages/azurefield-entry/tests/gateway/test_access.py
+++ b/packages/azurefield-entry/tests/gateway/test_access.py
@@ -13,7 +13,7 @@
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits, Route, RouteTable, SingleService
-from azurefield.workspaces import Workspace, WorkspaceEntry, WorkspaceKeys
+from azurefield.workspaces import KeyDigest, Workspace, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.forward_frames import decode_request, encode_request
@@ -31,7 +31,10 @@
 
 SECRET = "Kx7qPz2mWv9t"
 WORKSPACES = WorkspaceKeys.build(
-    [WorkspaceEntry(name="w1", keys=(SECRET,), priority=3), WorkspaceEntry(name="w2", keys=("k2",))]
+    [
+        WorkspaceEntry(name="w1", keys=(KeyDigest.of(SECRET),), priority=3),
+        WorkspaceEntry(name="w2", keys=(KeyDigest.of("k2"),)),
+    ]
 )
 
 
--- a/packages/azurefield-entry/tests/gateway/test_relay.py
+++ b/packages/azurefield-entry/tests/gateway/test_relay.py
@@ -167,7 +167,8 @@
     def decode_changes(self, encoded: bytes) -> Result[Changes, MalformedReply]:
         if encoded == b"rubbish":
             return Err(MalformedReply(detail="rubbish"))
-        return Ok(Changes(items=(InstanceEntry(instance="new"),), revision=int(encoded)))
+        new = InstanceEntry(instance="new")
+        return Ok(Changes(items=(new,), revision=int(encoded), encoded=encoded + b" decoded"))
 
     async def new_lease(self, ttl_s: float) -> Result[Lease, PlatformUnavailable]:  # noqa: ARG002
         return Ok(Lease(number=1))
@@ -302,6 +303,7 @@
 async def test_a_relay_that_follows_another_passes_its_changes_on_with_their_age() -> None:
     """Guards against followers of a relay that miss changes, or take them for newer than they are.
 
+    A relay of an earlier version may send keys, so what is passed on has been decoded before.
     Instance ``y0`` relays for its zone and follows the first instance of zone ``a`` or ``x``.
     """
     async with relay() as (upstream, address), relay() as (own, own_address):
@@ -324,8 +326,9 @@
         upstream.lookup("relay").send(
             StoreReplyReceived(after=5, revision=6, encoded=b"6", age_s=0.7)
         )
-        while (frame := await link.receive()).unwrap().encoded != b"6":
+        while not (frame := await link.receive()).unwrap().encoded:
             pass
+        assert frame.unwrap().encoded == b"6 decoded"
         assert frame.unwrap().age_s >= 0.7
         assert metadata.store.watches == 0  # type: ignore[attr-defined]
         await own.stop("metadata")
--- a/packages/azurefield/src/azurefield/store_position.py
+++ b/packages/azurefield/src/azurefield/store_position.py
@@ -6,9 +6,21 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import StrEnum
 
+ERA = re.compile(r"[0-9]{1,18}")
+
+
+def parse_era(text: str) -> int | None:
+    """Return the era that a reply of the store names; None if the text is no number.
+
+    >>> parse_era("3"), parse_era("")
+    (3, None)
+    """
+    return int(text) if ERA.fullmatch(text) else None
+
 
 def eras_differ(era: int | None, other: int | None) -> bool:
     """Whether two eras are known and differ."""
--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -59,12 +59,32 @@
     quota: RequestQuota | None = None
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class KeyDigest:
+    """What is known of a configured key without the key itself.
+
+    :param sha256: the digest of its text
+    :param usable: whether a header can carry the key unchanged
+
+    >>> KeyDigest.of("secret").usable, KeyDigest.of(" padded").usable
+    (True, False)
+    """
+
+    sha256: bytes
+    usable: bool
+
+    @classmethod
+    def of(cls, key: str) -> KeyDigest:
+        """Compute the digest of a key, which may hold any characters."""
+        return cls(sha256=digest_of_key(key), usable=HEADER_VALUE.fullmatch(key) is not None)
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class WorkspaceEntry:
     """A workspace with its keys, as configured."""
 
     name: str
-    keys: tuple[str, ...] = field(repr=False)
+    keys: tuple[KeyDigest, ...]
     priority: int | None = None
     quota: RequestQuota | None = None
 
@@ -101,7 +121,7 @@
 
     Only digests of the keys are kept, so that nothing that is written of this object shows a key.
 
-    >>> entry = WorkspaceEntry(name="w", keys=("secret",))
+    >>> entry = WorkspaceEntry(name="w", keys=(KeyDigest.of("secret"),))
     >>> workspaces = WorkspaceKeys.build([entry])
     >>> workspaces.find("secret").name, workspaces.find("other"), "secret" in repr(workspaces)
     ('w', None, False)
@@ -118,7 +138,7 @@
         names = Counter(entry.name for entry in entries)
         used = [entry for entry in entries if is_usable_name(entry.name) and names[entry.name] == 1]
         holders = Counter(key for entry in entries for key in frozenset(entry.keys))
-        usable = {key for key in holders if is_usable_key(key)}
+        usable = {key for key in holders if key.usable}
         by_name = {
             entry.name: Workspace(name=entry.name, priority=entry.priority, quota=entry.quota)
             for entry in used
@@ -126,7 +146,7 @@
         return cls(
             by_name=by_name,
             by_digest={
-                digest_of_key(key): by_name[entry.name]
+                key.sha256: by_name[entry.name]
                 for entry in used
                 for key in entry.keys
                 if key in usable and holders[key] == 1
@@ -148,11 +168,6 @@
     return sha256(key.encode(errors="surrogatepass")).digest()
 
 
-def is_usable_key(key: str) -> bool:
-    """Whether a header can carry a key unchanged."""
-    return HEADER_VALUE.fullmatch(key) is not None
-
-
 def is_usable_name(name: str) -> bool:
     """Whether a header can carry a name unchanged."""
     return len(name) <= NAME_CHARACTERS_MAX and HEADER_VALUE.fullmatch(name) is not None
--- a/packages/azurefield/tests/test_workspaces.py
+++ b/packages/azurefield/tests/test_workspaces.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from azurefield.workspaces import LeftOutEntries, RequestQuota, WorkspaceEntry, WorkspaceKeys
+from azurefield.workspaces import (
+    KeyDigest,
+    LeftOutEntries,
+    RequestQuota,
+    WorkspaceEntry,
+    WorkspaceKeys,
+)
 
 Keys = tuple[str, ...]
 SECRET = "Kx7qPz2mWv9t"
@@ -52,7 +58,10 @@
     entries: list[tuple[str, Keys]], expected: dict[str, str | None], left_out: dict[str, int]
 ) -> None:
     """Guards against a key that opens no workspace, or one that it does not belong to."""
-    workspaces = WorkspaceKeys.build(WorkspaceEntry(name=name, keys=keys) for name, keys in entries)
+    workspaces = WorkspaceKeys.build(
+        WorkspaceEntry(name=name, keys=tuple(KeyDigest.of(key) for key in keys))
+        for name, keys in entries
+    )
     found = {key: workspaces.find(key) for key in expected}
     assert {key: one and one.name for key, one in found.items()} == expected
     assert workspaces.left_out == LeftOutEntries(**left_out)
@@ -61,8 +70,8 @@
 
 def test_no_text_form_shows_a_key() -> None:
     """Guards against a key in a log line or an error that holds the text of an object."""
-    entry = WorkspaceEntry(name="a", keys=(SECRET,))
-    workspaces = WorkspaceKeys.build([entry, WorkspaceEntry(name="b", keys=(SECRET,))])
+    entry = WorkspaceEntry(name="a", keys=(KeyDigest.of(SECRET),))
+    workspaces = WorkspaceKeys.build([entry, WorkspaceEntry(name="b", keys=entry.keys)])
     text = f"{entry!r} {entry} {workspaces!r} {workspaces} {WorkspaceKeys.build([entry])!r}"
     assert not any(SECRET[at : at + 4] in text for at in range(len(SECRET) - 3))
 
--- a/tests/fleet/test_workspaces.py
+++ b/tests/fleet/test_workspaces.py
@@ -7,8 +7,11 @@
 
 import pytest
 
+from azurefield.store_position import StorePosition
+from azurefield_entry.gateway.metadata.relay import open_relay
 from azurefield_testkit.waiting import wait_until
 from gateway_process import Site, serving, serving_fleet
+from secret_forms import PART_LENGTH, shows_part
 from standins import config, route
 
 if TYPE_CHECKING:
@@ -19,8 +22,6 @@
 KEYS = {"w1": "Kx7qPz2mWv9tRb4n", "w2": "Jh3sDf8gLc5yNe6u"}
 NEW_KEY = "Qa1zXs2wEd3cVf4r"
 FORGED = "Ut6iOp7kMj8hBg5v"
-# Every secret is random, so that no other text contains a part of this length.
-PART_LENGTH = 6
 # Fewer than the slots of a leaf for each of three instances, so that the fleet needs coordinators.
 CONNECTIONS_MAX = 8
 
@@ -85,6 +86,20 @@
     return {request.get("tenant-id") for request in named}
 
 
+async def relayed(site: Site, after: int) -> bytes:
+    """Return what followers of an instance get about the changes after a revision."""
+    position = StorePosition(revision=after, era=site.store.era)
+    link = (await open_relay(f"127.0.0.1:{site.first_port}", position)).unwrap()
+    received = b""
+    revision = after
+    while revision < site.store.revision:
+        frame = (await link.receive()).unwrap()
+        received += frame.encoded
+        revision = frame.revision
+    link.close()
+    return received
+
+
 async def assert_nothing_shows_a_secret(*sites: Site) -> None:
     """Look for keys and forged names in the logs, the metrics and the leafs' requests."""
     for site in sites:
@@ -200,6 +215,7 @@
             assert workspaces_received(weak, f"q-{name}") == {name}
             assert "forwarded_to=n" in await weak.wait_for_line_of(f"q-{name}")
         assert await status_of(weak, "/l/x", "unknown", NEW_KEY) == 401
+        before = weak.store.revision
         # Versions follow one another while requests are forwarded between the instances.
         for version in range(3, 9):
             put_workspaces(weak, version, keys, connections_max=CONNECTIONS_MAX)
@@ -208,3 +224,6 @@
                 assert await status_of(weak, "/l/x", request_id, KEYS["w2"]) == 200
                 assert workspaces_received(weak, request_id) == {"w2"}
         await assert_nothing_shows_a_secret(*sites.values())
+        frames = await relayed(weak, before)
+        assert b"op/config" in frames
+        assert not any(shows_part(frames, key) for key in KEYS.values())
