Quote nothing of a malformed reply in the text of a failed call

Cause: aiohttp's messages quote what was received. After a reply of the store with a wrong length, a cut head or a bad chunk, the log line of the failed call held parts of the configuration, and so of keys. Change: errors of aiohttp that are no system errors are described by their kind only.

--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -41,6 +41,10 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """A reply whose status is not a final one."""
+
+
 class CheckedConnector(aiohttp.TCPConnector):
     """Uses no kept connection that may be silent, or on which something has arrived unasked.
 
@@ -181,16 +185,11 @@
 async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
     """Read a body; the rest of one of more than ``REPLY_BYTES_MAX`` bytes is not read.
 
-    :raises aiohttp.ClientResponseError: if the status is not a final one
+    :raises InvalidStatusError: if the status is not a final one
     """
     if not is_final_status(response.status):
         response.close()
-        raise aiohttp.ClientResponseError(
-            response.request_info,
-            response.history,
-            status=response.status,
-            message=f"status {response.status} is not a valid final HTTP status",
-        )
+        raise InvalidStatusError(f"status {response.status} is not a valid final HTTP status")
     body = await response.content.read(REPLY_BYTES_MAX + 1)
     while len(body) <= REPLY_BYTES_MAX and (chunk := await response.content.readany()):
         body += chunk
@@ -213,9 +212,15 @@
 
 
 def describe(error: BaseException) -> str:
-    """Describe a transport error in one line, even if its message is empty."""
+    """Describe a transport error in one line, even if its message is empty.
+
+    The messages of aiohttp's own errors are left out: they quote what was received, which may hold
+    keys of workspaces.
+    """
     if isinstance(error, asyncio.TimeoutError):
         return "no reply in time"
     if isinstance(error, aiohttp.ClientConnectorError):
         return f"no connection to {error.host}:{error.port}"
-    return str(error) or type(error).__name__
+    if isinstance(error, InvalidStatusError | OSError):
+        return str(error) or type(error).__name__
+    return f"malformed or incomplete HTTP reply ({type(error).__name__})"
