Count the wait of a watch from the store's last reply

Cause: a watch waited 2.5 s whenever it began. After a change it begins 0.25 s after the reply (1 s on an instance without its relays), so a connection that had gone silent in the pause was given up 3.55 s (4.3 s) after the reply, and contact with the store is counted for 4 s. Change: a watch waits less by the time since the store's last reply. Result: both cases of the new test failed before and pass now.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -15,6 +15,7 @@
 from azurefield.relay_tree import RelayTree
 from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.background import BackgroundTasks
+from azurefield_entry.clock import now
 from azurefield_entry.gateway.messages import (
     IssuerSlotsChanged,
     MetadataChanged,
@@ -46,8 +47,8 @@
     from azurefield_entry.kernel import Mailbox
     from azurefield_platform.failures import MalformedReply
 
-# Longest wait of one watch. A watch returns even without changes, so a connection on which nothing
-# arrives is noticed, and the store has been read over another one within 4 s.
+# Longest time between replies of the store. A watch returns even without changes, so a connection
+# on which nothing arrives is noticed, and the store has been read over another one within 4 s.
 WATCH_WAIT_S = 2.5
 # Pause after a change, so that changes close together are read with one call. Each call to the
 # store has a cost.
@@ -57,8 +58,8 @@
 FOLLOWER_CHANGE_BATCH_S = 1.0
 RETRY_BACKOFF_MIN_S = 0.1
 RETRY_BACKOFF_MAX_S = 0.8
-# Longest wait of one watch of an instance that others follow. With the heartbeats of two levels of
-# relays it bounds the age of the store's last reply at an instance.
+# The same time for an instance that others follow. With the heartbeats of two levels of relays it
+# bounds the age of the store's last reply at an instance.
 RELAY_WATCH_WAIT_S = 0.9
 # An instance that follows others is not needed by any other, so it may take longer to find out that
 # the store answers again.
@@ -84,6 +85,7 @@
     :param avoided_until: when each lost relay may be used again
     :param can_issue: whether other instances reach this process, so that it may hold issuer slots
     :param position: up to where the store's changes are known; kept while they are read again
+    :param read_at: when the store itself answered last; a watch waits less by the time since then
     :param history_unconfirmed: whether the next watch must return at once, since the store may have
         been restored meanwhile
     """
@@ -99,6 +101,7 @@
     relay_addresses: dict[str, str] = field(default_factory=dict)
     avoided_until: dict[str, float] = field(default_factory=dict)
     position: StorePosition | None = None
+    read_at: float = 0.0
     history_unconfirmed: bool = False
     own_entries: OwnEntries = field(init=False)
     issuer_slots: IssuerSlots = field(init=False)
@@ -165,6 +168,7 @@
         """
         match await self.store.list_all():
             case Ok(listing):
+                self.read_at = now()
                 restored = self.record_listing(listing)
                 after_outage = self.record_success() or restored
                 kernel.lookup("gateway").send(
@@ -218,6 +222,7 @@
                 notify(kernel, "relay", StoreWatchEnded())
                 return None
             case Ok(changes):
+                self.read_at = now()
                 self.history_unconfirmed = False
                 self.forward_changes(kernel, changes, age_s=0.0)
                 notify(
@@ -251,7 +256,8 @@
         """Return how long the next watch may wait for changes."""
         if self.history_unconfirmed:
             return 0.0
-        return RELAY_WATCH_WAIT_S if self.tree.is_relay else WATCH_WAIT_S
+        longest_s = RELAY_WATCH_WAIT_S if self.tree.is_relay else WATCH_WAIT_S
+        return max(0.0, longest_s - (now() - self.read_at))
 
     @property
     def change_batch_s(self) -> float:
@@ -282,9 +288,8 @@
 
     def choose_relay(self) -> str | None:
         """Choose an instance to follow; None if this instance has to watch the store itself."""
-        now = asyncio.get_running_loop().time()
         upstreams = self.tree.upstreams()
-        usable = [name for name in upstreams if self.avoided_until.get(name, now) <= now]
+        usable = [name for name in upstreams if self.avoided_until.get(name, 0.0) <= now()]
         return self.random.choice(usable) if usable else None
 
     async def follow_relay(
@@ -300,8 +305,7 @@
             relay,
             lost.detail,
         )
-        now = asyncio.get_running_loop().time()
-        self.avoided_until[relay] = now + RELAY_RETRY_DELAY_S
+        self.avoided_until[relay] = now() + RELAY_RETRY_DELAY_S
         self.history_unconfirmed = True
         return None if lost.store_restored else self.position
 
@@ -370,7 +374,7 @@
             log.info("The store answers again.")
         self.store_available = True
         self.backoff_s = RETRY_BACKOFF_MIN_S
-        self.metrics.store_contact_at.set(asyncio.get_running_loop().time())
+        self.metrics.store_contact_at.set(now())
         return after_outage
 
     async def record_failure(self, failure: object) -> None:
--- a/packages/azurefield-entry/tests/gateway/test_metadata.py
+++ b/packages/azurefield-entry/tests/gateway/test_metadata.py
@@ -7,7 +7,12 @@
 import pytest
 from result import Ok, Result
 
-from azurefield_entry.gateway.metadata.service import MetadataService
+from azurefield_entry.gateway.metadata.service import (
+    CHANGE_BATCH_S,
+    FOLLOWER_CHANGE_BATCH_S,
+    WATCH_WAIT_S,
+    MetadataService,
+)
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
     Changes,
@@ -16,8 +21,10 @@
     InstanceEntry,
     Lease,
     Listing,
+    Removed,
 )
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
+from azurefield_testkit.entry_support.store_followers import HOST, FakeStore, zone_entries
 from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -99,3 +106,49 @@
     finally:
         await kernel.stop("metadata")
         await kernel.stop("gateway")
+
+
+class ChangingStore(FakeStore):
+    """Answers the first two watches with a change, and records how long the watches may wait."""
+
+    def __init__(self, items: tuple[InstanceEntry, ...]) -> None:
+        super().__init__(items)
+        self.waits_s: list[float] = []
+
+    async def watch(
+        self, after: int, wait_s: float
+    ) -> Result[Changes, HistoryLost | PlatformUnavailable]:
+        self.waits_s.append(wait_s)
+        if len(self.waits_s) > 2:
+            return await super().watch(after, wait_s)
+        return Ok(Changes(items=(Removed(key=None),), revision=after + 1))
+
+
+@pytest.mark.parametrize(
+    ("items", "pause_s"),
+    [
+        pytest.param((), CHANGE_BATCH_S, id="small-zone"),
+        pytest.param(zone_entries(f"{HOST}:1"), FOLLOWER_CHANGE_BATCH_S, id="without-its-relays"),
+    ],
+)
+async def test_the_pause_after_a_change_does_not_delay_the_end_of_a_silent_watch(
+    items: tuple[InstanceEntry, ...], pause_s: float
+) -> None:
+    """Guards against an old configuration if connections to the store go silent in the pause.
+
+    The time in which that shows begins with the store's last reply, not with the next watch.
+    """
+    store, kernel = ChangingStore(items), Kernel()
+    entry = InstanceEntry(instance="c", availability_zone="z")
+    metadata = MetadataService(entry=entry, store=store, random=Random(1), metrics=GatewayMetrics())
+    kernel.register("gateway", Receiver())
+    kernel.register("metadata", metadata)
+    kernel.start()
+    try:
+        # An instance that has just lost a relay lets its watch return at once, and there are two.
+        await wait_until(lambda: len(store.waits_s) > 2, "the third watch has begun", limit_s=10.0)
+    finally:
+        await kernel.stop("metadata")
+        await kernel.stop("gateway")
+    # A timer may fire a little before its time.
+    assert 0.0 < store.waits_s[2] <= WATCH_WAIT_S - pause_s + 0.01
