Keep a floor for each class in the queue of a server's connections

A class of calls waited for as long as one of a higher priority asked for all connections, and its calls failed after a quarter of the latency goal. Each served call now credits every class that asks with 0.3 of its part of the waiting calls, and a class with a whole credit goes next. Without workspaces the order is as before.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -20,6 +20,7 @@
     workspace_requests: Counter = field(init=False)
     worst_workspaces: Gauge = field(init=False)
     share_refusals: Counter = field(init=False)
+    floor_calls: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     forwarded_other_zone: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
@@ -84,6 +85,11 @@
             "Forwarded requests refused while busy, beyond their workspace's part.",
             registry=registry,
         )
+        self.floor_calls = Counter(
+            "azurefield_gateway_floor_calls",
+            "Calls that went before others with precedence, for the floor of their class.",
+            registry=registry,
+        )
         self.forwarded = Counter(
             "azurefield_gateway_forwarded",
             "Requests forwarded to a coordinator by how that ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
@@ -13,6 +13,7 @@
 from azurefield.held_memory import HeldMemory
 from azurefield.reachability import ServerContacts
 from azurefield.routes import ServiceLimits
+from azurefield.sharing import SharedQueue
 from azurefield_entry.backends.pool import ConnectionPool
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
@@ -80,6 +81,7 @@
                 connect=partial(self.connect, entry.server, entry.address),
                 ceiling=self.ceiling(entry.server),
                 idle_max_s=policies.CONNECTION_IDLE_MAX_S,
+                waiting=SharedQueue(on_out_of_turn=self.metrics.floor_calls.inc),
             )
             self.pools[entry.server] = pool
         return pool
--- a/packages/azurefield/src/azurefield/fairness.py
+++ b/packages/azurefield/src/azurefield/fairness.py
@@ -168,6 +168,11 @@
             if flow.items:
                 yield flow.items[0][1]
 
+    def head(self, member: str) -> ItemT | None:
+        """Return the first queued item of a member; None if it has none."""
+        flow = self.flows.get(member)
+        return flow.items[0][1] if flow is not None and flow.items else None
+
     def remove(self, member: str, item: ItemT) -> bool:
         """Drop an item without charging for it.
 
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import accumulate
 from math import exp, inf
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from azurefield.fairness import FairQueue
+from azurefield.floor_credits import ClassKey, FloorCredits
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -68,18 +70,25 @@
 class SharedQueue(Generic[ItemT]):
     """Queues items by priority, then by start-time fair queueing over workspaces, then by arrival.
 
+    Once a workspace has queued items, each class keeps a floor: a class that was served less goes
+    next, whatever its priority. Such an item is not charged to its workspace.
+
     >>> queue: SharedQueue[str] = SharedQueue()
     >>> for workspace, item in (("a", "a1"), ("a", "a2"), ("b", "b1")):
     ...     queue.push(RequestClass(priority=1, workspace=workspace), item)
     >>> queue.push(RequestClass(priority=0, workspace="a"), "urgent")
     >>> [queue.pop(0.0) for _ in range(4)]
     ['urgent', 'a1', 'b1', 'a2']
+
+    :param on_out_of_turn: called for each item that the floor of its class has let go first
     """
 
     by_priority: dict[int, FairQueue[ItemT]] = field(default_factory=dict)
     weights: dict[str, float] = field(default_factory=dict)
     unweighted: set[str] = field(default_factory=set)
     largest_weight: float = 0.0
+    floors: FloorCredits = field(default_factory=lambda: FloorCredits(fraction=FLOOR_FRACTION))
+    on_out_of_turn: Callable[[], None] = lambda: None
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self.by_priority.values())
@@ -91,6 +100,8 @@
             queue = self.by_priority[request_class.priority] = FairQueue(weights=self.weights)
         self.set_weight(request_class.workspace, request_class.weight)
         queue.push(request_class.workspace, 1.0, item)
+        if request_class.workspace or any(key.workspace for key in self.floors.uses):
+            self.floors.on_queued(key_of(request_class))
 
     def set_weight(self, workspace: str, weight: float | None) -> None:
         """Set a workspace's weight; those without one follow the largest."""
@@ -106,18 +117,41 @@
 
     def first(self, now: float) -> ItemT | None:
         """Return the item that ``pop`` would remove; None if none is queued."""
-        if not self.by_priority:
-            return None
-        return self.by_priority[min(self.by_priority)].peek(now)
+        key = self.next_class(now)
+        return None if key is None else self.by_priority[key.priority].head(key.workspace)
 
     def pop(self, now: float) -> ItemT | None:
         """Remove and return the next item; None if none is queued."""
+        key = self.next_class(now)
+        if key is None:
+            return None
+        queue = self.by_priority[key.priority]
+        item = queue.head(key.workspace)
+        if key == self.by_precedence(now):
+            queue.pop(now)
+        elif item is not None:
+            queue.remove(key.workspace, item)
+            self.on_out_of_turn()
+        self.floors.on_served(now, key)
+        self.forget_empty(key.priority)
+        return item
+
+    def next_class(self, now: float) -> ClassKey | None:
+        """Return the class whose first item is next; None if none is queued."""
+        return self.floors.overdue(self.waits) or self.by_precedence(now)
+
+    def by_precedence(self, now: float) -> ClassKey | None:
+        """Return the class that is next by priority and weight; None if none is queued."""
         if not self.by_priority:
             return None
         priority = min(self.by_priority)
-        item = self.by_priority[priority].pop(now)
-        self.forget_empty(priority)
-        return item
+        workspace = self.by_priority[priority].next_member(now)
+        return None if workspace is None else ClassKey(priority=priority, workspace=workspace)
+
+    def waits(self, key: ClassKey) -> bool:
+        """Whether an item of a class is queued."""
+        queue = self.by_priority.get(key.priority)
+        return queue is not None and queue.head(key.workspace) is not None
 
     def remove(self, request_class: RequestClass, item: ItemT) -> bool:
         """Drop an item, which its workspace is not charged for.
@@ -140,6 +174,11 @@
             self.largest_weight = 0.0
 
 
+def key_of(request_class: RequestClass) -> ClassKey:
+    """Return what identifies a class, whatever its weight."""
+    return ClassKey(priority=request_class.priority, workspace=request_class.workspace)
+
+
 def divide(capacity: float, demand: Mapping[RequestClass, float]) -> dict[RequestClass, float]:
     """Divide a capacity among classes of requests; all numbers are requests per second.
 
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -216,3 +216,12 @@
     while queue.pop(0.0) is not None:
         pass
     assert (queue.first(0.0), queue.by_priority, queue.weights) == (None, {}, {})
+
+
+def test_without_workspaces_a_queue_goes_by_priority_alone() -> None:
+    """Guards against a floor in deployments whose configuration has no workspaces."""
+    queue: SharedQueue[int] = SharedQueue()
+    for _ in range(50):
+        for priority in (0, 1):
+            queue.push(RequestClass(priority=priority), priority)
+    assert [queue.pop(0.0) for _ in range(100)] == [0] * 50 + [1] * 50
