--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -19,11 +19,16 @@
 
 # Fraction of an equal service that each class of requests keeps, whatever its priority.
 FLOOR_FRACTION = 0.3
-# Lateness of a tick at which the capacity stays: below it rises, above it falls.
+# Lateness of a tick at which the capacity for forwarded requests stays.
 LATE_TARGET_S = 0.03
 # By how much the capacity changes in an interval: in proportion to the distance from the target.
-CAPACITY_GAIN = 0.05
-CAPACITY_FALL_MAX = 0.15
+CAPACITY_GAIN = 0.02
+CAPACITY_FALL_MAX = 0.05
+# The room that is divided follows the lateness at once. Without this the load swings, since a
+# backlog shows only in the intervals after the one that caused it.
+ROOM_GAIN = 0.3
+ROOM_FALL_MAX = 0.8
+ROOM_RISE_MAX = 0.2
 # A capacity that exceeds the demand by this factor is no limit any more.
 UNLIMITED_FACTOR = 1.5
 # Time constant of the averages of demand and accepted requests.
@@ -244,6 +249,7 @@
     Protects against more requests than the process runs in time, also from one workspace
     alone. The capacity follows from how late the process is in each interval.
 
+    :param late_target_s: lateness at which the capacity stays; above it falls, below it rises
     :param capacity_per_s: requests that are accepted per second; infinite while there is no limit
     :param demand: average requests per second of each class
     :param accepted_per_s: average of the accepted requests per second
@@ -252,6 +258,7 @@
     :param was_late: whether the process was late in the last interval; a single one limits nothing
     """
 
+    late_target_s: float = LATE_TARGET_S
     capacity_per_s: float = inf
     demand: dict[RequestClass, float] = field(default_factory=dict)
     accepted_per_s: float = 0.0
@@ -292,16 +299,17 @@
             return
         elapsed_s = now - began_at
         self.average(elapsed_s)
-        change = CAPACITY_GAIN * (1.0 - late_s / LATE_TARGET_S)
-        late_again = self.was_late and late_s > LATE_TARGET_S
-        self.was_late = late_s > LATE_TARGET_S
+        distance = 1.0 - late_s / self.late_target_s
+        late_again = self.was_late and late_s > self.late_target_s
+        self.was_late = late_s > self.late_target_s
         if late_again:
             self.capacity_per_s = min(self.capacity_per_s, self.accepted_per_s)
-        self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, change)
+        self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * distance)
         self.capacity_per_s = max(CAPACITY_MIN_PER_S, self.capacity_per_s)
         if self.capacity_per_s > UNLIMITED_FACTOR * sum(self.demand.values()):
             self.capacity_per_s = inf
-        self.set_parts(elapsed_s)
+        change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * distance))
+        self.set_parts(elapsed_s, self.capacity_per_s * (1.0 + change))
 
     def average(self, elapsed_s: float) -> None:
         """Add an interval to the averages."""
@@ -321,12 +329,12 @@
         self.asked.clear()
         self.accepted = 0
 
-    def set_parts(self, elapsed_s: float) -> None:
-        """Divide the capacity, and add to the credits of the classes that are limited."""
+    def set_parts(self, elapsed_s: float, room_per_s: float) -> None:
+        """Divide the room, and add to the credits of the classes that are limited."""
         if self.capacity_per_s == inf:
             self.parts, self.credits = {}, {}
             return
-        parts = divide(self.capacity_per_s, self.demand)
+        parts = divide(room_per_s, self.demand)
         self.parts = {
             request_class: part
             for request_class, part in parts.items()
