Refuse requests of callers at once while an instance is busy by its own work

The service edge follows the event loop while the configuration has workspaces, and refuses what exceeds a workspace's part, or would pass its deadline, with 503 before its quota is asked or anything is sent.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -21,6 +21,7 @@
     worst_workspaces: Gauge = field(init=False)
     share_refusals: Counter = field(init=False)
     floor_calls: Counter = field(init=False)
+    edge_refusals: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     forwarded_other_zone: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
@@ -90,6 +91,12 @@
             "Calls that went before others with precedence, for the floor of their class.",
             registry=registry,
         )
+        self.edge_refusals = Counter(
+            "azurefield_gateway_edge_refusals",
+            "Requests of callers refused at once while this process was busy, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.forwarded = Counter(
             "azurefield_gateway_forwarded",
             "Requests forwarded to a coordinator by how that ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -18,6 +18,7 @@
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import GatewayRequest
+from azurefield_entry.gateway.requests.edge import EdgeService
 from azurefield_entry.gateway.requests.outcomes import refusal
 from azurefield_entry.gateway.requests.workspace_results import WorkspaceResults
 from azurefield_entry.log_limit import LineLimit
@@ -79,17 +80,20 @@
     Keys go no further than this class: an admitted request has its workspace instead.
 
     :param store_age_s: returns the time since the store last answered
+    :param edge: refuses requests while this process is too busy for them
     """
 
     metrics: GatewayMetrics
     store_age_s: Callable[[], float]
     results: WorkspaceResults = field(init=False)
+    edge: EdgeService = field(init=False)
     refused_lines: LineLimit = field(
         default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
     )
 
     def __post_init__(self) -> None:
         self.results = WorkspaceResults(metrics=self.metrics)
+        self.edge = EdgeService(metrics=self.metrics)
 
     def admit(
         self, request: GatewayRequest, table: RouteTable | None
@@ -108,10 +112,18 @@
         lookup = self.look_up(request, route, table.workspaces)
         self.metrics.key_lookups.labels(lookup.result).inc()
         if lookup.admits:
-            return Ok(admitted(request, route, table, lookup.workspace))
+            return self.admit_in_time(admitted(request, route, table, lookup.workspace))
         self.log_refused(request, route, table.version, lookup.result)
         return Err(key_failure(lookup.result))
 
+    def admit_in_time(self, found: AdmittedRequest) -> Result[AdmittedRequest, RequestFailure]:
+        """Admit a request unless this process is too busy for it."""
+        refused = self.edge.refuse(found.request, found.route)
+        if refused is None:
+            return Ok(found)
+        self.results.record(found.request.workspace, Err(refused))
+        return Err(refused)
+
     def look_up(
         self, request: GatewayRequest, route: Route, workspaces: WorkspaceKeys
     ) -> KeyLookup:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -94,6 +94,7 @@
     services: dict[str, Service] = {
         "settings": ReloadService(load=load, current=settings),
         "gateway": gateway,
+        "edge": gateway.access.edge,
         "workspace-quotas": gateway.workspace_quotas,
         "metadata": make_metadata(settings, adapters.store, random, metrics, coordinator),
         "front": GatewayFront(
--- a/packages/azurefield-entry/tests/gateway/test_access.py
+++ b/packages/azurefield-entry/tests/gateway/test_access.py
@@ -13,8 +13,10 @@
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits, Route, RouteTable, SingleService
+from azurefield.sharing import RequestClass, SharedAdmission
 from azurefield.workspaces import Workspace, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.clock import now
+from azurefield_entry.gateway.callers.failure_response import write_failure
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.forward_frames import decode_request, encode_request
 from azurefield_entry.gateway.ports import CallerKey, GatewayRequest, OpaqueAnswer
@@ -63,6 +65,24 @@
     return make_request(path, caller_key=CallerKey(value=key, headers=headers), **changes)
 
 
+async def test_a_busy_instance_refuses_what_exceeds_a_workspace_s_part_as_not_run() -> None:
+    """Guards against a refusal that is not true or not counted, and against other requests."""
+    busy = access()
+    greedy = RequestClass.of(3, WORKSPACES.by_name["w1"])
+    busy.edge.admission.shared = SharedAdmission(
+        capacity_per_s=10.0, parts={greedy: 5.0}, credits={greedy: 0.0}
+    )
+    refused = busy.admit(request("/keyed/1", SECRET), table())
+    assert isinstance(refused, Err)
+    answer = write_failure(refused.err_value)
+    assert (answer.status, result_of(refused)) == (503, WorkspaceResult.REFUSED)
+    assert 0.1 <= float(answer.headers["Retry-After"]) <= 1.0
+    assert busy.results.ratios.counts["w1"].asked == 1
+    for path, key in (("/keyed/1", "k2"), ("/public/1", SECRET)):
+        assert isinstance(busy.admit(request(path, key), table()), Ok)
+    assert isinstance(busy.admit(request("/keyed/1", SECRET), table(None)), Ok)
+
+
 @pytest.mark.parametrize(
     ("path", "key", "workspace"),
     [("/keyed/1", SECRET, "w1"), ("/keyed/1", "k2", "w2"), ("/public/1", SECRET, None)]
