Check that tests find weakened copies of the division, the pace and the coordinators' choice

A pace that ignores slow answers passes the simulation of callers, since routers weigh latency anyway; only the check of the share itself finds it.

--- a/packages/azurefield/tests/test_coordinator_choice.py
+++ b/packages/azurefield/tests/test_coordinator_choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
@@ -25,7 +25,9 @@
 TROUBLE_FROM_S, TROUBLE_UNTIL_S, END_S = 10.0, 15.0, 30.0
 
 
-def choice(own: str, seed: int) -> CoordinatorChoice:
+def choice(
+    own: str, seed: int, kind: type[CoordinatorChoice] = CoordinatorChoice
+) -> CoordinatorChoice:
     """The choice of a weak instance in a fleet with two strong instances a zone."""
     view = CoordinatorView(own=own)
     for zone in ZONES:
@@ -39,9 +41,7 @@
                     coordinator_address="192.0.2.1:1",
                 )
             )
-    return CoordinatorChoice(
-        view=view, router=OwnObservationRouter(random=Random(seed), failure_cost_s=1.0)
-    )
+    return kind(view=view, router=OwnObservationRouter(random=Random(seed), failure_cost_s=1.0))
 
 
 @dataclass(slots=True, kw_only=True)
@@ -54,12 +54,13 @@
 
     troubled: Collection[str]
     silent: bool
+    kind: type[CoordinatorChoice] = CoordinatorChoice
     random: Random = field(default_factory=lambda: Random(1))
     sent: dict[int, Counter[str]] = field(default_factory=dict)
 
     def run(self) -> None:
         """Simulate all requests."""
-        choices = [choice(f"a-weak{number}", number) for number in range(INSTANCES)]
+        choices = [choice(f"a-weak{number}", number, self.kind) for number in range(INSTANCES)]
         events: list[tuple[float, int, int, tuple[str, CallResult, float] | None]] = []
         for number in range(INSTANCES):
             heappush(events, (self.random.expovariate(REQUESTS_PER_S), number, number, None))
@@ -113,27 +114,69 @@
 DISTANT = tuple(f"{zone}-strong{number}" for zone in "bc" for number in range(2))
 
 
+def moves_within_the_zone(kind: type[CoordinatorChoice], *, silent: bool = True) -> bool:
+    """Whether requests leave one coordinator in trouble for the others of its zone."""
+    simulation = Simulation(troubled=NEAREST[:1], silent=silent, kind=kind)
+    simulation.run()
+    before = simulation.share(NEAREST[:1], 5.0, TROUBLE_FROM_S)
+    beside = simulation.share(NEAREST[:1], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S)
+    return before > 0.3 and beside < 0.15 and simulation.share(DISTANT, 0.0, END_S) == 0.0
+
+
+def spreads_over_other_zones(kind: type[CoordinatorChoice]) -> bool:
+    """Whether requests leave a zone just while none of its coordinators answers."""
+    simulation = Simulation(troubled=NEAREST, silent=True, kind=kind)
+    simulation.run()
+    settled = (TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S)
+    return (
+        simulation.share(DISTANT, 0.0, TROUBLE_FROM_S) == 0.0
+        and simulation.share(NEAREST, *settled) < 0.25
+        and all(0.1 < simulation.share([name], *settled) < 0.4 for name in DISTANT)
+        and simulation.share(DISTANT, TROUBLE_UNTIL_S + 3.0, END_S) == 0.0
+    )
+
+
 @pytest.mark.parametrize("silent", [False, True], ids=["slow", "silent"])
 def test_requests_move_away_from_one_coordinator_in_trouble_and_stay_in_the_zone(
     silent: bool,
 ) -> None:
     """Guards against an instance that keeps to a coordinator which answers late or not at all."""
-    simulation = Simulation(troubled=NEAREST[:1], silent=silent)
-    simulation.run()
-    assert simulation.share(NEAREST[:1], 5.0, TROUBLE_FROM_S) > 0.3
-    assert simulation.share(NEAREST[:1], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.15
-    assert simulation.share(DISTANT, 0.0, END_S) == 0.0
+    assert moves_within_the_zone(CoordinatorChoice, silent=silent)
 
 
 def test_requests_spread_over_other_zones_while_no_coordinator_of_the_zone_answers() -> None:
     """Guards against a zone that fails as a whole, and against one instance that takes it all."""
-    simulation = Simulation(troubled=NEAREST, silent=True)
-    simulation.run()
-    assert simulation.share(DISTANT, 0.0, TROUBLE_FROM_S) == 0.0
-    assert simulation.share(NEAREST, TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.25
-    for name in DISTANT:
-        assert 0.1 < simulation.share([name], TROUBLE_FROM_S + 2.0, TROUBLE_UNTIL_S) < 0.4
-    assert simulation.share(DISTANT, TROUBLE_UNTIL_S + 3.0, END_S) == 0.0
+    assert spreads_over_other_zones(CoordinatorChoice)
+
+
+class ForgetsSilence(CoordinatorChoice):
+    """Leaves it to the router when to avoid a coordinator that was silent."""
+
+    def on_silent(self, now: float, coordinator: str) -> None:
+        pass
+
+
+class LeavesTheZoneEarly(CoordinatorChoice):
+    """Asks other zones as soon as one coordinator of the nearest was silent."""
+
+    def choose(self, now: float, zones: Collection[str], tried: Collection[str] = ()) -> str | None:
+        if any(self.is_silent(now, name) for name in self.view.candidates(zones)):
+            return self.router.choose(now, self.view.distant_candidates(zones))
+        return CoordinatorChoice.choose(self, now, zones, tried)
+
+
+@pytest.mark.parametrize(
+    ("weakened", "check"),
+    [
+        (ForgetsSilence, spreads_over_other_zones),
+        (LeavesTheZoneEarly, moves_within_the_zone),
+    ],
+)
+def test_the_same_checks_find_a_weakened_choice(
+    weakened: type[CoordinatorChoice], check: Callable[[type[CoordinatorChoice]], bool]
+) -> None:
+    """Guards against checks that would pass without the decision."""
+    assert not check(weakened)
 
 
 def test_the_instance_that_is_a_nearest_coordinator_runs_its_requests_itself() -> None:
--- a/packages/azurefield/tests/test_server_pace.py
+++ b/packages/azurefield/tests/test_server_pace.py
@@ -6,10 +6,11 @@
 from heapq import heappop, heappush
 from itertools import count, pairwise
 from random import Random
+from typing import TYPE_CHECKING
 
 import pytest
 
-from azurefield.call_result import CallResult, result_of
+from azurefield.call_result import FAILURE_RESULTS, CallResult, result_of
 from azurefield.failures import LeafFailure, LeafFailureReason
 from azurefield.model import Outcome
 from azurefield.routing import OwnObservationRouter
@@ -24,6 +25,9 @@
     ServerPace,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 USUAL_S = 0.01
 NO_CAPACITY = LeafFailure(reason=LeafFailureReason.NO_CAPACITY, outcome=Outcome.NOT_RUN)
 LEAF = ("new", "w1", "w2")
@@ -75,14 +79,24 @@
     assert pace.share(2.0 + 2 * HOLD_S, "new") > before / 2
 
 
+def rises_no_faster_than_the_ramp(
+    pace: type[AdaptivePace], result: CallResult, latency_s: float
+) -> bool:
+    """Whether good answers in turn with others of a kind leave the share at that of the ramp."""
+    rising, ramp = pace(), FixedRamp()
+    for each in (rising, ramp):
+        each.begin(0.0, "new", 0.0)
+    for step in range(200):
+        rising.on_result(0.01 * (step + 1), "new", result, latency_s, USUAL_S)
+        if result in FAILURE_RESULTS:
+            answer(rising, 0.01 * (step + 1))
+    return rising.share(2.0, "new") <= ramp.share(2.0, "new") + SHARE_MIN
+
+
 @pytest.mark.parametrize("result", [CallResult.ANSWERED, CallResult.CANCELLED], ids=str)
 def test_slow_answers_do_not_double_the_share(result: CallResult) -> None:
     """Guards against a slow server whose load rises as fast as that of a sound one."""
-    pace, ramp = begin(), FixedRamp()
-    ramp.begin(0.0, "new", 0.0)
-    for step in range(200):
-        pace.on_result(0.01 * (step + 1), "new", result, 3 * USUAL_S, USUAL_S)
-    assert pace.share(2.0, "new") <= ramp.share(2.0, "new") + SHARE_MIN
+    assert rises_no_faster_than_the_ramp(AdaptivePace, result, 3 * USUAL_S)
 
 
 def test_each_failure_makes_the_next_doubling_rarer() -> None:
@@ -261,12 +275,16 @@
     assert max(slow.share[4:]) < 0.1
 
 
+def begins_with_little(pace: type[AdaptivePace], instances: int = 85) -> bool:
+    """Whether a server that has started gets few calls at first."""
+    begun = simulate(pace, instances=instances, per_s=1000.0, factor=4.0)
+    return begun.share[0] < 0.5 / 3 and sum(begun.share[:4]) / 4 < 0.75 / 3
+
+
 @pytest.mark.parametrize("instances", [1, 4, 85])
 def test_all_instances_together_begin_with_little(instances: int) -> None:
     """Guards against a crowd of first calls from many instances that each send only a few."""
-    begun = simulate(AdaptivePace, instances=instances, per_s=1000.0, factor=4.0)
-    assert begun.share[0] < 0.5 / 3
-    assert sum(begun.share[:4]) / 4 < 0.75 / 3
+    assert begins_with_little(AdaptivePace, instances)
 
 
 @pytest.mark.parametrize("per_s", [600.0, 1150.0], ids=["with-room", "at-the-limit"])
@@ -274,3 +292,57 @@
     """Guards against instances that raise and cut the load of a server together."""
     settled = simulate(AdaptivePace, instances=20, per_s=per_s, length_s=10.0).share[16:]
     assert max(settled) - min(settled) < 0.2
+
+
+class IgnoresSlowness(AdaptivePace):
+    """Takes each answer for a good one."""
+
+    def on_result(
+        self,
+        now: float,
+        server: str,
+        result: CallResult,
+        latency_s: float,
+        usual_s: float | None,  # noqa: ARG002
+    ) -> None:
+        AdaptivePace.on_result(self, now, server, result, latency_s, None)
+
+
+class IgnoresFailures(AdaptivePace):
+    """Counts only answers."""
+
+    def on_result(
+        self, now: float, server: str, result: CallResult, latency_s: float, usual_s: float | None
+    ) -> None:
+        if result is CallResult.ANSWERED:
+            AdaptivePace.on_result(self, now, server, result, latency_s, usual_s)
+
+
+class BeginsInFull(AdaptivePace):
+    """Gives a server that has started its usual calls at once."""
+
+    def begin(self, now: float, server: str, at: float) -> None:
+        pass
+
+
+@pytest.mark.parametrize(
+    ("weakened", "check"),
+    [
+        (
+            IgnoresSlowness,
+            lambda pace: rises_no_faster_than_the_ramp(pace, CallResult.ANSWERED, 3 * USUAL_S),
+        ),
+        (
+            IgnoresFailures,
+            lambda pace: rises_no_faster_than_the_ramp(pace, CallResult.REFUSED, 0.001),
+        ),
+        (BeginsInFull, begins_with_little),
+    ],
+    ids=["slowness", "failures", "begin"],
+)
+def test_the_same_checks_find_a_weakened_pace(
+    weakened: type[AdaptivePace], check: Callable[[type[AdaptivePace]], bool]
+) -> None:
+    """Guards against checks that would pass without the decision."""
+    assert check(AdaptivePace)
+    assert not check(weakened)
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 from math import inf
 from random import Random
 
@@ -16,6 +17,8 @@
     SharedAdmission,
     SharedQueue,
     divide,
+    fill_by_weight,
+    weights_of,
 )
 from azurefield.workspaces import RequestQuota, Workspace
 
@@ -135,24 +138,78 @@
 HEAVY = RequestClass(priority=0, workspace="heavy", weight=3.0)
 
 
+Demand = Mapping[RequestClass, float]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RoomCase:
+    """A capacity that is divided; all numbers are requests per second."""
+
+    capacity: float
+    demand: Demand
+    expected: Demand
+
+
+ROOM_CASES = {
+    "enough": RoomCase(capacity=10.0, demand={A0: 4.0, B1: 6.0}, expected={A0: 4.0, B1: 6.0}),
+    "priority-first": RoomCase(
+        capacity=10.0, demand={A0: 10.0, B1: 10.0}, expected={A0: 8.5, B1: 1.5}
+    ),
+    "equal-weights": RoomCase(
+        capacity=10.0, demand={A0: 90.0, B0: 10.0}, expected={A0: 5.0, B0: 5.0}
+    ),
+    "by-weight": RoomCase(
+        capacity=12.0, demand={A0: 90.0, HEAVY: 90.0}, expected={A0: 3.0, HEAVY: 9.0}
+    ),
+    "asks-less-than-its-part": RoomCase(
+        capacity=10.0, demand={A0: 90.0, B0: 1.0}, expected={A0: 9.0, B0: 1.0}
+    ),
+    "weights-far-apart": RoomCase(
+        capacity=10.0, demand={A0: 9.0, HUGE: 9.0}, expected={A0: 1.5, HUGE: 8.5}
+    ),
+    "no-limit": RoomCase(capacity=inf, demand={A0: 90.0}, expected={A0: 90.0}),
+    "nothing-asked": RoomCase(capacity=1.0, demand={}, expected={}),
+}
+
+
+@pytest.mark.parametrize("case", ROOM_CASES.values(), ids=ROOM_CASES)
+def test_room_goes_by_priority_then_by_weight(case: RoomCase) -> None:
+    """Guards against room that goes to those who ask most."""
+    assert divide(case.capacity, case.demand) == pytest.approx(case.expected)
+
+
+def divide_by_demand(capacity: float, demand: Demand) -> dict[RequestClass, float]:
+    """Serve all classes alike."""
+    served = min(1.0, capacity / (sum(demand.values()) or 1.0))
+    return {one: served * asked for one, asked in demand.items()}
+
+
+def divide_without_floor(capacity: float, demand: Demand) -> dict[RequestClass, float]:
+    """Divide by priority and weight alone."""
+    parts: dict[RequestClass, float] = {}
+    for priority in sorted({one.priority for one in demand}):
+        asked = {one: rate for one, rate in demand.items() if one.priority == priority}
+        left = capacity - sum(parts.values())
+        parts |= fill_by_weight(left, asked, weights_of(demand))
+    return parts
+
+
+def divide_without_weights(capacity: float, demand: Demand) -> dict[RequestClass, float]:
+    """Divide as if all workspaces had the same weight."""
+    equal = {replace(one, weight=1.0): one for one in demand}
+    parts = divide(capacity, {same: demand[one] for same, one in equal.items()})
+    return {equal[same]: part for same, part in parts.items()}
+
+
 @pytest.mark.parametrize(
-    ("capacity", "demand", "expected"),
-    [
-        pytest.param(10.0, {A0: 4.0, B1: 6.0}, {A0: 4.0, B1: 6.0}, id="enough"),
-        pytest.param(10.0, {A0: 10.0, B1: 10.0}, {A0: 8.5, B1: 1.5}, id="priority-first"),
-        pytest.param(10.0, {A0: 90.0, B0: 10.0}, {A0: 5.0, B0: 5.0}, id="equal-weights"),
-        pytest.param(12.0, {A0: 90.0, HEAVY: 90.0}, {A0: 3.0, HEAVY: 9.0}, id="by-weight"),
-        pytest.param(10.0, {A0: 90.0, B0: 1.0}, {A0: 9.0, B0: 1.0}, id="asks-less-than-its-part"),
-        pytest.param(10.0, {A0: 9.0, HUGE: 9.0}, {A0: 1.5, HUGE: 8.5}, id="weights-far-apart"),
-        pytest.param(inf, {A0: 90.0}, {A0: 90.0}, id="no-limit"),
-        pytest.param(1.0, {}, {}, id="nothing-asked"),
-    ],
+    "weakened", [divide_by_demand, divide_without_floor, divide_without_weights]
 )
-def test_room_goes_by_priority_then_by_weight(
-    capacity: float, demand: dict[RequestClass, float], expected: dict[RequestClass, float]
+def test_the_same_cases_find_a_weakened_division(
+    weakened: Callable[[float, Demand], dict[RequestClass, float]],
 ) -> None:
-    """Guards against room that goes to those who ask most."""
-    assert divide(capacity, demand) == pytest.approx(expected)
+    """Guards against cases that would pass without the decision."""
+    parts = [weakened(case.capacity, case.demand) for case in ROOM_CASES.values()]
+    assert parts != [pytest.approx(case.expected) for case in ROOM_CASES.values()]
 
 
 @pytest.mark.parametrize("seed", range(20))
