--- a/packages/azurefield/tests/test_evacuations.py
+++ b/packages/azurefield/tests/test_evacuations.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from azurefield.directory import Directory, RegisteredServer, RegisteredState
-from azurefield.evacuations import LOST_REQUEST_HOLD_S
+from azurefield.evacuations import LOST_REQUEST_HOLD_S, Evacuations
 from azurefield.model import Snapshot
 from azurefield.snapshot import Holding
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 HOLDING = Holding(leaf="desk", snapshot=Snapshot(index_version=1, map_version=1))
 
 
@@ -22,9 +27,9 @@
     )
 
 
-def make_directory(*zones: str) -> Directory:
+def make_directory(*zones: str, evacuations: type[Evacuations] = Evacuations) -> Directory:
     """Build a directory with one server in each zone, named after it."""
-    directory = Directory()
+    directory = Directory(evacuations=evacuations())
     for zone in zones:
         directory.on_entry(server(zone, zone))
     return directory
@@ -63,16 +68,11 @@
     assert directory.is_evacuated("s1")
 
 
-@pytest.mark.parametrize(
-    ("after_outage", "evacuated_until"),
-    [(False, 0.0), (True, LOST_REQUEST_HOLD_S)],
-    ids=["removed", "store-may-have-lost-it"],
-)
-def test_a_listing_without_the_request_ends_it_unless_the_store_may_have_lost_it(
-    after_outage: bool, evacuated_until: float
+def list_without_request(
+    kind: type[Evacuations], after_outage: bool, evacuated_until: float
 ) -> None:
-    """Guards against calls to an evacuated zone after the store returned from an older copy."""
-    directory = make_directory("one")
+    """List no request for an evacuated zone, and assert until when it stays evacuated."""
+    directory = make_directory("one", evacuations=kind)
     directory.on_evacuation("one")
     if after_outage:
         directory.on_outage_end(0.0)
@@ -87,6 +87,51 @@
     assert directory.is_evacuated("one"), "written again"
 
 
+@pytest.mark.parametrize(
+    ("after_outage", "evacuated_until"),
+    [(False, 0.0), (True, LOST_REQUEST_HOLD_S)],
+    ids=["removed", "store-may-have-lost-it"],
+)
+def test_a_listing_without_the_request_ends_it_unless_the_store_may_have_lost_it(
+    after_outage: bool, evacuated_until: float
+) -> None:
+    """Guards against calls to an evacuated zone after the store returned from an older copy."""
+    list_without_request(Evacuations, after_outage, evacuated_until)
+
+
+class TrustsEachListing(Evacuations):
+    """Ends an evacuation although the store may have lost its request."""
+
+    def on_listing(
+        self, now: float, zones: Collection[str], *, may_lack_requests: bool  # noqa: ARG002
+    ) -> frozenset[str]:
+        return Evacuations.on_listing(self, now, zones, may_lack_requests=False)
+
+
+class HoldsForEver(Evacuations):
+    """Keeps a zone evacuated whose request is gone."""
+
+    def expire(self, now: float) -> frozenset[str]:  # noqa: ARG002
+        return frozenset()
+
+
+class KeepsTheEnd(Evacuations):
+    """Does not renew an evacuation that is written again."""
+
+    def on_requested(self, zone: str) -> frozenset[str]:
+        if zone in self.until:
+            return frozenset()
+        self.until[zone] = 2 * LOST_REQUEST_HOLD_S
+        return frozenset({zone})
+
+
+@pytest.mark.parametrize("weakened", [TrustsEachListing, HoldsForEver, KeepsTheEnd])
+def test_the_same_check_finds_weakened_evacuations(weakened: type[Evacuations]) -> None:
+    """Guards against a check that would pass without the decision."""
+    with pytest.raises(AssertionError):
+        list_without_request(weakened, after_outage=True, evacuated_until=LOST_REQUEST_HOLD_S)
+
+
 def test_a_further_listing_does_not_end_an_evacuation_that_the_store_may_have_lost() -> None:
     """Guards against a hold that ends with the next listing, before the request can be written."""
     directory = make_directory("one", "two")
--- a/packages/azurefield/tests/test_parsing_turns.py
+++ b/packages/azurefield/tests/test_parsing_turns.py
@@ -24,10 +24,8 @@
     return parsed
 
 
-@pytest.mark.parametrize("callers", [1, 300])
-def test_a_crowd_of_small_chunks_gets_bounded_turns_in_order(callers: int) -> None:
-    """Guards against one turn that parses a whole crowd, and a connection that is passed over."""
-    turns: ParsingTurns[str] = ParsingTurns()
+def parse_crowd(turns: ParsingTurns[str], callers: int) -> None:
+    """Parse the chunks of a crowd, and assert that turns are bounded and go round."""
     lines = CHUNKS_OF_ONE_BYTE.count(b"\n")
     left = {f"c{number}": lines for number in range(callers)}
     for name in left:
@@ -43,6 +41,42 @@
         assert run_turn(turns, left)
 
 
+@pytest.mark.parametrize("callers", [1, 300])
+def test_a_crowd_of_small_chunks_gets_bounded_turns_in_order(callers: int) -> None:
+    """Guards against one turn that parses a whole crowd, and a connection that is passed over."""
+    parse_crowd(ParsingTurns(), callers)
+
+
+class ParsesAllAtOnce(ParsingTurns[str]):
+    """Lets no connection wait."""
+
+    def parses_at_once(self, connection: str, data: bytes) -> bool:  # noqa: ARG002
+        return True
+
+
+class UnboundedTurns(ParsingTurns[str]):
+    """Does not count the work of a turn."""
+
+    def on_parsed(self, *, lines: int, size: int) -> None:
+        pass
+
+
+class LatestFirst(ParsingTurns[str]):
+    """Serves the connection that has waited the shortest time."""
+
+    def next_connection(self) -> str | None:
+        if not self.waiting or self.lines_left <= 0:
+            return None
+        return self.waiting.popitem()[0]
+
+
+@pytest.mark.parametrize("weakened", [ParsesAllAtOnce, UnboundedTurns, LatestFirst])
+def test_the_same_check_finds_weakened_turns(weakened: type[ParsingTurns[str]]) -> None:
+    """Guards against a check that would pass without the decision."""
+    with pytest.raises(AssertionError):
+        parse_crowd(weakened(), 300)
+
+
 @pytest.mark.parametrize(
     ("data", "at_once"),
     [
