Keep a floor of the room that a busy process divides

In trials with a real process, a flood of one workspace made the process late by its refusals alone; the capacity fell from 1,100 to 100 requests a second within 4 s, and others were refused long after. The room now stays above a tenth of what was accepted in the last minute.

--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -22,7 +22,7 @@
 # Lateness of a tick at which the capacity for forwarded requests stays.
 LATE_TARGET_S = 0.03
 # By how much the capacity changes in an interval: in proportion to the distance from the target.
-CAPACITY_GAIN = 0.02
+CAPACITY_GAIN = 0.05
 CAPACITY_FALL_MAX = 0.05
 # The room that is divided follows the lateness at once. Without this the load swings, since a
 # backlog shows only in the intervals after the one that caused it.
@@ -35,6 +35,11 @@
 AVERAGE_S = 0.5
 # A lower capacity, in requests per second, would accept too little to measure a recovery.
 CAPACITY_MIN_PER_S = 1.0
+# Nor does the room fall below this part of the rate that was accepted before: what then makes the
+# process late are the refusals, which a lower capacity makes more.
+ROOM_FLOOR_FRACTION = 0.1
+# Time constant in which an earlier rate is forgotten.
+PEAK_S = 60.0
 # Credit is kept for this time: a workspace whose requests come unevenly gets its part all the same.
 CREDIT_MAX_S = 1.0
 # A class that asks for less than this, in requests per second, is forgotten.
@@ -253,6 +258,7 @@
     :param capacity_per_s: requests that are accepted per second; infinite while there is no limit
     :param demand: average requests per second of each class
     :param accepted_per_s: average of the accepted requests per second
+    :param peak_per_s: the largest such average of late
     :param parts: requests per second of the classes that ask for more than they get
     :param credits: how many requests of these classes may be accepted now
     :param was_late: whether the process was late in the last interval; a single one limits nothing
@@ -262,6 +268,7 @@
     capacity_per_s: float = inf
     demand: dict[RequestClass, float] = field(default_factory=dict)
     accepted_per_s: float = 0.0
+    peak_per_s: float = 0.0
     parts: dict[RequestClass, float] = field(default_factory=dict)
     credits: dict[RequestClass, float] = field(default_factory=dict)
     asked: Counter[RequestClass] = field(default_factory=Counter)
@@ -305,11 +312,12 @@
         if late_again:
             self.capacity_per_s = min(self.capacity_per_s, self.accepted_per_s)
         self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * distance)
-        self.capacity_per_s = max(CAPACITY_MIN_PER_S, self.capacity_per_s)
+        floor_per_s = max(CAPACITY_MIN_PER_S, ROOM_FLOOR_FRACTION * self.peak_per_s)
+        self.capacity_per_s = max(floor_per_s, self.capacity_per_s)
         if self.capacity_per_s > UNLIMITED_FACTOR * sum(self.demand.values()):
             self.capacity_per_s = inf
         change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * distance))
-        self.set_parts(elapsed_s, self.capacity_per_s * (1.0 + change))
+        self.set_parts(elapsed_s, max(floor_per_s, self.capacity_per_s * (1.0 + change)))
 
     def average(self, elapsed_s: float) -> None:
         """Add an interval to the averages."""
@@ -326,6 +334,7 @@
             if rate >= DEMAND_MIN_PER_S
         }
         self.accepted_per_s += weight * (self.accepted / elapsed_s - self.accepted_per_s)
+        self.peak_per_s = max(self.accepted_per_s, self.peak_per_s * exp(-elapsed_s / PEAK_S))
         self.asked.clear()
         self.accepted = 0
 
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -132,6 +132,26 @@
     assert min(process.served(one, BURST[0] + 2.0, BURST[1]) for one in NORMAL) < 0.7
 
 
+def accepted_beside_refusals(shared: SharedAdmission, *, late_s: float, length_s: float) -> int:
+    """Offer a normal load of one class to a process that is late whatever it refuses."""
+    accepted = 0
+    begins_at = shared.interval_began_at or 0.0
+    for step in range(int(length_s / INTERVAL_S)):
+        accepted += sum(shared.accepts(GREEDY) for _ in range(5))
+        shared.on_interval(begins_at + (step + 1) * INTERVAL_S, late_s)
+    return accepted
+
+
+def test_a_process_that_is_late_by_its_refusals_goes_on_and_recovers() -> None:
+    """Guards against a capacity that falls to nothing, because refusing is work too."""
+    shared = SharedAdmission()
+    before = accepted_beside_refusals(shared, late_s=0.0, length_s=10.0)
+    accepted_beside_refusals(shared, late_s=0.2, length_s=20.0)
+    assert accepted_beside_refusals(shared, late_s=0.2, length_s=10.0) >= before / 20
+    accepted_beside_refusals(shared, late_s=0.0, length_s=10.0)
+    assert accepted_beside_refusals(shared, late_s=0.0, length_s=10.0) == before
+
+
 A0, B0 = (RequestClass(priority=0, workspace=name) for name in "ab")
 A1, B1 = (RequestClass(priority=1, workspace=name) for name in "ab")
 HUGE = RequestClass(priority=0, workspace="huge", weight=1e300)
