--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -20,6 +20,8 @@
     workspace_requests: Counter = field(init=False)
     worst_workspaces: Gauge = field(init=False)
     share_refusals: Counter = field(init=False)
+    floor_calls: Counter = field(init=False)
+    edge_refusals: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     forwarded_other_zone: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
@@ -84,6 +86,17 @@
             "Forwarded requests refused while busy, beyond their workspace's part.",
             registry=registry,
         )
+        self.floor_calls = Counter(
+            "azurefield_gateway_floor_calls",
+            "Calls that went before others with precedence, for the floor of their class.",
+            registry=registry,
+        )
+        self.edge_refusals = Counter(
+            "azurefield_gateway_edge_refusals",
+            "Requests of callers refused at once while this process was busy, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.forwarded = Counter(
             "azurefield_gateway_forwarded",
             "Requests forwarded to a coordinator by how that ended.",
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import accumulate
 from math import exp, inf
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from azurefield.fairness import FairQueue
+from azurefield.floor_credits import ClassKey, FloorCredits
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -17,17 +19,27 @@
 
 # Fraction of an equal service that each class of requests keeps, whatever its priority.
 FLOOR_FRACTION = 0.3
-# Lateness of a tick at which the capacity stays: below it rises, above it falls.
+# Lateness of a tick at which the capacity for forwarded requests stays.
 LATE_TARGET_S = 0.03
 # By how much the capacity changes in an interval: in proportion to the distance from the target.
 CAPACITY_GAIN = 0.05
-CAPACITY_FALL_MAX = 0.15
+CAPACITY_FALL_MAX = 0.05
+# The room that is divided follows the lateness at once. Without this the load swings, since a
+# backlog shows only in the intervals after the one that caused it.
+ROOM_GAIN = 0.3
+ROOM_FALL_MAX = 0.8
+ROOM_RISE_MAX = 0.2
 # A capacity that exceeds the demand by this factor is no limit any more.
 UNLIMITED_FACTOR = 1.5
 # Time constant of the averages of demand and accepted requests.
 AVERAGE_S = 0.5
 # A lower capacity, in requests per second, would accept too little to measure a recovery.
 CAPACITY_MIN_PER_S = 1.0
+# Nor does the room fall below this part of the rate that was accepted before: what then makes the
+# process late are the refusals, which a lower capacity makes more.
+ROOM_FLOOR_FRACTION = 0.1
+# Time constant in which an earlier rate is forgotten.
+PEAK_S = 60.0
 # Credit is kept for this time: a workspace whose requests come unevenly gets its part all the same.
 CREDIT_MAX_S = 1.0
 # A class that asks for less than this, in requests per second, is forgotten.
@@ -68,18 +80,25 @@
 class SharedQueue(Generic[ItemT]):
     """Queues items by priority, then by start-time fair queueing over workspaces, then by arrival.
 
+    Once a workspace has queued items, each class keeps a floor: a class that was served less goes
+    next, whatever its priority. Such an item is not charged to its workspace.
+
     >>> queue: SharedQueue[str] = SharedQueue()
     >>> for workspace, item in (("a", "a1"), ("a", "a2"), ("b", "b1")):
     ...     queue.push(RequestClass(priority=1, workspace=workspace), item)
     >>> queue.push(RequestClass(priority=0, workspace="a"), "urgent")
     >>> [queue.pop(0.0) for _ in range(4)]
     ['urgent', 'a1', 'b1', 'a2']
+
+    :param on_out_of_turn: called for each item that the floor of its class has let go first
     """
 
     by_priority: dict[int, FairQueue[ItemT]] = field(default_factory=dict)
     weights: dict[str, float] = field(default_factory=dict)
     unweighted: set[str] = field(default_factory=set)
     largest_weight: float = 0.0
+    floors: FloorCredits = field(default_factory=lambda: FloorCredits(fraction=FLOOR_FRACTION))
+    on_out_of_turn: Callable[[], None] = lambda: None
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self.by_priority.values())
@@ -91,6 +110,8 @@
             queue = self.by_priority[request_class.priority] = FairQueue(weights=self.weights)
         self.set_weight(request_class.workspace, request_class.weight)
         queue.push(request_class.workspace, 1.0, item)
+        if request_class.workspace or any(key.workspace for key in self.floors.uses):
+            self.floors.on_queued(key_of(request_class))
 
     def set_weight(self, workspace: str, weight: float | None) -> None:
         """Set a workspace's weight; those without one follow the largest."""
@@ -106,18 +127,41 @@
 
     def first(self, now: float) -> ItemT | None:
         """Return the item that ``pop`` would remove; None if none is queued."""
-        if not self.by_priority:
-            return None
-        return self.by_priority[min(self.by_priority)].peek(now)
+        key = self.next_class(now)
+        return None if key is None else self.by_priority[key.priority].head(key.workspace)
 
     def pop(self, now: float) -> ItemT | None:
         """Remove and return the next item; None if none is queued."""
+        key = self.next_class(now)
+        if key is None:
+            return None
+        queue = self.by_priority[key.priority]
+        item = queue.head(key.workspace)
+        if key == self.by_precedence(now):
+            queue.pop(now)
+        elif item is not None:
+            queue.remove(key.workspace, item)
+            self.on_out_of_turn()
+        self.floors.on_served(now, key)
+        self.forget_empty(key.priority)
+        return item
+
+    def next_class(self, now: float) -> ClassKey | None:
+        """Return the class whose first item is next; None if none is queued."""
+        return self.floors.overdue(self.waits) or self.by_precedence(now)
+
+    def by_precedence(self, now: float) -> ClassKey | None:
+        """Return the class that is next by priority and weight; None if none is queued."""
         if not self.by_priority:
             return None
         priority = min(self.by_priority)
-        item = self.by_priority[priority].pop(now)
-        self.forget_empty(priority)
-        return item
+        workspace = self.by_priority[priority].next_member(now)
+        return None if workspace is None else ClassKey(priority=priority, workspace=workspace)
+
+    def waits(self, key: ClassKey) -> bool:
+        """Whether an item of a class is queued."""
+        queue = self.by_priority.get(key.priority)
+        return queue is not None and queue.head(key.workspace) is not None
 
     def remove(self, request_class: RequestClass, item: ItemT) -> bool:
         """Drop an item, which its workspace is not charged for.
@@ -140,6 +184,11 @@
             self.largest_weight = 0.0
 
 
+def key_of(request_class: RequestClass) -> ClassKey:
+    """Return what identifies a class, whatever its weight."""
+    return ClassKey(priority=request_class.priority, workspace=request_class.workspace)
+
+
 def divide(capacity: float, demand: Mapping[RequestClass, float]) -> dict[RequestClass, float]:
     """Divide a capacity among classes of requests; all numbers are requests per second.
 
@@ -205,17 +254,21 @@
     Protects against more requests than the process runs in time, also from one workspace
     alone. The capacity follows from how late the process is in each interval.
 
+    :param late_target_s: lateness at which the capacity stays; above it falls, below it rises
     :param capacity_per_s: requests that are accepted per second; infinite while there is no limit
     :param demand: average requests per second of each class
     :param accepted_per_s: average of the accepted requests per second
+    :param peak_per_s: the largest such average of late
     :param parts: requests per second of the classes that ask for more than they get
     :param credits: how many requests of these classes may be accepted now
     :param was_late: whether the process was late in the last interval; a single one limits nothing
     """
 
+    late_target_s: float = LATE_TARGET_S
     capacity_per_s: float = inf
     demand: dict[RequestClass, float] = field(default_factory=dict)
     accepted_per_s: float = 0.0
+    peak_per_s: float = 0.0
     parts: dict[RequestClass, float] = field(default_factory=dict)
     credits: dict[RequestClass, float] = field(default_factory=dict)
     asked: Counter[RequestClass] = field(default_factory=Counter)
@@ -253,16 +306,18 @@
             return
         elapsed_s = now - began_at
         self.average(elapsed_s)
-        change = CAPACITY_GAIN * (1.0 - late_s / LATE_TARGET_S)
-        late_again = self.was_late and late_s > LATE_TARGET_S
-        self.was_late = late_s > LATE_TARGET_S
+        distance = 1.0 - late_s / self.late_target_s
+        late_again = self.was_late and late_s > self.late_target_s
+        self.was_late = late_s > self.late_target_s
         if late_again:
             self.capacity_per_s = min(self.capacity_per_s, self.accepted_per_s)
-        self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, change)
-        self.capacity_per_s = max(CAPACITY_MIN_PER_S, self.capacity_per_s)
+        self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * distance)
+        floor_per_s = max(CAPACITY_MIN_PER_S, ROOM_FLOOR_FRACTION * self.peak_per_s)
+        self.capacity_per_s = max(floor_per_s, self.capacity_per_s)
         if self.capacity_per_s > UNLIMITED_FACTOR * sum(self.demand.values()):
             self.capacity_per_s = inf
-        self.set_parts(elapsed_s)
+        change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * distance))
+        self.set_parts(elapsed_s, max(floor_per_s, self.capacity_per_s * (1.0 + change)))
 
     def average(self, elapsed_s: float) -> None:
         """Add an interval to the averages."""
@@ -279,15 +334,16 @@
             if rate >= DEMAND_MIN_PER_S
         }
         self.accepted_per_s += weight * (self.accepted / elapsed_s - self.accepted_per_s)
+        self.peak_per_s = max(self.accepted_per_s, self.peak_per_s * exp(-elapsed_s / PEAK_S))
         self.asked.clear()
         self.accepted = 0
 
-    def set_parts(self, elapsed_s: float) -> None:
-        """Divide the capacity, and add to the credits of the classes that are limited."""
+    def set_parts(self, elapsed_s: float, room_per_s: float) -> None:
+        """Divide the room, and add to the credits of the classes that are limited."""
         if self.capacity_per_s == inf:
             self.parts, self.credits = {}, {}
             return
-        parts = divide(self.capacity_per_s, self.demand)
+        parts = divide(room_per_s, self.demand)
         self.parts = {
             request_class: part
             for request_class, part in parts.items()
