Split decisions into a part that changes nothing and the rest

Cause: what explains where a request would go needs the code that decides, without its effects: random numbers, turns, tokens and observations that are made by looking. Change: the routers, the choice of coordinators and of other instances, weighted services, shares of quotas, the room for bodies and the parts of a busy coordinator have methods that change nothing; the decisions call them.

--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -43,20 +43,27 @@
         :param tried: those that are not asked again
         :return: its name; None if this instance is one of the nearest itself, or if there is none
         """
+        return self.router.choose(now, self.candidates(now, zones, tried))
+
+    def candidates(
+        self, now: float, zones: Collection[str], tried: Collection[str] = ()
+    ) -> tuple[str, ...]:
+        """List the coordinators to choose from; none if this instance is one of the nearest.
+
+        Changes nothing.
+        """
         nearest = self.view.candidates(zones)
         if self.view.own in nearest:
-            return None
+            return ()
         nearest = tuple(name for name in nearest if name not in tried)
         if not all(self.is_silent(now, name) for name in nearest):
-            return self.router.choose(now, nearest)
+            return nearest
         distant = self.view.distant_candidates(zones)
-        return self.router.choose(
-            now, nearest + tuple(name for name in distant if name not in tried)
-        )
+        return nearest + tuple(name for name in distant if name not in tried)
 
     def is_silent(self, now: float, coordinator: str) -> bool:
         """Whether a coordinator is avoided because it was silent."""
-        return coordinator in self.silent and self.router.view(coordinator).backoff_until > now
+        return coordinator in self.silent and self.router.observed(coordinator).backoff_until > now
 
     def on_silent(self, now: float, coordinator: str) -> None:
         """Avoid a coordinator that has not accepted a request in time, or was lost under it."""
--- a/packages/azurefield/src/azurefield/held_memory.py
+++ b/packages/azurefield/src/azurefield/held_memory.py
@@ -64,7 +64,7 @@
 
         :return: False, without taking any, if what is in use leaves no room for it
         """
-        if self.used_bytes + used_bytes > self.limit_bytes:
+        if not self.has_room(used_bytes):
             return False
         self.end_use(user)
         self.in_use[user] = used_bytes
@@ -72,6 +72,10 @@
         self.total_bytes += used_bytes
         return True
 
+    def has_room(self, used_bytes: int) -> bool:
+        """Whether ``use`` would succeed."""
+        return self.used_bytes + used_bytes <= self.limit_bytes
+
     def end_use(self, user: Hashable) -> None:
         """Return what a user has taken, if anything."""
         used_bytes = self.in_use.pop(user, 0)
--- a/packages/azurefield/src/azurefield/peer_selection.py
+++ b/packages/azurefield/src/azurefield/peer_selection.py
@@ -52,18 +52,30 @@
         candidates = []
         for profile in profiles:
             name = profile.instance
-            reachable = profile.coordinator_address is not None and name != self.own
-            if reachable and name not in tried and self.avoided_until.get(name, now) <= now:
-                other_zone = profile.availability_zone != self.own_zone
-                penalty_s = self.other_zone_penalty_s if other_zone else 0.0
-                self.router.set_wait_penalty(name, penalty_s)
+            if name not in tried and self.may_run(now, profile):
+                self.router.set_wait_penalty(name, self.penalty_s(profile))
                 candidates.append(name)
-        punctual = [name for name in candidates if self.late_until.get(name, now) <= now]
+        punctual = self.punctual(now, candidates)
         chosen = self.router.choose(now, tuple(punctual or candidates))
         if chosen is None:
             return None
         return PeerChoice(instance=chosen, only=not punctual or len(candidates) == 1)
 
+    def may_run(self, now: float, profile: InstanceProfile) -> bool:
+        """Whether an instance accepts requests and has not refused one lately."""
+        name = profile.instance
+        reachable = profile.coordinator_address is not None and name != self.own
+        return reachable and self.avoided_until.get(name, now) <= now
+
+    def penalty_s(self, profile: InstanceProfile) -> float:
+        """Return what is added to the expected wait for an instance."""
+        other_zone = profile.availability_zone != self.own_zone
+        return self.other_zone_penalty_s if other_zone else 0.0
+
+    def punctual(self, now: float, instances: Collection[str]) -> list[str]:
+        """List the instances that are not expected to be late."""
+        return [name for name in instances if self.late_until.get(name, now) <= now]
+
     def on_refused(self, now: float, instance: str, retry_after_s: float | None = None) -> None:
         """Avoid an instance that has refused a request.
 
@@ -79,5 +91,6 @@
         for times in (self.avoided_until, self.late_until):
             for name in times.keys() - instances:
                 del times[name]
-        for name in [name for name in self.router.views if name not in instances]:
+        known = self.router.views.keys() | self.router.penalties_s.keys()
+        for name in known - frozenset(instances):
             self.router.forget(name)
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -195,19 +195,28 @@
 
     def choose(self, route: str, weights: tuple[tuple[str, float], ...]) -> str | None:
         """Return the service for the next request, or None if no weight is positive."""
-        credit = self.credits.setdefault(route, {})
-        if credit.keys() != {service for service, _ in weights}:
-            credit.clear()
-            credit.update((service, 0.0) for service, _ in weights)
-        total = sum(weight for _, weight in weights if weight > 0)
-        if total <= 0:
+        credit = self.credits[route] = self.credits_of(route, weights)
+        chosen = self.next(route, weights)
+        if chosen is None:
             return None
         for service, weight in weights:
             credit[service] += max(0.0, weight)
-        chosen = max(weights, key=lambda entry: (entry[1] > 0, credit[entry[0]]))[0]
-        credit[chosen] -= total
+        credit[chosen] -= sum(weight for _, weight in weights if weight > 0)
         return chosen
 
+    def next(self, route: str, weights: tuple[tuple[str, float], ...]) -> str | None:
+        """Return what ``choose`` returns next; changes nothing."""
+        if not any(weight > 0 for _, weight in weights):
+            return None
+        credit = self.credits_of(route, weights)
+        return max(weights, key=lambda entry: (entry[1] > 0, credit[entry[0]] + entry[1]))[0]
+
+    def credits_of(self, route: str, weights: tuple[tuple[str, float], ...]) -> dict[str, float]:
+        """Return the credits of a route's services; all are 0 if its services have changed."""
+        services = [service for service, _ in weights]
+        known = self.credits.get(route, {})
+        return known if known.keys() == set(services) else dict.fromkeys(services, 0.0)
+
     def retain_only(self, routes: frozenset[str]) -> None:
         """Remove the state of routes that are no longer configured."""
         self.credits = {name: credit for name, credit in self.credits.items() if name in routes}
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -26,6 +26,8 @@
 # A server that was not ejected for this long starts again with the shortest ejection.
 EJECTION_RESET_S = 60.0
 SCORE_TIE_FRACTION = 0.05
+# The observations of a server that got no call yet; never changed.
+UNOBSERVED = ServerView()
 
 
 class Router(Protocol):
@@ -102,14 +104,10 @@
         self, now: float, candidates: tuple[str, ...], tried: Collection[str] = ()
     ) -> str | None:
         """Sample a few servers at random and choose the one with the shortest expected wait."""
-        ejected = self.ejected(now, candidates)
-        untried = [server for server in candidates if server not in tried]
+        self.eject_outliers(now, candidates)
         known_median_s = self.known_median_s(candidates)
         median_latency_s = DEFAULT_LATENCY_S if known_median_s is None else known_median_s
-        responsive = [
-            server for server in untried if self.is_responsive(now, server, median_latency_s)
-        ]
-        usable = [server for server in responsive if server not in ejected] or responsive or untried
+        usable = self.eligible(now, candidates, median_latency_s, tried)
         if not usable:
             return None
         scores = {
@@ -121,9 +119,48 @@
         self.view(chosen).usual_s = known_median_s
         return chosen
 
+    def eligible(
+        self,
+        now: float,
+        candidates: tuple[str, ...],
+        median_latency_s: float,
+        tried: Collection[str] = (),
+    ) -> list[str]:
+        """List the candidates that ``choose`` compares; changes nothing.
+
+        Those that are ejected or not responsive are left out as long as others remain.
+        """
+        ejected = self.ejected(now, candidates)
+        untried = [server for server in candidates if server not in tried]
+        responsive = [
+            server for server in untried if self.is_responsive(now, server, median_latency_s)
+        ]
+        return [server for server in responsive if server not in ejected] or responsive or untried
+
+    def possible_choices(
+        self, now: float, eligible: Collection[str], median_latency_s: float
+    ) -> frozenset[str]:
+        """Return which of the eligible servers ``choose`` may return, whatever the random numbers.
+
+        Changes nothing.
+        """
+        lowest = {
+            server: self.expected_wait_s(now, server, median_latency_s) for server in eligible
+        }
+        limits = {
+            server: (1.0 + SCORE_TIE_FRACTION) * wait_s / self.share(now, server)
+            for server, wait_s in lowest.items()
+        }
+        others_sampled = min(self.choices, len(lowest)) - 1
+        return frozenset(
+            server
+            for server, wait_s in lowest.items()
+            if sum(wait_s <= limits[other] for other in lowest if other != server) >= others_sampled
+        )
+
     def is_responsive(self, now: float, server: str, median_latency_s: float) -> bool:
         """Whether a server is neither in backoff after a failed call nor stalled."""
-        view = self.view(server)
+        view = self.observed(server)
         return view.backoff_until <= now and not view.stalled(now, median_latency_s)
 
     def on_dispatch(self, now: float, server: str) -> None:
@@ -183,6 +220,10 @@
             view = self.views[server] = ServerView()
         return view
 
+    def observed(self, server: str) -> ServerView:
+        """Return the observations of a server, to read them only."""
+        return self.views.get(server, UNOBSERVED)
+
     def median_latency_s(self, candidates: tuple[str, ...]) -> float:
         """Return the median latency of a leaf's servers, or a default if it is unknown."""
         known = self.known_median_s(candidates)
@@ -191,35 +232,48 @@
     def known_median_s(self, candidates: tuple[str, ...]) -> float | None:
         """Return the median latency of a leaf's servers; None if none of them has answered."""
         known = [
-            view.latency_s for view in map(self.view, candidates) if view.latency_s is not None
+            view.latency_s for view in map(self.observed, candidates) if view.latency_s is not None
         ]
         return median(known) if known else None
 
     def score(self, now: float, server: str, median_latency_s: float) -> float:
-        """Return the expected wait on a server.
+        """Return the expected wait on a server, by which it is compared.
 
-        The age of an outstanding call shows that a server is slow before the call has ended. During
-        its rise, a server is compared at its real wait only with a probability equal to its
+        During its rise, a server is compared at its real wait only with a probability equal to its
         share of calls. Otherwise its wait is divided by that share, so that it is chosen only if
         the leaf's other servers are overloaded.
         """
-        view = self.view(server)
-        latency_s = max(view.estimate(now, median_latency_s), view.waiting_s(now))
-        wait_s = (view.outstanding + 1) * latency_s + self.penalties_s.get(server, 0.0)
-        wait_s += self.failure_cost_s * view.recent_failure_rate(now)
-        # An ejected server that is used because too many are ejected is needed at its full share.
-        share = 1.0 if view.ejected_until > now else self.pace.share(now, server)
+        wait_s = self.expected_wait_s(now, server, median_latency_s)
+        share = self.share(now, server)
         unscaled = share >= 1.0 or self.random.random() < share
         return wait_s if unscaled else wait_s / share
 
+    def expected_wait_s(self, now: float, server: str, median_latency_s: float) -> float:
+        """Return the expected wait on a server with its penalty; changes nothing.
+
+        The age of an outstanding call shows that a server is slow before the call has ended.
+        """
+        view = self.observed(server)
+        latency_s = max(view.estimate(now, median_latency_s), view.waiting_s(now))
+        wait_s = (view.outstanding + 1) * latency_s + self.penalties_s.get(server, 0.0)
+        return wait_s + self.failure_cost_s * view.recent_failure_rate(now)
+
+    def share(self, now: float, server: str) -> float:
+        """Return the share of its usual calls that a server gets; changes nothing.
+
+        An ejected server that is used because too many are ejected is needed at its full share.
+        """
+        if self.observed(server).ejected_until > now:
+            return 1.0
+        return self.pace.share(now, server)
+
     def ejected(self, now: float, candidates: tuple[str, ...]) -> frozenset[str]:
-        """List the ejected servers of a leaf, at most a third of them."""
-        self.eject_outliers(now, candidates)
-        ejected = [server for server in candidates if self.view(server).ejected_until > now]
+        """List the ejected servers of a leaf, at most a third of them; changes nothing."""
+        ejected = [server for server in candidates if self.observed(server).ejected_until > now]
         allowed = int(len(candidates) * EJECTED_FRACTION_MAX + 1e-9)
         # Above the maximum, the servers whose ejection ends first are used again. The one with the
         # longest ejection is the worst, so it is the last to be used again.
-        ejected.sort(key=lambda server: self.view(server).ejected_until, reverse=True)
+        ejected.sort(key=lambda server: self.observed(server).ejected_until, reverse=True)
         return frozenset(ejected[:allowed])
 
     def eject_outliers(self, now: float, candidates: tuple[str, ...]) -> None:
--- a/packages/azurefield/src/azurefield/server_choice.py
+++ b/packages/azurefield/src/azurefield/server_choice.py
@@ -60,13 +60,17 @@
         first.
         """
         servers = self.servers(now, leaf)
-        closed = {server for server in servers if self.limits.opens_at(server) > now}
+        closed = self.closed(now, servers)
         server = self.router.choose(now, servers, closed.union(tried))
         if server is not None or not closed:
             return server
         in_time = self.untried(now, leaf, tried, open_by=open_by)
         return min(in_time, key=self.limits.opens_at, default=None)
 
+    def closed(self, now: float, servers: tuple[str, ...]) -> set[str]:
+        """Return which of some servers are not open yet."""
+        return {server for server in servers if self.limits.opens_at(server) > now}
+
     def opens_at(self, now: float, leaf: str) -> float:
         """Return when the first holder of a leaf is open; infinity if it has none."""
         return min(map(self.limits.opens_at, self.servers(now, leaf)), default=inf)
--- a/packages/azurefield/src/azurefield/server_pace.py
+++ b/packages/azurefield/src/azurefield/server_pace.py
@@ -46,7 +46,7 @@
         """Start a rise at a time, which may be in the future, in place of an earlier one."""
 
     def share(self, now: float, server: str) -> float:
-        """Return the share, above 0; 1 for a server that is not rising."""
+        """Return the share, above 0; 1 for a server that is not rising. Changes nothing."""
 
     def on_result(
         self, now: float, server: str, result: CallResult, latency_s: float, usual_s: float | None
@@ -127,10 +127,14 @@
     slow: int = 0
     failures: int = 0
 
+    def share_at(self, now: float) -> float:
+        """Return the share with the even rise since the last update."""
+        rising_s = max(0.0, now - max(self.updated_at, self.held_until))
+        return min(1.0, self.share + (1.0 - SHARE_MIN) * rising_s / EVEN_RISE_S)
+
     def advance(self, now: float) -> None:
         """Apply the even rise since the last update."""
-        rising_s = max(0.0, now - max(self.updated_at, self.held_until))
-        self.share = min(1.0, self.share + (1.0 - SHARE_MIN) * rising_s / EVEN_RISE_S)
+        self.share = self.share_at(now)
         self.updated_at = max(now, self.updated_at)
 
     def restart_evidence(self, now: float) -> None:
@@ -177,10 +181,7 @@
     def share(self, now: float, server: str) -> float:
         """Return the share that the answers so far and the time give."""
         rise = self.rises.get(server)
-        if rise is None:
-            return 1.0
-        rise.advance(now)
-        return rise.share
+        return 1.0 if rise is None else rise.share_at(now)
 
     def on_result(
         self, now: float, server: str, result: CallResult, latency_s: float, usual_s: float | None
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -236,13 +236,17 @@
         self.asked[request_class] += 1
         if late:
             return False
+        if not self.has_credit(request_class):
+            return False
         if request_class in self.parts:
-            if self.credits[request_class] < 1.0:
-                return False
             self.credits[request_class] -= 1.0
         self.accepted += 1
         return True
 
+    def has_credit(self, request_class: RequestClass) -> bool:
+        """Whether a request is within the part of its class; changes nothing."""
+        return request_class not in self.parts or self.credits[request_class] >= 1.0
+
     def on_interval(self, now: float, late_s: float) -> None:
         """End an interval, whose length may vary.
 
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from azurefield.quota import ROUNDING_TOLERANCE, QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds, ShareLimit, share_limit, share_slots
@@ -13,6 +13,8 @@
 UNUSED_MAX_S = 600.0
 # A share without a rate gets no tokens; it is asked again after this time.
 NO_TOKEN_WAIT_S = 600.0
+# Tokens from which a request is granted.
+TOKENS_TO_GRANT = 1.0 - ROUNDING_TOLERANCE
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -52,12 +54,16 @@
         self.version = version
         self.tokens = min(self.tokens, limit.tokens_max)
 
+    def tokens_at(self, now: float) -> float:
+        """Return the tokens with those that were added since the last one was taken."""
+        elapsed_s = max(0.0, now - self.filled_at)
+        return min(self.limit.tokens_max, self.tokens + elapsed_s * self.limit.rate_per_s)
+
     def take(self, now: float) -> TokenDecision:
         """Take one token."""
-        elapsed_s = max(0.0, now - self.filled_at)
-        self.tokens = min(self.limit.tokens_max, self.tokens + elapsed_s * self.limit.rate_per_s)
+        self.tokens = self.tokens_at(now)
         self.filled_at = max(now, self.filled_at)
-        if self.tokens >= 1.0 - ROUNDING_TOLERANCE:
+        if self.tokens >= TOKENS_TO_GRANT:
             self.tokens -= 1.0
             return QuotaGranted(key=None)
         if self.limit.rate_per_s <= 0.0:
@@ -110,6 +116,21 @@
             bucket.change(share_limit(request.quota, self.bounds), request.version)
         return bucket.take(now)
 
+    def tokens(self, now: float, request: ShareRequest) -> float | None:
+        """Return the tokens that a request would find here; changes nothing.
+
+        :return: None if this instance does not issue the share
+        """
+        if not self.holds(now, request.slot):
+            return None
+        known = self.buckets.get((request.slot, request.workspace))
+        if known is None:
+            return self.new_bucket(request).tokens_at(now)
+        bucket = replace(known)
+        if request.version > bucket.version:
+            bucket.change(share_limit(request.quota, self.bounds), request.version)
+        return bucket.tokens_at(now)
+
     def new_bucket(self, request: ShareRequest) -> ShareBucket:
         """Build the bucket of a workspace as it was when the slot was taken."""
         return ShareBucket(
@@ -146,6 +167,16 @@
     denied_until: dict[int, float] = field(default_factory=dict)
     returns_at: float = 0.0
 
+    def order(self, shares: int) -> tuple[int, ...]:
+        """Return the slots of the first shares in the order in which they are asked."""
+        first = self.turn % shares
+        used = self.slots[:shares]
+        return used[first:] + used[:first]
+
+    def is_denied(self, now: float, slot: int) -> bool:
+        """Whether no token of a slot is expected yet."""
+        return self.denied_until.get(slot, now) > now
+
 
 @dataclass(slots=True, kw_only=True)
 class ShareChoice:
@@ -164,21 +195,25 @@
         :param version: the version of the configuration that names the quota; a newer one ends
             the denials of earlier ones
         """
+        state = self.workspaces[workspace] = self.next_state(now, workspace, version)
+        order = state.order(share_limit(quota, self.bounds).shares)
+        return [slot for slot in order if not state.is_denied(now, slot)]
+
+    def next_state(self, now: float, workspace: str, version: int) -> WorkspaceState:
+        """Return the state of a workspace with its next request; changes nothing."""
         state = self.workspaces.get(workspace)
         if state is None:
-            state = self.workspaces[workspace] = WorkspaceState(
+            state = WorkspaceState(
                 slots=share_slots(workspace), used_at=now, version=version, turn=self.first_turn
             )
-        if version > state.version:
-            state.version = version
-            state.denied_until.clear()
-        state.used_at = now
-        state.turn += 1
-        shares = share_limit(quota, self.bounds).shares
-        first = state.turn % shares
-        used = state.slots[:shares]
-        order = used[first:] + used[:first]
-        return [slot for slot in order if state.denied_until.get(slot, now) <= now]
+        ended = version > state.version
+        return replace(
+            state,
+            used_at=now,
+            version=max(version, state.version),
+            turn=state.turn + 1,
+            denied_until={} if ended else state.denied_until,
+        )
 
     def on_denied(self, now: float, request: ShareRequest, wait_s: float) -> None:
         """Record that a share has no token until ``wait_s`` from now.
