Answer on the admin address where a request would go

To find out where an instance would send a request, one had to send it. Change: GET /v1/explain on the gateway's admin address answers with a typed document: route and version, workspace with rank and shares of its quota, coordinators, servers of each service with what speaks for and against them, and what would be refused and why. It calls only parts of the decisions that change nothing.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/admin.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/admin.py
@@ -1,15 +1,19 @@
-"""The service ``admin`` of the gateway: metrics for on-call engineers."""
+"""The service ``admin`` of the gateway: metrics and explanations for on-call engineers."""
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
 from aiohttp import web
 from logbook import Logger
 from prometheus_client import generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from result import Err, Ok
 
+from azurefield.explanation import EXPLAIN_PATH, ExplainQuery, Explanation
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.kernel import Stop
 from azurefield_entry.listener import listen
@@ -24,10 +28,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class GatewayAdmin:
-    """Serves the Prometheus metrics of the process; ``address`` is ``host:port``."""
+    """Serves the Prometheus metrics of the process, and explains where a request would go.
+
+    :param address: ``host:port``
+    """
 
     address: str
     metrics: GatewayMetrics
+    explain: Callable[[ExplainQuery], Awaitable[Explanation]]
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:  # noqa: ARG002
         """Serve until ``Stop``."""
@@ -41,10 +49,23 @@
         await runner.cleanup()
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer ``/metrics``; any other path gets 404."""
+        """Answer the paths of this service; any other path gets 404."""
+        if request.path == EXPLAIN_PATH:
+            return await self.answer_explain(request)
         if request.path != METRICS_PATH:
             return web.Response(status=404)
         return web.Response(
             body=generate_latest(self.metrics.registry),
             headers={"Content-Type": CONTENT_TYPE_LATEST},
         )
+
+    async def answer_explain(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with an ``Explanation`` in JSON; 400 if the parameters can't be used."""
+        if request.method != "GET":
+            return web.Response(status=405, headers={"Allow": "GET"})
+        match ExplainQuery.parse(request.query):
+            case Err(problem):
+                return web.Response(status=400, text=problem)
+            case Ok(query):
+                explanation = await self.explain(query)
+        return web.Response(body=msgspec.json.encode(explanation), content_type="application/json")
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -124,14 +124,20 @@
 
     def use(self, user: Hashable, body_bytes: int) -> bool:
         """Keep a body until ``memory.end_use``; return whether there is room."""
-        if body_bytes <= UNCOUNTED_BYTES:
+        counted = counted_bytes(body_bytes)
+        if not counted:
             return True
-        if not self.memory.use(user, COPIES_IN_USE * body_bytes):
+        if not self.memory.use(user, counted):
             self.metrics.callers_limited.labels("memory").inc()
             return False
         self.make_room()
         return True
 
+    def has_room(self, body_bytes: int) -> bool:
+        """Whether ``use`` would keep a body; changes nothing."""
+        counted = counted_bytes(body_bytes)
+        return not counted or self.memory.has_room(counted)
+
     def on_answer(self, connection: CallerConnection) -> None:
         """Record that the answer to a request is about to be written; the caller has to read it."""
         self.memory.end_use(connection)
@@ -172,3 +178,8 @@
             log.warning(
                 "Refused the body of request id={}: callers hold too much memory.", request_id
             )
+
+
+def counted_bytes(body_bytes: int) -> int:
+    """Return what a body in use counts; small ones count nothing."""
+    return 0 if body_bytes <= UNCOUNTED_BYTES else COPIES_IN_USE * body_bytes
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explains where a request would go now, without sending it."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -56,6 +56,7 @@
 
 # Between two results, an instance that forwarded a request hears from its coordinator this often.
 HEARTBEAT_INTERVAL_S = 0.1
+SHARE_USED_UP = "the workspace's part is used up"
 log = Logger("coordinator")
 
 
@@ -256,15 +257,18 @@
 
     def refuse(self, frame: ForwardedRequest) -> RequestRefused | None:
         """Build the refusal of a request that can't be run here; None if it can."""
+        detail = self.reason_to_refuse(frame.version)
+        return None if detail is None else RequestRefused(number=frame.number, detail=detail)
+
+    def reason_to_refuse(self, version: int) -> str | None:
+        """Return why no request of a version can be run here; None if requests can."""
         if self.draining:
-            detail = "a planned stop has begun"
-        elif self.partitioned():
-            detail = "no server can be reached"
-        elif self.version() != frame.version:
-            detail = f"version {self.version()} of the configuration is in force"
-        else:
-            return None
-        return RequestRefused(number=frame.number, detail=detail)
+            return "a planned stop has begun"
+        if self.partitioned():
+            return "no server can be reached"
+        if self.version() != version:
+            return f"version {self.version()} of the configuration is in force"
+        return None
 
     def refuse_excess(
         self, frame: ForwardedRequest, request: GatewayRequest
@@ -275,13 +279,33 @@
         if (within_share and not late) or self.must_run(frame):
             return None
         if late:
-            detail = f"the event loop is {self.lag.late_s(now()) * 1000:.0f} ms late"
+            detail = self.describe_lag()
             retry_after_s = self.lag.recovery_s(now())
         else:
             self.on_share_refused()
-            detail, retry_after_s = "the workspace's part is used up", HEARTBEAT_INTERVAL_S
+            detail, retry_after_s = SHARE_USED_UP, HEARTBEAT_INTERVAL_S
         return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
+    def preview(self, version: int, request_class: RequestClass | None) -> str | None:
+        """Return why a forwarded request without a body would be refused; None if it would run.
+
+        Changes nothing.
+
+        :param request_class: None for a request without a workspace
+        """
+        reason = self.reason_to_refuse(version)
+        if reason is not None:
+            return reason
+        if self.lag.overloaded(now()):
+            return self.describe_lag()
+        if request_class is not None and not self.admission.has_credit(request_class):
+            return SHARE_USED_UP
+        return None
+
+    def describe_lag(self) -> str:
+        """Describe how late this process is, for a refusal."""
+        return f"the event loop is {self.lag.late_s(now()) * 1000:.0f} ms late"
+
     def take_memory(self, link: AcceptedLink, frame: ForwardedRequest) -> RequestRefused | None:
         """Keep the body of a request; return the refusal if there is no room."""
         if self.load.use((id(link), frame.number), len(frame.body)):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -204,6 +204,11 @@
         zones = self.zones.get(route.name)
         return None if zones is None else self.choice.choose(now(), zones, tried)
 
+    def candidates(self, route: Route) -> tuple[str, ...]:
+        """List the coordinators that ``choose`` compares; changes nothing."""
+        zones = self.zones.get(route.name)
+        return () if zones is None else self.choice.candidates(now(), zones)
+
     async def forward(
         self, target: ForwardTarget, request: GatewayRequest, route: Route, version: int
     ) -> Result[RequestResult, NotForwarded]:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -13,7 +13,9 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 from azurefield.quota import QuotaDenied, QuotaGranted
+from azurefield.quota_shares import share_limit
 from azurefield.workspace_quota import (
+    TOKENS_TO_GRANT,
     QuotaNotIssued,
     ShareChoice,
     ShareIssuer,
@@ -65,6 +67,30 @@
 log = Logger("quotas")
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SharePreview:
+    """What is known of one share before it is asked.
+
+    :param holder: the instance that issues it; None if none is known
+    :param silent: whether the holder did not reply in time lately
+    :param remote: whether the holder is another instance
+    :param denied_for_s: how long no token is expected; 0 if the share would be asked
+    :param tokens: what this instance has left of it; None if it does not issue it
+    """
+
+    slot: int
+    holder: str | None
+    remote: bool
+    silent: bool
+    denied_for_s: float
+    tokens: float | None
+
+    @property
+    def grants(self) -> bool:
+        """Whether this instance would grant a token of it."""
+        return self.tokens is not None and self.tokens >= TOKENS_TO_GRANT
+
+
 @dataclass(slots=True, kw_only=True)
 class WorkspaceQuotas:
     """Gets a token for each request of a workspace with a quota, and issues tokens to others.
@@ -168,14 +194,35 @@
             for slot in sorted(slots, key=self.silent)
         ]
 
+    def preview(self, workspace: str, quota: RequestQuota, version: int) -> list[SharePreview]:
+        """List the shares that the next request would find; changes nothing.
+
+        Those that would be asked come first, in this order.
+        """
+        at = now()
+        state = self.choice.next_state(at, workspace, version)
+        order = state.order(share_limit(quota, self.choice.bounds).shares)
+        previews = []
+        for slot in sorted(order, key=lambda slot: (state.is_denied(at, slot), self.silent(slot))):
+            request = ShareRequest(slot=slot, workspace=workspace, quota=quota, version=version)
+            holder = self.holders.get(slot)
+            previews.append(
+                SharePreview(
+                    slot=slot,
+                    holder=holder,
+                    remote=holder not in (None, self.own),
+                    silent=self.silent(slot),
+                    denied_for_s=max(0.0, state.denied_until.get(slot, at) - at),
+                    tokens=(
+                        self.issuer.tokens(lease_now(), request) if holder == self.own else None
+                    ),
+                )
+            )
+        return previews
+
     def over_quota(self, workspace: str, quota: RequestQuota) -> RequestFailure:
         """Build the failure of a request beyond the quota."""
-        return RequestFailure(
-            kind=FailureKind.QUOTA_EXCEEDED,
-            outcome=Outcome.NOT_RUN,
-            detail=f"the quota of workspace {workspace} is used up",
-            retry_after_s=self.choice.retry_after_s(now(), workspace, quota),
-        )
+        return used_up(workspace, self.choice.retry_after_s(now(), workspace, quota))
 
     async def ask_in_turn(self, requests: list[ShareRequest], wait_s: float) -> TokenDecision:
         """Ask one share after the other until a token is granted.
@@ -270,6 +317,29 @@
         return ShareNotIssued(number=frame.number)
 
 
+def expected_refusal(workspace: str, shares: list[SharePreview]) -> RequestFailure | None:
+    """Return why a request would surely be refused; None if it may get a token.
+
+    :param shares: the shares of the workspace's quota
+    """
+    asked = [share for share in shares if share.denied_for_s <= 0.0]
+    if any(share.remote or share.grants for share in asked):
+        return None
+    if any(share.tokens is None for share in asked):
+        return not_issued(workspace)
+    return used_up(workspace)
+
+
+def used_up(workspace: str, retry_after_s: float | None = None) -> RequestFailure:
+    """Build the failure of a request beyond the quota."""
+    return RequestFailure(
+        kind=FailureKind.QUOTA_EXCEEDED,
+        outcome=Outcome.NOT_RUN,
+        detail=f"the quota of workspace {workspace} is used up",
+        retry_after_s=retry_after_s,
+    )
+
+
 def not_issued(workspace: str) -> RequestFailure:
     """Build the failure of a request whose quota no instance has decided on."""
     detail = f"no instance issues the quota of workspace {workspace}"
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -98,11 +98,11 @@
 
         :param table: None until both a configuration and a listing of the servers are known
         """
-        if table is None:
-            return Err(no_configuration_failure())
-        route = table.match(request.host, request.target)
-        if route is None:
-            return Err(no_route_failure(table.version))
+        match find_route(request, table):
+            case Err(failure):
+                return Err(failure)
+            case Ok((table, route)):
+                pass
         if table.workspaces is None:
             return Ok(admitted(pass_identity_on(request), route, table, None))
         lookup = self.look_up(request, route, table.workspaces)
@@ -124,8 +124,33 @@
         workspace = workspaces.find(key)
         if workspace is not None:
             return KeyLookup(result=LookupResult.FOUND, workspace=workspace)
+        return KeyLookup(result=self.not_found())
+
+    def not_found(self) -> LookupResult:
+        """Return how a look-up without a result ends, by the age of what is known."""
         stale = self.store_age_s() > KEYS_STALE_S
-        return KeyLookup(result=LookupResult.STALE if stale else LookupResult.UNKNOWN)
+        return LookupResult.STALE if stale else LookupResult.UNKNOWN
+
+    def preview(
+        self, request: GatewayRequest, table: RouteTable | None, workspace: str | None
+    ) -> Result[AdmittedRequest, RequestFailure]:
+        """Decide as ``admit`` would for a key of a workspace; counts and logs nothing.
+
+        :param workspace: its name; None for a request without a key
+        """
+        match find_route(request, table):
+            case Err(failure):
+                return Err(failure)
+            case Ok((table, route)):
+                pass
+        if table.workspaces is None or route.public:
+            return Ok(admitted(request, route, table, None))
+        if workspace is None:
+            return Err(key_failure(LookupResult.MISSING))
+        found = table.workspaces.by_name.get(workspace)
+        if found is None:
+            return Err(key_failure(self.not_found()))
+        return Ok(admitted(request, route, table, found))
 
     def readmit(
         self, request: GatewayRequest, table: RouteTable | None
@@ -174,6 +199,16 @@
             )
 
 
+def find_route(
+    request: GatewayRequest, table: RouteTable | None
+) -> Result[tuple[RouteTable, Route], RequestFailure]:
+    """Find the route of a request, and return it with its table."""
+    if table is None:
+        return Err(no_configuration_failure())
+    route = table.match(request.host, request.target)
+    return Err(no_route_failure(table.version)) if route is None else Ok((table, route))
+
+
 def admitted(
     request: GatewayRequest, route: Route, table: RouteTable, workspace: Workspace | None
 ) -> AdmittedRequest:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from azurefield.crash_evidence import Standing
-from azurefield.failures import FailureKind
+from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 from azurefield.peer_selection import PeerSelection
 from azurefield.reachability import ServerContacts
@@ -67,9 +67,9 @@
         """Run a request and return its result; cancelling this cancels its calls."""
         if self.is_refused(request):
             return await self.runner.run(request, route, version)
-        if request.stops_at is not None and request.deadline_on(route.timeout_s) > request.stops_at:
+        if may_outlast_stop(request, route):
             if not route.idempotent:
-                return Err(refusal(FailureKind.SHUTTING_DOWN, "it might not end before the stop"))
+                return Err(shutting_down_failure())
             request = replace(request, deadline=request.stops_at)
         tried: list[str] = []
         coordinators = self.coordinators(route, tried)
@@ -78,7 +78,7 @@
             result = await self.pass_on(request, route, version)
         if result is not None:
             return result
-        if self.partition_watch.partitioned and not self.open_connections_work():
+        if self.reaches_no_server:
             return Err(no_server_reachable_failure())
         return await self.run_here(request, route, version)
 
@@ -99,9 +99,18 @@
 
         After a partition, this instance takes its requests back gradually.
         """
-        fraction = self.partition_watch.detector.own_fraction(now())
+        fraction = self.own_fraction()
         return fraction < 1.0 and self.random.random() >= fraction
 
+    def own_fraction(self) -> float:
+        """Return the fraction of its requests that this instance does not pass on."""
+        return self.partition_watch.detector.own_fraction(now())
+
+    @property
+    def reaches_no_server(self) -> bool:
+        """Whether this instance can run no request itself."""
+        return self.partition_watch.partitioned and not self.open_connections_work()
+
     def open_connections_work(self) -> bool:
         """Whether servers still answer over connections that were opened before a partition."""
         return max(self.contacts.up_at.values(), default=0.0) > now() - OPEN_CONNECTION_S
@@ -234,3 +243,14 @@
             describe(result),
         )
         return None if refused else result
+
+
+def may_outlast_stop(request: GatewayRequest, route: Route) -> bool:
+    """Whether a request might still run when this instance stops."""
+    stops_at = request.stops_at
+    return stops_at is not None and request.deadline_on(route.timeout_s) > stops_at
+
+
+def shutting_down_failure() -> RequestFailure:
+    """Build the failure of a request that may run only once and might not end before the stop."""
+    return refusal(FailureKind.SHUTTING_DOWN, "it might not end before the stop")
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from azurefield.hedging import LeafLatencies, NoHedging, SharedDelayHedging
+from azurefield.hedging import HedgePolicy, LeafLatencies, NoHedging, SharedDelayHedging
 from azurefield.merge import TopRecordsMerge
 from azurefield.model import Snapshot
 from azurefield.query import FanOut
 from azurefield.retry import WindowedBudget
-from azurefield.routes import ShardSet, SingleService, WeightedRoundRobin, WeightedServices
+from azurefield.routes import ShardSet, WeightedRoundRobin, WeightedServices
 from azurefield.routing import Router
 from azurefield.server_choice import Holders
 from azurefield.server_limits import RouteServerLimits, ServerLimits
@@ -69,6 +69,39 @@
         :param suspect: whether servers may end under it, so that it gets one attempt and no hedges
         """
         self.request_count += 1
+        services = route.services
+        if isinstance(route.target, WeightedServices):
+            chosen = self.weighted_round_robin.choose(route.name, route.target.weights)
+            services = () if chosen is None else (chosen,)
+        hedging = NoHedging() if suspect else self.route_hedging(now, route)
+        return self.build(request, route, version, services, hedging, suspect=suspect)
+
+    def preview(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        version: int,
+        *,
+        suspect: bool = False,
+    ) -> FanOut[Any, Any]:
+        """Build what ``fan_out`` would build next, without hedges; changes nothing."""
+        services = route.services
+        if isinstance(route.target, WeightedServices):
+            following = self.weighted_round_robin.next(route.name, route.target.weights)
+            services = () if following is None else (following,)
+        return self.build(request, route, version, services, NoHedging(), suspect=suspect)
+
+    def build(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        version: int,
+        services: tuple[str, ...],
+        hedging: HedgePolicy,
+        *,
+        suspect: bool,
+    ) -> FanOut[Any, Any]:
+        """Build the fan-out of a request over some services; changes nothing."""
         deadline = request.arrived_at + route.timeout_s
         if request.deadline is not None:
             deadline = min(deadline, request.deadline - policies.CALLER_TRANSIT_S)
@@ -81,7 +114,7 @@
             "deadline": deadline,
             "holders": self.holders,
             "router": self.router,
-            "hedging": NoHedging() if suspect else self.route_hedging(now, route),
+            "hedging": hedging,
             "retries": self.budget,
             "idempotent": route.idempotent,
             "limits": RouteServerLimits(limits=self.limits, priority=route.priority),
@@ -91,18 +124,14 @@
         if answer_by is not None and isinstance(route.target, ShardSet):
             extra_s = policies.FIRST_DEADLINE_EXTRA_FRACTION * (answer_by - request.arrived_at)
             options["first_deadline"] = answer_by + extra_s
-        match route.target:
-            case ShardSet(shards=shards, top=top, coverage_min=coverage_min):
-                top_records = TopRecordsMerge(
-                    top=top, coverage_min=coverage_min, record_bytes=policies.RECORD_BYTES
-                )
-                return FanOut(leafs=shards, merge=ShardMerge(top_records=top_records), **options)
-            case SingleService(service=service):
-                return FanOut(leafs=(service,), merge=PassThrough(), **options)
-            case WeightedServices(weights=weights):
-                chosen = self.weighted_round_robin.choose(route.name, weights)
-                leafs = () if chosen is None else (chosen,)
-                return FanOut(leafs=leafs, merge=PassThrough(), **options)
+        if not isinstance(route.target, ShardSet):
+            return FanOut(leafs=services, merge=PassThrough(), **options)
+        top_records = TopRecordsMerge(
+            top=route.target.top,
+            coverage_min=route.target.coverage_min,
+            record_bytes=policies.RECORD_BYTES,
+        )
+        return FanOut(leafs=services, merge=ShardMerge(top_records=top_records), **options)
 
     def route_hedging(self, now: float, route: Route) -> SharedDelayHedging:
         """Return the hedge policy of a route, made on first use."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -33,7 +33,7 @@
 
     :param callers_address: ``host:port`` for callers' requests
     :param readiness_address: ``host:port`` of the readiness check
-    :param admin_address: ``host:port`` for metrics; None for no metrics
+    :param admin_address: ``host:port`` for metrics and explanations; None for neither
     :param store_address: ``host:port`` of the platform's store
     :param further_calls_ratio: allowed further calls to a service per first call, over all
         instances together
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -13,6 +13,7 @@
 from azurefield_entry.gateway.admin import GatewayAdmin
 from azurefield_entry.gateway.callers.front import GatewayFront
 from azurefield_entry.gateway.callers.load import CallerLoad
+from azurefield_entry.gateway.explain.explainer import RequestExplainer
 from azurefield_entry.gateway.metadata.relay import RelayService
 from azurefield_entry.gateway.metadata.service import MetadataService
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -91,26 +92,30 @@
     gateway.workspace_quotas.set_bounds(settings.quota_bounds)
     finish_timeout_s = max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S)
     coordinator = make_coordinator(settings, gateway, caller_load, finish_timeout_s)
+    front = GatewayFront(
+        address=settings.callers_address,
+        readiness_address=settings.readiness_address,
+        dialect=adapters.callers,
+        gateway=gateway,
+        finish_timeout_s=finish_timeout_s,
+        load=caller_load,
+    )
     services: dict[str, Service] = {
         "settings": ReloadService(load=load, current=settings),
         "gateway": gateway,
         "workspace-quotas": gateway.workspace_quotas,
         "metadata": make_metadata(settings, adapters.store, random, metrics, coordinator),
-        "front": GatewayFront(
-            address=settings.callers_address,
-            readiness_address=settings.readiness_address,
-            dialect=adapters.callers,
-            gateway=gateway,
-            finish_timeout_s=finish_timeout_s,
-            load=caller_load,
-        ),
+        "front": front,
     }
     if coordinator is not None:
         services["coordinator"] = coordinator
     if settings.relay_address is not None:
         services["relay"] = RelayService(address=settings.relay_address)
     if settings.admin_address is not None:
-        services["admin"] = GatewayAdmin(address=settings.admin_address, metrics=metrics)
+        explainer = RequestExplainer(gateway=gateway, front=front, coordinator=coordinator)
+        services["admin"] = GatewayAdmin(
+            address=settings.admin_address, metrics=metrics, explain=explainer.explain
+        )
     kernel = Kernel()
     for name, service in services.items():
         kernel.register(name, service)
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -12,7 +12,7 @@
 from azurefield.server_view import DEFAULT_LATENCY_S, ServerView
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
 # Number of randomly sampled servers that are compared per call. Leafs usually have three servers,
 # and all of them are compared, because comparing only two sends more calls to slow servers. For
@@ -137,25 +137,22 @@
         ]
         return [server for server in responsive if server not in ejected] or responsive or untried
 
-    def possible_choices(
-        self, now: float, eligible: Collection[str], median_latency_s: float
-    ) -> frozenset[str]:
-        """Return which of the eligible servers ``choose`` may return, whatever the random numbers.
+    def possible_choices(self, now: float, waits_s: Mapping[str, float]) -> frozenset[str]:
+        """Return the servers that ``choose`` may return, depending on its random numbers.
 
         Changes nothing.
+
+        :param waits_s: the eligible servers with their expected waits
         """
-        lowest = {
-            server: self.expected_wait_s(now, server, median_latency_s) for server in eligible
-        }
-        limits = {
+        limits_s = {
             server: (1.0 + SCORE_TIE_FRACTION) * wait_s / self.share(now, server)
-            for server, wait_s in lowest.items()
+            for server, wait_s in waits_s.items()
         }
-        others_sampled = min(self.choices, len(lowest)) - 1
+        others_sampled = min(self.choices, len(waits_s)) - 1
         return frozenset(
             server
-            for server, wait_s in lowest.items()
-            if sum(wait_s <= limits[other] for other in lowest if other != server) >= others_sampled
+            for server, wait_s in waits_s.items()
+            if sum(wait_s <= limits_s[one] for one in waits_s if one != server) >= others_sampled
         )
 
     def is_responsive(self, now: float, server: str, median_latency_s: float) -> bool:
@@ -207,6 +204,10 @@
         """Set an addition to the expected wait of a server, to prefer nearer servers."""
         self.penalties_s[server] = penalty_s
 
+    def penalty_s(self, server: str) -> float:
+        """Return the addition to the expected wait of a server."""
+        return self.penalties_s.get(server, 0.0)
+
     def forget(self, server: str) -> None:
         """Remove a server that left the configuration."""
         self.views.pop(server, None)
@@ -255,7 +256,7 @@
         """
         view = self.observed(server)
         latency_s = max(view.estimate(now, median_latency_s), view.waiting_s(now))
-        wait_s = (view.outstanding + 1) * latency_s + self.penalties_s.get(server, 0.0)
+        wait_s = (view.outstanding + 1) * latency_s + self.penalty_s(server)
         return wait_s + self.failure_cost_s * view.recent_failure_rate(now)
 
     def share(self, now: float, server: str) -> float:
--- a/packages/azurefield/src/azurefield/server_choice.py
+++ b/packages/azurefield/src/azurefield/server_choice.py
@@ -64,6 +64,12 @@
         server = self.router.choose(now, servers, closed.union(tried))
         if server is not None or not closed:
             return server
+        return self.first_to_open(now, leaf, tried, open_by=open_by)
+
+    def first_to_open(
+        self, now: float, leaf: str, tried: Collection[str], *, open_by: float
+    ) -> str | None:
+        """Return the untried holder that is expected to open first; None if none does in time."""
         in_time = self.untried(now, leaf, tried, open_by=open_by)
         return min(in_time, key=self.limits.opens_at, default=None)
 
