Add the command azurefieldctl explain

Change: azurefieldctl explain asks the admin address of one gateway and writes its explanation as text or JSON. A request that would be refused ends it with 8, an instance without an answer with 4, an unreadable reply with 1.

--- a/packages/azurefield-operator/src/azurefield_operator/main.py
+++ b/packages/azurefield-operator/src/azurefield_operator/main.py
@@ -12,6 +12,7 @@
 import msgspec
 import uvloop
 
+from azurefield.explanation import ExplainQuery
 from azurefield_operator.checking import read_questionnaire
 from azurefield_operator.commands import (
     accept_change,
@@ -22,6 +23,7 @@
 )
 from azurefield_operator.examples import ExampleName
 from azurefield_operator.examples import example as build_example
+from azurefield_operator.explaining import explain_request
 from azurefield_operator.outcome import CommandFailure, CommandFailureKind, ExitCode, unreadable
 from azurefield_operator.report import Output
 
@@ -144,6 +146,39 @@
     return run_on_platform(out, platform, lambda url: export_configuration(out, url))
 
 
+def explain(
+    admin: str,
+    host: str,
+    path: str,
+    *,
+    method: str = "GET",
+    workspace: str | None = None,
+    body_bytes: int = 0,
+    digest: str | None = None,
+    json: bool = False,
+) -> ExitCode:
+    """Show where a request would go now and why, without sending it.
+
+    :param admin: host:port of the admin listener of the gateway that would get the request
+    :param host: the host that the request names
+    :param path: path and query of the request
+    :param method: method of the request
+    :param workspace: name of its workspace, never a key; none for a request without a key
+    :param body_bytes: size of its body
+    :param digest: digest of its content, from the log; needed to find a crashing request with body
+    :param json: write JSON for scripts
+    """
+    out = Output(json=json)
+    parameters = {"host": host, "path": path, "method": method, "body_bytes": str(body_bytes)}
+    optional = {"workspace": workspace, "digest": digest}
+    parameters |= {name: value for name, value in optional.items() if value is not None}
+    query = ExplainQuery.parse(parameters)
+    if query.is_err():
+        detail = query.unwrap_err()
+        return out.write_failure(CommandFailure(kind=CommandFailureKind.USAGE, detail=detail))
+    return uvloop.run(explain_request(out, admin, query.unwrap()))
+
+
 def run_on_platform(
     out: Output, platform: str | None, command: Callable[[str], Awaitable[ExitCode]]
 ) -> ExitCode:
@@ -161,7 +196,7 @@
 
 def main() -> None:
     """Run the command line."""
-    commands = [example, check, preview, accept, status, audit, export]
+    commands = [example, check, preview, accept, status, audit, export, explain]
     try:
         code = defopt.run(commands, no_negated_flags=True)
         sys.stdout.flush()
--- a/packages/azurefield-operator/src/azurefield_operator/outcome.py
+++ b/packages/azurefield-operator/src/azurefield_operator/outcome.py
@@ -26,6 +26,7 @@
     OUTCOME_UNKNOWN = 5
     STORE_BEHIND = 6
     DISAGREEMENT = 7
+    REFUSED = 8
 
 
 class CommandFailureKind(StrEnum):
