--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -131,7 +131,7 @@
             draining=self.front.draining,
             place=Place.NOWHERE,
             refusal=describe_refusal(refusal),
-            route=None if route is None else describe_route(route),
+            route=None if route is None else describe_route(route, table),
             own_fraction=round(gateway.dispatcher.own_fraction(), 3),
         )
 
@@ -245,13 +245,14 @@
     )
 
 
-def describe_route(route: Route) -> MatchedRoute:
+def describe_route(route: Route, table: RouteTable | None) -> MatchedRoute:
     """Describe a route for the answer."""
     return MatchedRoute(
         name=route.name,
         host=route.host,
         prefix=route.prefix,
         public=route.public,
+        needs_key=table is not None and table.workspaces is not None and not route.public,
         idempotent=route.idempotent,
         timeout_ms=milliseconds(route.timeout_s),
         goal_ms=None if route.goal_s is None else milliseconds(route.goal_s),
--- a/packages/azurefield-operator/src/azurefield_operator/explanation_text.py
+++ b/packages/azurefield-operator/src/azurefield_operator/explanation_text.py
@@ -80,6 +80,7 @@
     parts = [
         f"route: {route.name} ({route.host}{route.prefix})",
         "public" if route.public else "not public",
+        "needs a key" if route.needs_key else "needs no key",
         "idempotent" if route.idempotent else "not idempotent",
         f"timeout {route.timeout_ms:.0f} ms",
         "no goal" if route.goal_ms is None else f"goal {route.goal_ms:.0f} ms",
@@ -150,8 +151,8 @@
 
 
 def choice(*, chosen: bool) -> str:
-    """Write whether a candidate may get the first attempt."""
-    return "may be chosen" if chosen else "not chosen"
+    """Write whether the first attempt may go to a candidate."""
+    return "may be the first choice" if chosen else "not the first choice"
 
 
 def line(name: str, zone: str, parts: list[str], against: tuple[Obstacle, ...]) -> str:
--- a/packages/azurefield-operator/tests/test_explaining.py
+++ b/packages/azurefield-operator/tests/test_explaining.py
@@ -69,6 +69,7 @@
         host="a.example",
         prefix="/s/",
         public=False,
+        needs_key=True,
         idempotent=True,
         timeout_ms=1000.0,
         goal_ms=200.0,
@@ -101,13 +102,13 @@
 TEXT = """\
 the request runs on this instance
 instance: n1 (one), configuration version 3, store heard 120 ms ago
-route: single (a.example/s/), not public, idempotent, timeout 1000 ms, goal 200 ms, at most 2 attempts, priority 1
+route: single (a.example/s/), not public, needs a key, idempotent, timeout 1000 ms, goal 200 ms, at most 2 attempts, priority 1
 workspace: w, priority 0, quota 5/s and a burst of 10
   share 4: issued by n2, asked, issuer silent lately
 rank: 0 (0 is served first)
 service: desk, 2 usable servers
-  d1 (one): may be chosen, expected 27.3 ms, answers in 9.1 ms, names a limit of 9/s, 2 outstanding, connections 2 of 5 open, 1 idle
-  d2 (two): not chosen, expected 27.3 ms, other zone (+15 ms), answers in 9.1 ms, rising, 25% of its usual calls, names a limit of 9/s, 2 outstanding, connections 2 of 5 open, 1 idle; against it: ejected for 800 ms
+  d1 (one): may be the first choice, expected 27.3 ms, answers in 9.1 ms, names a limit of 9/s, 2 outstanding, connections 2 of 5 open, 1 idle
+  d2 (two): not the first choice, expected 27.3 ms, other zone (+15 ms), answers in 9.1 ms, rising, 25% of its usual calls, names a limit of 9/s, 2 outstanding, connections 2 of 5 open, 1 idle; against it: ejected for 800 ms
   3 further servers not listed"""  # noqa: E501
 
 
--- a/packages/azurefield/src/azurefield/explanation.py
+++ b/packages/azurefield/src/azurefield/explanation.py
@@ -85,6 +85,8 @@
 class MatchedRoute:
     """The route of a request.
 
+    :param needs_key: whether requests need the key of a workspace; not on public routes, nor while
+        the configuration has no workspaces
     :param priority: priority of the route, 0 first
     """
 
@@ -92,6 +94,7 @@
     host: str
     prefix: str
     public: bool
+    needs_key: bool
     idempotent: bool
     timeout_ms: float
     goal_ms: float | None
