Test explanations in a partition, of coordinators, and across a new version

Change: cases for instances to which requests are passed on, a coordinator's reply to others, a server without a free connection, and a version that comes into force while an explanation is built.

--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from copy import deepcopy
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, cast
 
@@ -25,12 +27,14 @@
     Target,
     WeightedServices,
 )
+from azurefield.sharing import RequestClass
 from azurefield.warmup_limits import WarmupBound
 from azurefield.workspaces import RequestQuota, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.callers.front import GatewayFront
 from azurefield_entry.gateway.explain.explainer import RequestExplainer
 from azurefield_entry.gateway.explain.servers import SERVERS_LISTED_MAX
+from azurefield_entry.gateway.peers.coordinator import CoordinatorService
 from azurefield_entry.gateway.service import GatewayService
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 
@@ -263,6 +267,11 @@
     made.gateway.quotas.limits.on_denied(now(), "desk-0", 0, 60.0)
 
 
+def use_all_connections(made: Parts) -> None:
+    pool = made.gateway.connections.pool(made.gateway.directory.servers["desk-0"])
+    pool.open_count = pool.ceiling
+
+
 def change(made: Parts, **changes: Any) -> None:
     """Change the entry of the first server."""
     entry = replace(made.gateway.directory.servers["desk-0"], incarnation="2", **changes)
@@ -295,6 +304,16 @@
     assert chosen == {"desk-1", "desk-2"}
 
 
+async def test_a_server_without_a_free_connection_is_named_as_such() -> None:
+    """Guards against a call whose wait for a connection can't be seen in advance."""
+    made = parts()
+    use_all_connections(made)
+    (service,) = (await made.explain()).services
+    against = {one.server: [found.reason for found in one.against] for one in service.servers}
+    assert against["desk-0"] == [ObstacleReason.NO_FREE_CONNECTION]
+    assert all(one.may_be_chosen for one in service.servers), "calls wait for a connection"
+
+
 async def test_a_server_that_warms_up_has_its_share_and_its_limits() -> None:
     """Guards against an explanation that does not show why a new server gets few calls."""
     made = parts()
@@ -320,6 +339,121 @@
     assert (await made.explain("/open/1", workspace=None)).workspace is None
 
 
+def know_instances(made: Parts, own_cores: float) -> None:
+    """Let the gateway know three strong instances and its own profile."""
+    for name, zone, cores in (
+        ("i1", "one", own_cores),
+        ("c1", "one", 9.0),
+        ("c2", "one", 9.0),
+        ("c3", "two", 9.0),
+    ):
+        profile = InstanceProfile(
+            instance=name, availability_zone=zone, capacity=cores, coordinator_address="192.0.2.1:9"
+        )
+        made.gateway.forwarding.view.on_profile(profile)
+
+
+async def test_a_coordinator_runs_the_route_itself() -> None:
+    """Guards against a coordinator that is said to forward to another one."""
+    made = parts()
+    know_instances(made, own_cores=10.0)
+    made.gateway.forwarding.zones = {"l": frozenset({"one"})}
+    explanation = await made.explain("/l/1")
+    assert (explanation.place, explanation.instances) == (Place.HERE, ())
+    assert explanation.coordinator_zones == ("one",)
+
+
+async def test_in_a_partition_the_instances_that_may_run_requests_are_named() -> None:
+    """Guards against an instance that is named although it has refused or is late."""
+    made = parts()
+    know_instances(made, own_cores=1.0)
+    lose_servers(made)
+    peers = made.gateway.dispatcher.peers
+    peers.on_refused(now(), "c1")
+    peers.on_refused(now(), "c2", retry_after_s=0.9)
+    explanation = await made.explain()
+    assert (explanation.place, explanation.own_fraction) == (Place.OTHER_INSTANCE, 0.0)
+    against = {
+        one.instance: {found.reason for found in one.against} for one in explanation.instances
+    }
+    assert against == {"c1": {ObstacleReason.REFUSED}, "c2": {ObstacleReason.LATE}, "c3": set()}
+    assert [one.instance for one in explanation.instances if one.may_be_chosen] == ["c3"]
+    chosen = peers.choose(now(), made.gateway.forwarding.view.profiles.values())
+    assert chosen is not None
+    assert chosen.instance == "c3"
+
+
+def overload(coordinator: CoordinatorService) -> None:
+    coordinator.lag.on_tick(now() - 5.0)
+
+
+def use_up_part(coordinator: CoordinatorService) -> None:
+    """Let the workspace have used up its part of a busy process."""
+    request_class = RequestClass(priority=2, workspace="w1", weight=None)
+    coordinator.admission.parts = {request_class: 1.0}
+    coordinator.admission.credits = {request_class: 0.0}
+
+
+def drain(coordinator: CoordinatorService) -> None:
+    coordinator.draining = True
+
+
+def accept(coordinator: CoordinatorService) -> None:
+    """Leave the coordinator as it is."""
+
+
+@pytest.mark.parametrize(
+    ("prepare", "refusal"),
+    [
+        (accept, None),
+        (drain, "a planned stop has begun"),
+        (overload, "the event loop is"),
+        (use_up_part, "the workspace's part is used up"),
+    ],
+)
+async def test_it_says_what_this_instance_replies_to_others(
+    prepare: Callable[[CoordinatorService], None], refusal: str | None
+) -> None:
+    """Guards against a busy coordinator that is said to accept, and against charging it."""
+    made = parts()
+    coordinator = CoordinatorService(
+        address="192.0.2.1:9",
+        version=lambda: 7,
+        run_request=cast("Any", None),
+        quota_issuer=made.gateway.quotas.issuer,
+        answer_share=made.gateway.workspace_quotas.answer,
+        on_crash_report=lambda _: None,
+        partitioned=lambda: False,
+        finish_timeout_s=1.0,
+    )
+    prepare(coordinator)
+    made.explainer.coordinator = coordinator
+    before = deepcopy((coordinator.admission, coordinator.lag))
+    explanation = await made.explain("/w/1")
+    assert (coordinator.admission, coordinator.lag) == before
+    assert explanation.forwarded is not None
+    found = explanation.forwarded.refusal
+    assert (found or "").startswith(refusal or "")
+    assert (found is None) == (refusal is None)
+
+
+async def test_all_of_an_answer_is_of_one_version() -> None:
+    """Guards against a route of one version with the servers' part of another."""
+    made = parts()
+    asking = asyncio.create_task(made.explain("/l/1"))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    newer = RouteTable.build(version=8, routes=[], services={}, limits=CallerLimits())
+    made.gateway.apply_route_table(newer)
+    made.gateway.apply_listing(now(), ())
+    explanation = await asking
+    assert explanation.route is not None
+    assert (explanation.version, explanation.route.name) == (7, "l")
+    assert len(explanation.services) == len(SHARDS)
+    assert explanation.services[0].servers, "listed before the change"
+    assert not explanation.services[-1].servers, "its servers were gone when its turn came"
+
+
 @pytest.mark.parametrize(
     ("silent", "may_run"),
     [
@@ -334,16 +468,7 @@
     """Guards against a coordinator that is named although requests avoid it."""
     made = parts()
     forwarding = made.gateway.forwarding
-    for name, zone, cores in (
-        ("i1", "one", 0.1),
-        ("c1", "one", 9.0),
-        ("c2", "one", 9.0),
-        ("c3", "two", 9.0),
-    ):
-        profile = InstanceProfile(
-            instance=name, availability_zone=zone, capacity=cores, coordinator_address="192.0.2.1:9"
-        )
-        forwarding.view.on_profile(profile)
+    know_instances(made, own_cores=0.1)
     forwarding.zones = {"l": frozenset({"one", "two"})}
     for name in silent:
         forwarding.choice.on_silent(now(), name)
