Build all of an explanation but the servers before other tasks run

Cause: the reply to other instances was asked for after other tasks had run, so it could be about a newer version. Change: it is asked for with the rest; the zones of a route's coordinators have one method.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -158,9 +158,8 @@
             or dispatch_refusal(admitted, standing)
             or (self.run_refusal(fan_out) if place is Place.HERE else None)
         )
-        zones = self.gateway.forwarding.zones.get(route.name, ())
-        services = await self.servers.explain(fan_out, route.services)
-        return replace(
+        zones = self.gateway.forwarding.zones_for(route) or ()
+        explained = replace(
             described,
             place=place if refusal is None else Place.NOWHERE,
             refusal=refusal,
@@ -170,10 +169,12 @@
             coordinator_zones=tuple(sorted(zones)),
             instances=tuple(instances[:INSTANCES_LISTED_MAX]),
             instances_left_out=len(instances[INSTANCES_LISTED_MAX:]),
-            services=services,
-            services_left_out=len(route.services) - len(services),
             forwarded=self.forwarded(admitted),
         )
+        # Other tasks run from here on, and another version may come into force.
+        services = await self.servers.explain(fan_out, route.services)
+        left_out = len(route.services) - len(services)
+        return replace(explained, services=services, services_left_out=left_out)
 
     def standing(self, query: ExplainQuery, request: GatewayRequest) -> Standing | None:
         """Return how a request may run after ends of servers; None if its content is unknown."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -149,6 +149,10 @@
             and self.needs_coordinators(route.target, table, directory, instances)
         }
 
+    def zones_for(self, route: Route) -> frozenset[str] | None:
+        """Return the zones whose coordinators run a route's requests; None for no coordinators."""
+        return self.zones.get(route.name)
+
     def needs_coordinators(
         self, target: ShardSet, table: RouteTable, directory: Directory, instances: int
     ) -> bool:
@@ -190,7 +194,7 @@
 
     def profiles_for(self, route: Route) -> list[InstanceProfile]:
         """List the instances that can run a route: its coordinators if it has any, else all."""
-        zones = self.zones.get(route.name)
+        zones = self.zones_for(route)
         if zones is None:
             return [*self.view.profiles.values()]
         names = {name for zone in zones for name in self.view.by_zone.get(zone, ())}
@@ -201,12 +205,12 @@
 
         :param tried: those that are not asked again
         """
-        zones = self.zones.get(route.name)
+        zones = self.zones_for(route)
         return None if zones is None else self.choice.choose(now(), zones, tried)
 
     def candidates(self, route: Route) -> tuple[str, ...]:
         """List the coordinators that ``choose`` compares; changes nothing."""
-        zones = self.zones.get(route.name)
+        zones = self.zones_for(route)
         return () if zones is None else self.choice.candidates(now(), zones)
 
     async def forward(
