--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -158,7 +158,7 @@
             or dispatch_refusal(admitted, standing)
             or (self.run_refusal(fan_out) if place is Place.HERE else None)
         )
-        zones = self.gateway.forwarding.zones_for(route) or ()
+        zones = self.gateway.forwarding.coordinator_zones(route) or ()
         explained = replace(
             described,
             place=place if refusal is None else Place.NOWHERE,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/instances.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/instances.py
@@ -36,7 +36,7 @@
             return []
         at = now()
         view, router = self.forwarding.view, self.forwarding.router
-        zones = self.forwarding.zones_for(route) or frozenset()
+        zones = self.forwarding.coordinator_zones(route) or frozenset()
         named = (*view.candidates(zones), *view.distant_candidates(zones))
         median_s = router.median_latency_s(candidates)
         waits_s = {name: router.expected_wait_s(at, name, median_s) for name in named}
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -149,7 +149,7 @@
             and self.needs_coordinators(route.target, table, directory, instances)
         }
 
-    def zones_for(self, route: Route) -> frozenset[str] | None:
+    def coordinator_zones(self, route: Route) -> frozenset[str] | None:
         """Return the zones whose coordinators run a route's requests; None for no coordinators."""
         return self.zones.get(route.name)
 
@@ -194,7 +194,7 @@
 
     def profiles_for(self, route: Route) -> list[InstanceProfile]:
         """List the instances that can run a route: its coordinators if it has any, else all."""
-        zones = self.zones_for(route)
+        zones = self.coordinator_zones(route)
         if zones is None:
             return [*self.view.profiles.values()]
         names = {name for zone in zones for name in self.view.by_zone.get(zone, ())}
@@ -205,12 +205,12 @@
 
         :param tried: those that are not asked again
         """
-        zones = self.zones_for(route)
+        zones = self.coordinator_zones(route)
         return None if zones is None else self.choice.choose(now(), zones, tried)
 
     def candidates(self, route: Route) -> tuple[str, ...]:
         """List the coordinators that ``choose`` compares; changes nothing."""
-        zones = self.zones_for(route)
+        zones = self.coordinator_zones(route)
         return () if zones is None else self.choice.candidates(now(), zones)
 
     async def forward(
