Preview a forwarded request by what the coordinator admits

Cause: the coordinator now finds route and workspace of a request when it accepts it. Change: the preview of its reply takes the admitted request, and both use one function for the request's class.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -21,7 +21,6 @@
     QuotaShare,
 )
 from azurefield.query_actions import Finished
-from azurefield.sharing import RequestClass
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.callers.bodies import body_too_large, too_much_memory
 from azurefield_entry.gateway.callers.front import GatewayFront
@@ -212,11 +211,7 @@
         """Return what this instance would reply to another one that forwards the request."""
         if self.coordinator is None:
             return None
-        workspace = admitted.request.workspace
-        request_class = (
-            None if workspace is None else RequestClass.of(admitted.route.priority, workspace)
-        )
-        return ForwardedRequests(refusal=self.coordinator.preview(admitted.version, request_class))
+        return ForwardedRequests(refusal=self.coordinator.preview(admitted))
 
 
 def quota_refusal(workspace: Workspace | None, shares: list[SharePreview]) -> RequestFailure | None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -304,14 +304,13 @@
             detail, retry_after_s = SHARE_USED_UP, HEARTBEAT_INTERVAL_S
         return RequestRefused(number=frame.number, detail=detail, retry_after_s=retry_after_s)
 
-    def preview(self, version: int, request_class: RequestClass | None) -> str | None:
+    def preview(self, admitted: AdmittedRequest) -> str | None:
         """Return why a forwarded request without a body would be refused; None if it would run.
 
         Changes nothing.
-
-        :param request_class: None for a request without a workspace
         """
-        reason = self.reason_to_refuse(version)
+        request_class = class_of(admitted)
+        reason = self.reason_to_refuse(admitted.version)
         if reason is not None:
             return reason
         if self.lag.overloaded(now()):
@@ -332,11 +331,8 @@
 
     def accepts_share(self, admitted: AdmittedRequest, *, late: bool) -> bool:
         """Whether a request is within its workspace's part of what a busy process accepts."""
-        workspace = admitted.request.workspace
-        if workspace is None:
-            return True
-        request_class = RequestClass.of(admitted.route.priority, workspace)
-        return self.admission.accepts(request_class, late=late)
+        request_class = class_of(admitted)
+        return request_class is None or self.admission.accepts(request_class, late=late)
 
     def must_run(self, frame: ForwardedRequest) -> bool:
         """Whether a request runs here in spite of an overload, as no other instance is asked."""
@@ -362,6 +358,12 @@
             link.writer.close()
 
 
+def class_of(admitted: AdmittedRequest) -> RequestClass | None:
+    """Return the class in which a busy process counts a request; None without a workspace."""
+    workspace = admitted.request.workspace
+    return None if workspace is None else RequestClass.of(admitted.route.priority, workspace)
+
+
 def no_memory(number: int) -> RequestRefused:
     """Build the refusal of a request whose body there is no memory for."""
     return RequestRefused(number=number, detail="callers hold too much memory", no_room=True)
--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -419,6 +419,7 @@
     coordinator = CoordinatorService(
         address="192.0.2.1:9",
         version=lambda: 7,
+        admit=cast("Any", None),
         run_request=cast("Any", None),
         quota_issuer=made.gateway.quotas.issuer,
         answer_share=made.gateway.workspace_quotas.answer,
