Let the buckets of a restarted issuer begin with tokens

Cause: after a restart of all instances, buckets begin empty. A workspace of 1 request/s gets its first token after 3 s, while the slack that the deployment tolerates lies unused. A first quota was claimed by all instances at once, as their wait had passed. Change: a bucket fills from the end of the earlier process, which is known to be before this one could listen. A quarter of the capacity at most, and nothing that a burst needs, is kept for one new issuer a window; the key of a slot tells whether its writer had held it for a window, and the claim clears that in the same conditional write. Free slots are claimed at once in their order, counted from the first quota; a listing and a first quota end the wait for the next check. The simulation's faults and processes have modules of their own; a restarted process claims at once there, too, as the real one does. The property test draws short faults and processes that are ended ten times in a window. The weakened issuers FullFromTheStart and two new ones are looked for with short faults: with the smaller capacity, long ones no longer make a full bucket visible.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from azurefield.crash_evidence import CrashReport
+from azurefield.issuer_slots import SlotHold
 from azurefield.routes import RouteTable
 from azurefield_entry.gateway.ports import Changes, Listing
 from azurefield_entry.gateway.settings import GatewaySettings
@@ -89,9 +90,9 @@
 
     :param holders: the instance of each slot that has a key in the store
     :param lease_until: until when this instance holds its slots, on the clock of ``lease_now``
-    :param held: the slots that this instance holds
+    :param held: the slots that this instance holds, and since when
     """
 
     holders: dict[int, str]
     lease_until: float
-    held: frozenset[int]
+    held: dict[int, SlotHold]
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
@@ -48,7 +49,7 @@
     :param can_issue: whether other instances reach this one; only a process that uses the address
         of an earlier one knows that this one has ended
     :param publish: called with each change of the holders and of the lease
-    :param used: whether a workspace has a quota
+    :param used: whether a workspace has a quota; set by ``set_used``
     :param issuers: the instances that can issue
     """
 
@@ -58,11 +59,12 @@
     metrics: GatewayMetrics
     can_issue: Callable[[], bool]
     publish: Callable[[IssuerSlotsChanged], None]
-    used: bool = False
     claims: SlotClaims = field(init=False)
     slot_lease: SlotLease = field(init=False)
     lease: Lease | None = None
     issuers: set[str] = field(default_factory=set)
+    used: bool = False
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
     next_renewal_at: float = float("inf")
     next_call_at: float = float("-inf")
 
@@ -70,11 +72,23 @@
         self.claims = SlotClaims(own=self.own)
         self.slot_lease = SlotLease(own=self.own)
 
-    def on_listing(self, items: tuple[Item, ...]) -> None:
-        """Apply a complete listing of the store."""
+    def set_used(self, used: bool) -> None:
+        """Set whether a workspace has a quota."""
+        if used and not self.used:
+            self.claims.used_since = now()
+            self.wake.set()
+        self.used = used
+
+    def on_listing(self, items: tuple[Item, ...], era: int | None) -> None:
+        """Apply a complete listing of the store.
+
+        :param era: the era of the store
+        """
+        self.slot_lease.era = era
         self.issuers.clear()
         self.claims.on_listing(now(), [item for item in items if isinstance(item, SlotKey)])
         self.on_changes(items)
+        self.wake.set()
 
     def on_changes(self, items: tuple[Item | Removed, ...]) -> None:
         """Apply changes of the store."""
@@ -88,7 +102,7 @@
                     self.issuers.discard(instance)
                 case SlotKey():
                     self.claims.on_key(item)
-                    self.slot_lease.on_key(item)
+                    self.slot_lease.on_key(lease_now(), item)
                     changed = True
                 case Removed(key=SlotName(slot=slot)):
                     self.claims.on_removed(now(), slot)
@@ -109,10 +123,17 @@
     async def run(self) -> None:
         """Claim slots and renew the lease when it is due."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self.pause(CHECK_INTERVAL_S)
             if now() >= self.next_call_at and not await self.send_due_calls():
                 self.next_call_at = now() + RETRY_DELAY_S * (0.5 + self.random.random())
 
+    async def pause(self, delay_s: float) -> None:
+        """Wait until the next check; what may make a claim due ends the wait."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                await self.wake.wait()
+        self.wake.clear()
+
     async def send_due_calls(self) -> bool:
         """Send the calls to the store that are due; return whether none has failed."""
         if self.lease is not None and now() >= self.next_renewal_at:
@@ -126,16 +147,22 @@
         for claim in self.due_claims():
             if not await self.claim(claim, lease):
                 return False
+        for key in self.slot_lease.due_confirmations(lease_now(), self.claims.usable_keys()):
+            if not await self.confirm(key, lease):
+                return False
         return True
 
     def due_claims(self) -> list[SlotClaim]:
         """List the slots to claim now."""
-        needed = self.used or bool(self.claims.keys)
-        if not needed or not self.can_issue():
+        if not self.can_issue():
+            return []
+        if self.slot_lease.reachable_since is None:
+            self.slot_lease.reachable_since = lease_now()
+        if not self.used and not self.claims.keys:
             return []
         claims = self.claims.claims_of(sorted(self.slot_lease.reclaims))
         if lease_now() >= self.slot_lease.claims_from:
-            known = self.slot_lease.held | self.slot_lease.reclaims
+            known = self.slot_lease.held.keys() | self.slot_lease.reclaims
             claims += self.claims.wanted(now(), frozenset(self.issuers), known)
         return claims
 
@@ -172,13 +199,16 @@
 
     async def claim(self, claim: SlotClaim, lease: Lease) -> bool:
         """Claim a slot; return whether further calls may follow."""
-        key = SlotKey(slot=claim.slot, instance=self.own, lease=lease.number, revision=0)
+        key = SlotKey(
+            slot=claim.slot, instance=self.own, lease=lease.number, revision=0, era=lease.era
+        )
         written = await self.store.put(key, lease, claim.revision)
         if self.lease is not lease:
             return False  # It was given up meanwhile, since the store was restored.
         match written:
             case Ok(_):
-                self.slot_lease.on_claimed(claim.slot, lease.number)
+                self.slot_lease.on_claimed(lease_now(), claim, lease.number)
+                self.record_claim(claim.slot)
                 if not self.slot_lease.reclaims:
                     self.publish_slots()
                 return True
@@ -194,6 +224,34 @@
             case Err(failure):
                 return self.record_failure(failure)
 
+    def record_claim(self, slot: int) -> None:
+        """Log and count how the buckets of a claimed slot begin."""
+        hold = self.slot_lease.held[slot]
+        begins = "start_tokens" if hold.start_tokens else "empty"
+        self.metrics.issuer_slot_claims.labels(begins).inc()
+        log.info(
+            "Claimed issuer slot {}; its buckets begin {:.1f} s ago with {}.",
+            slot,
+            hold.taken_at - hold.filled_from,
+            begins,
+        )
+
+    async def confirm(self, key: SlotKey, lease: Lease) -> bool:
+        """Write how long a slot has been held; return whether further calls may follow."""
+        written = await self.store.put(key, lease, key.revision)
+        if self.lease is not lease:
+            return False  # It was given up meanwhile, since the store was restored.
+        match written:
+            case Ok(_) | Err(KeyChanged()):
+                # Not written again until the key is seen; an earlier write may have been late.
+                self.claims.on_refused(key.slot)
+                return True
+            case Err(LeaseEnded()):
+                self.on_lease_ended()
+                return False
+            case Err(failure):
+                return self.record_failure(failure)
+
     def on_lease_ended(self) -> None:
         """Stop issuing, since the store does not know the lease."""
         log.info("The lease of this instance's issuer slots has ended.")
@@ -219,6 +277,6 @@
             IssuerSlotsChanged(
                 holders=holders,
                 lease_until=self.slot_lease.lease_until,
-                held=frozenset(self.slot_lease.held),
+                held={**self.slot_lease.held},
             )
         )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -131,9 +131,10 @@
                 case WriteCrashReport(report=report):
                     self.own_entries.reports.add(report)
                 case RouteTableChanged(table=table):
-                    self.issuer_slots.used = table.has_quotas
+                    self.issuer_slots.set_used(table.has_quotas)
                 case SettingsChanged(settings=settings):
                     self.store.use_address(settings.store_address)
+                    self.issuer_slots.slot_lease.window_s = settings.quota_bounds.window_s
                 case Stop():
                     break
         await tasks.stop()
@@ -172,7 +173,7 @@
                 )
                 self.tree.clear()
                 self.relay_addresses.clear()
-                self.issuer_slots.on_listing(listing.items)
+                self.issuer_slots.on_listing(listing.items, listing.era)
                 self.update_tree(listing.items)
                 revision = listing.revision
                 reply = StoreReplyReceived(after=revision, revision=revision, era=listing.era)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -37,6 +37,7 @@
     quota_requests: Counter = field(init=False)
     workspace_quota_requests: Counter = field(init=False)
     issuer_slots: Gauge = field(init=False)
+    issuer_slot_claims: Counter = field(init=False)
     servers_ended: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
     store_failures: Counter = field(init=False)
@@ -172,6 +173,12 @@
             "Issuer slots of workspaces' quotas that this instance holds.",
             registry=registry,
         )
+        self.issuer_slot_claims = Counter(
+            "azurefield_gateway_issuer_slot_claims",
+            "Issuer slots that this instance has claimed, by how their buckets begin.",
+            ("begins",),
+            registry=registry,
+        )
         self.servers_ended = Counter(
             "azurefield_gateway_servers_ended",
             "Reports of all instances that a server ended while it ran a request.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -41,6 +41,7 @@
 from azurefield_entry.log_limit import LineLimit
 
 if TYPE_CHECKING:
+    from azurefield.issuer_slots import SlotHold
     from azurefield.quota_shares import QuotaBounds
     from azurefield_entry.gateway.peers.frames import FromPeer
     from azurefield_entry.gateway.ports import GatewayRequest
@@ -112,9 +113,11 @@
         """Set what the deployment tolerates beyond a quota."""
         self.issuer.bounds = self.choice.bounds = bounds
 
-    def on_slots(self, holders: dict[int, str], lease_until: float, held: frozenset[int]) -> None:
+    def on_slots(
+        self, holders: dict[int, str], lease_until: float, held: dict[int, SlotHold]
+    ) -> None:
         """Apply who holds the issuer slots."""
-        if held != self.issuer.held_since.keys():
+        if held.keys() != self.issuer.held.keys():
             log.info("Issuing quota of workspaces for the slots {}.", sorted(held))
         self.holders = holders
         self.issuer.on_lease(lease_now(), lease_until, held)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -149,7 +149,7 @@
     coordinator: CoordinatorService | None,
 ) -> MetadataService:
     """Build the service that follows the store."""
-    return MetadataService(
+    metadata = MetadataService(
         entry=InstanceEntry(
             instance=settings.instance,
             availability_zone=settings.availability_zone,
@@ -162,3 +162,5 @@
         metrics=metrics,
         can_issue=lambda: coordinator is not None and coordinator.listening,
     )
+    metadata.issuer_slots.slot_lease.window_s = settings.quota_bounds.window_s
+    return metadata
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -13,7 +12,7 @@
 
 from azurefield.issuer_slots import SETTLE_S, SlotKey
 from azurefield.quota_shares import ISSUER_SLOTS
-from azurefield_entry.clock import lease_now
+from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.metadata import issuer_slots
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -113,27 +112,84 @@
         metrics=GatewayMetrics(),
         can_issue=lambda: reached,
         publish=published.append,
-        used=used,
     )
-    slots.on_listing(
-        (InstanceEntry(instance="i1", coordinator_address="h:1"), *store.keys.values())
-    )
-    for slot in slots.claims.free_since:
-        slots.claims.free_since[slot] -= SETTLE_S
+    slots.set_used(used)
+    list_again(slots, *store.keys.values())
     return slots
 
 
+def list_again(slots: IssuerSlots, *keys: SlotKey) -> None:
+    """List the store with some keys, long enough ago to claim."""
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *keys), None)
+    slots.claims.listed_at = slots.claims.used_since = now() - SETTLE_S
+    slots.claims.free_since = dict.fromkeys(slots.claims.free_since, now() - SETTLE_S)
+
+
 async def test_free_slots_and_those_of_an_earlier_process_are_claimed() -> None:
     """Guards against slots without an issuer, and against taking those of another instance."""
     store = SlotStore(keys={3: OTHER, 4: EARLIER})
     published: list[IssuerSlotsChanged] = []
     slots = build(store, published)
     assert await slots.send_due_calls()
-    assert published[-1].held == ALL - {3}
+    assert published[-1].held.keys() == ALL - {3}
     assert published[-1].holders[3] == "i2"
     assert store.leases == 1
 
 
+@pytest.mark.parametrize(
+    ("held_s", "era", "start_tokens", "since_start"),
+    [(5.1, None, True, True), (4.9, None, False, True), (5.1, 1, False, False)],
+    ids=["held-for-a-window", "taken-over-just-before", "of-another-history"],
+)
+async def test_the_buckets_of_a_slot_begin_by_the_key_of_the_earlier_process(
+    held_s: float, era: int | None, start_tokens: bool, since_start: bool
+) -> None:
+    """Guards against buckets that are empty after a restart, and two that begin full at once."""
+    earlier = replace(EARLIER, held_s=held_s, era=era)
+    published: list[IssuerSlotsChanged] = []
+    slots = build(SlotStore(keys={4: earlier}), published)
+    begun_at = slots.slot_lease.reachable_since = lease_now() - 1.0
+    await slots.send_due_calls()
+    hold = published[-1].held[4]
+    assert hold.start_tokens is start_tokens
+    assert (hold.filled_from == begun_at) is since_start
+    assert not published[-1].held[5].start_tokens, "a slot without a key begins empty"
+
+
+async def test_the_time_for_which_a_slot_was_held_is_written_once_a_window_has_passed() -> None:
+    """Guards against start tokens for a process that follows another one at once."""
+    store = SlotStore(keys={3: OTHER})
+    slots = build(store, [])
+    await slots.send_due_calls()
+    list_again(slots, *store.keys.values())
+    await slots.send_due_calls()
+    assert {key.held_s for key in store.keys.values()} == {0.0}
+    window_s = slots.slot_lease.window_passed_s
+    held = slots.slot_lease.held
+    slots.slot_lease.held = {
+        slot: replace(hold, taken_at=hold.taken_at - window_s) for slot, hold in held.items()
+    }
+    await slots.send_due_calls()
+    assert all((key.held_s >= window_s) == (key != OTHER) for key in store.keys.values())
+    sent = store.calls
+    await slots.send_due_calls()
+    assert store.calls == sent, "once"
+
+
+@pytest.mark.parametrize(("first", "claims"), [("i1", True), ("i2", False)])
+async def test_the_first_quota_is_claimed_at_once_by_the_first_in_the_order(
+    first: str, claims: bool
+) -> None:
+    """Guards against 503 for the first quota, and against claims of all instances at once."""
+    slots = build(SlotStore(), [], used=False)
+    instances = frozenset({"i1", "i2"})
+    slots.claims.ranks = {slot: (instances, int(first != "i1")) for slot in ALL}
+    slots.issuers.add("i2")
+    slots.set_used(True)
+    await slots.send_due_calls()
+    assert bool(slots.slot_lease.held) is claims
+
+
 @pytest.mark.parametrize(("used", "reached"), [(False, True), (True, False)])
 async def test_no_call_is_sent_without_need(used: bool, reached: bool) -> None:
     """Guards against calls of deployments without quotas, and claims beside an earlier process."""
@@ -150,7 +206,7 @@
     slots = build(store, published)
     store.keys[0] = OTHER
     assert await slots.send_due_calls()
-    assert published[-1].held == ALL - {0}, "the next claims follow at once"
+    assert published[-1].held.keys() == ALL - {0}, "the next claims follow at once"
     sent = store.calls
     assert await slots.send_due_calls()
     assert store.calls == sent, "no claim follows until the key is seen"
@@ -159,9 +215,8 @@
     assert store.calls == sent, "another instance holds the slot"
     slots.on_changes((Removed(key=SlotName(slot=0)),))
     del store.keys[0]
-    slots.claims.free_since[0] -= SETTLE_S
     assert await slots.send_due_calls()
-    assert published[-1].held == ALL
+    assert published[-1].held.keys() == ALL
 
 
 @pytest.mark.parametrize("length_s", [10.0, 600.0])
@@ -179,16 +234,16 @@
     published: list[IssuerSlotsChanged] = []
     slots = build(store, published)
     await slots.send_due_calls()
-    assert published[-1].held == ALL
+    assert published[-1].held.keys() == ALL
     store.ended = True
     slots.next_renewal_at = 0.0
     await slots.send_due_calls()
-    assert published[-1].held == frozenset()
+    assert published[-1].held.keys() == frozenset()
     assert published[-1].lease_until == float("-inf")
     store.keys.clear()
-    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"),))
+    list_again(slots)
     await slots.send_due_calls()
-    assert published[-1].held == ALL, "the store has lost the lease before its end"
+    assert published[-1].held.keys() == ALL, "the store has lost the lease before its end"
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -199,7 +254,7 @@
     clock = [1000.0]
     outages = [(1020.0 + 60.0 * number + 0.37 * number, 30.0) for number in range(20)]
 
-    async def sleep(delay_s: float) -> None:
+    async def pause(self: IssuerSlots, delay_s: float) -> None:  # noqa: ARG001
         clock[0] += delay_s
         assert clock[0] < slots.slot_lease.lease_until or not slots.slot_lease.held
         if clock[0] > outages[-1][0] + 60.0:
@@ -208,12 +263,13 @@
     slots = build(StoreWithOutages(clock=clock, outages=outages), [])
     slots.random = Random(seed)
     slots.claims.free_since = dict.fromkeys(ALL, 0.0)
+    slots.claims.listed_at = slots.claims.used_since = 0.0
     monkeypatch.setattr(issuer_slots, "now", lambda: clock[0])
     monkeypatch.setattr(issuer_slots, "lease_now", lambda: clock[0])
-    monkeypatch.setattr(asyncio, "sleep", sleep)
+    monkeypatch.setattr(IssuerSlots, "pause", pause)
     with pytest.raises(EndOfPlay):
         await slots.run()
-    assert slots.slot_lease.held == ALL
+    assert slots.slot_lease.held.keys() == ALL
 
 
 @pytest.mark.parametrize("late_end", [False, True], ids=["listing", "late-end-of-lease"])
@@ -232,12 +288,12 @@
         assert await slots.renew(lease)
     else:
         slots.on_restored()
-    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *listed))
-    assert slots.slot_lease.held == ALL - {3}
+    list_again(slots, *listed)
+    assert slots.slot_lease.held.keys() == ALL - {3}
     old_until = published[-1].lease_until
     begun = len(published)
     assert await slots.send_due_calls()
-    assert [sent.held for sent in published[begun:]] == [ALL - {3}], "once, after all claims"
+    assert [sent.held.keys() for sent in published[begun:]] == [ALL - {3}], "once, after all claims"
     assert published[-1].lease_until > old_until
     assert {key.lease for key in store.keys.values()} == {40, 2}
 
@@ -250,11 +306,11 @@
     await slots.send_due_calls()
     slots.on_restored()
     store.keys = {3: OTHER}
-    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), OTHER))
-    assert published[-1].held == ALL - {3}
+    list_again(slots, OTHER)
+    assert published[-1].held.keys() == ALL - {3}
     assert await slots.send_due_calls()
     assert store.keys[3] == OTHER
-    assert published[-1].held == ALL - {3}
+    assert published[-1].held.keys() == ALL - {3}
 
 
 async def test_after_a_restore_of_the_store_only_held_slots_are_claimed() -> None:
@@ -264,11 +320,9 @@
     slots = build(store, published)
     await slots.send_due_calls()
     slots.on_restored()
-    assert published[-1].held == ALL - {3}, "a holder goes on until its lease ends"
+    assert published[-1].held.keys() == ALL - {3}, "a holder goes on until its lease ends"
     store.keys.clear()
-    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"),))
-    for slot in slots.claims.free_since:
-        slots.claims.free_since[slot] -= SETTLE_S
+    list_again(slots)
     assert await slots.send_due_calls()
     assert store.keys.keys() == ALL - {3}
-    assert published[-1].held == ALL - {3}
+    assert published[-1].held.keys() == ALL - {3}
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -11,6 +11,7 @@
 import pytest
 
 from azurefield.failures import FailureKind
+from azurefield.issuer_slots import SlotHold
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.workspace_quota import QuotaNotIssued, ShareRequest, TokenDecision
@@ -63,10 +64,10 @@
         own=name, peers=PeerLinks(view=view_of(name, addresses)), metrics=GatewayMetrics()
     )
     quotas.set_bounds(BOUNDS)
-    held = frozenset(slot for slot, holder in HOLDERS.items() if holder == name)
+    since = lease_now() - LONG_AGO_S
+    hold = SlotHold(taken_at=since, filled_from=since)
+    held = {slot: hold for slot, holder in HOLDERS.items() if holder == name}
     quotas.on_slots(HOLDERS, lease_now() + LONG_AGO_S, held)
-    for slot in held:
-        quotas.issuer.held_since[slot] = lease_now() - LONG_AGO_S
     running = serve_quotas(addresses[name], QuotaIssuer(fraction=lambda _: 1.0), quotas.answer)
     return Instance(quotas=quotas, running=running)
 
@@ -154,7 +155,7 @@
         elif fault == "silent":
             lost.service.answer_share = partial(say_nothing, lost.service)
         else:
-            lost.quotas.on_slots(HOLDERS, lease_now(), frozenset())
+            lost.quotas.on_slots(HOLDERS, lease_now(), {})
         assert [await instances["i1"].admit() for _ in range(6)] == [None] * 6
 
 
@@ -179,9 +180,9 @@
     """Guards against requests beyond the quota from an instance that is cut off."""
     async with fleet() as instances:
         quotas = instances["i1"].quotas
-        quotas.on_slots({}, lease_now(), frozenset())
+        quotas.on_slots({}, lease_now(), {})
         assert await instances["i1"].admit() is FailureKind.NOT_READY
-        quotas.on_slots(HOLDERS, lease_now(), frozenset({SLOTS[0]}))
+        quotas.on_slots(HOLDERS, lease_now(), {})
         await instances["i2"].stop()
         await instances["i3"].stop()
         assert await instances["i1"].admit() is FailureKind.NOT_READY
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_fleet.py
@@ -8,7 +8,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from enum import StrEnum
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
@@ -27,6 +26,8 @@
 from azurefield.quota_shares import QuotaBounds
 from azurefield.workspace_quota import ShareChoice, ShareIssuer, ShareRequest, TokenDecision
 from azurefield.workspaces import RequestQuota
+from azurefield_testkit.quota_faults import Fault, FaultKind, LimitChange, end_of
+from azurefield_testkit.quota_node import Node
 from azurefield_testkit.slot_store import SlotStoreModel
 
 TICK_S = 0.25
@@ -37,69 +38,6 @@
 CUT_DROPPED_FRACTION = 0.99
 
 
-class FaultKind(StrEnum):
-    """What happens to an instance."""
-
-    KILL = "kill"
-    FREEZE = "freeze"
-    CUT_STORE = "cut_store"
-    CUT_PEERS = "cut_peers"
-    SLOW_WATCH = "slow_watch"
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Fault:
-    """A fault of one instance.
-
-    :param begin_s: when it begins
-    :param length_s: how long it lasts
-    """
-
-    kind: FaultKind
-    instance: int
-    begin_s: float
-    length_s: float
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LimitChange:
-    """A version of the configuration; each instance learns it within ``lag_s``."""
-
-    at: float
-    version: int
-    quota: RequestQuota
-    lag_s: float = 3.0
-
-
-@dataclass(slots=True, kw_only=True)
-class Node:
-    """One process of an instance.
-
-    :param rate: seconds of its clock per second
-    :param next_renewal_at: when its lease is renewed next
-    """
-
-    name: str
-    rate: float
-    offset: float
-    slot_lease: SlotLease
-    issuer: ShareIssuer
-    choice: ShareChoice
-    claims: SlotClaims
-    version: int
-    quota: RequestQuota
-    next_renewal_at: float = float("-inf")
-
-    def clock(self, now: float) -> float:
-        """Return the time of the process's clock."""
-        return self.offset + self.rate * now
-
-    def update_issuer(self, now: float) -> None:
-        """Pass the lease and its slots on to the issuer."""
-        held = frozenset(self.slot_lease.held)
-        self.issuer.on_lease(self.clock(now), self.slot_lease.lease_until, held)
-
-
 @dataclass(slots=True, kw_only=True)
 class Pending:
     """A caller's request that is being admitted."""
@@ -133,6 +71,7 @@
     lease_s: float = SLOT_LEASE_S
     renew_interval_s: float = RENEW_INTERVAL_S
     make_issuer: Callable[..., ShareIssuer] = ShareIssuer
+    make_lease: Callable[..., SlotLease] = SlotLease
     store: SlotStoreModel = field(init=False)
     nodes: list[Node] = field(default_factory=list)
     events: list[tuple[float, int, Callable[[float], None]]] = field(default_factory=list)
@@ -166,13 +105,7 @@
 
     def active(self, kind: FaultKind, index: int, now: float) -> float | None:
         """Return the end of a fault that an instance has now."""
-        ends = [
-            fault.begin_s + fault.length_s
-            for fault in self.faults
-            if (fault.kind, fault.instance) == (kind, index)
-            and fault.begin_s <= now < fault.begin_s + fault.length_s
-        ]
-        return max(ends, default=None)
+        return end_of(self.faults, kind, index, now)
 
     def when_awake(self, index: int, action: Callable[[float], None]) -> Callable[[float], None]:
         """Delay an action of a suspended instance, and drop one of a process that has ended."""
@@ -196,7 +129,9 @@
             name=name,
             rate=1.0 + self.random.uniform(-error, error),
             offset=self.random.uniform(0.0, 1e6),
-            slot_lease=SlotLease(own=name, lease_s=self.lease_s),
+            slot_lease=self.make_lease(
+                own=name, lease_s=self.lease_s, window_s=self.bounds.window_s
+            ),
             issuer=self.make_issuer(bounds=self.bounds),
             choice=ShareChoice(bounds=self.bounds, first_turn=index),
             claims=SlotClaims(own=name),
@@ -204,12 +139,15 @@
             quota=known[-1].quota if known else self.quota,
         )
         self.store.expire(now)
+        node.slot_lease.reachable_since = node.clock(now)
         node.claims.on_listing(node.clock(now), [*self.store.keys.values()])
         return node
 
     def restart(self, index: int, now: float) -> None:
         """Start another process of the same name."""
         self.nodes[index] = self.start_node(index, now)
+        if self.active(FaultKind.KILL, index, now) is None:
+            self.keep_slots(now, index)
 
     def learn(self, index: int, change: LimitChange, now: float) -> None:  # noqa: ARG002
         """Apply a version of the configuration unless a newer one is known."""
@@ -245,10 +183,28 @@
                 self.call(now, index, partial(self.store.renew, lease), self.renewed, asked_at)
             for claim in wanted:
                 apply = partial(self.claim, claim, node.name, lease)
-                self.call(now, index, apply, self.claimed, asked_at)
+                self.call(now, index, apply, partial(self.claimed, claim), asked_at)
+            self.confirm_holds(now, index)
         elif wanted:
             self.call(now, index, self.store.grant, self.granted, asked_at)
 
+    def confirm_holds(self, now: float, index: int) -> None:
+        """Write how long slots have been held."""
+        node = self.nodes[index]
+        due = node.slot_lease.due_confirmations(node.clock(now), node.claims.usable_keys())
+        for key in due:
+            node.claims.on_refused(key.slot)
+            self.call(now, index, partial(self.confirm, key), self.confirmed, node.clock(now))
+
+    def confirm(self, key: SlotKey, now: float) -> None:
+        """Apply a key with the time for which its slot was held."""
+        confirmed = self.store.confirm(key, now)
+        if confirmed is not None:
+            self.publish(now, partial(self.apply_key, confirmed))
+
+    def confirmed(self, index: int, result: None, asked_at: float, now: float) -> None:
+        """Do nothing; the key is seen later."""
+
     def call(
         self,
         now: float,
@@ -277,6 +233,7 @@
         node = self.nodes[index]
         node.slot_lease.on_granted(lease, asked_at, self.lease_s)
         node.update_issuer(now)
+        self.keep_slots(now, index)
 
     def renewed(self, index: int, renewed: bool, asked_at: float, now: float) -> None:
         """Apply the reply to a renewal."""
@@ -296,18 +253,24 @@
         return key
 
     def claimed(
-        self, index: int, key: SlotKey | None, asked_at: float, now: float  # noqa: ARG002
+        self,
+        claim: SlotClaim,
+        index: int,
+        key: SlotKey | None,
+        asked_at: float,  # noqa: ARG002
+        now: float,
     ) -> None:
         """Apply the reply to a claim."""
         if key is not None:
-            self.nodes[index].slot_lease.on_claimed(key.slot, key.lease)
-            self.nodes[index].update_issuer(now)
+            node = self.nodes[index]
+            node.slot_lease.on_claimed(node.clock(now), claim, key.lease)
+            node.update_issuer(now)
 
     def apply_key(self, key: SlotKey, index: int, now: float) -> None:
         """Apply a key that the store has published."""
         node = self.nodes[index]
         node.claims.on_key(key)
-        node.slot_lease.on_key(key)
+        node.slot_lease.on_key(node.clock(now), key)
         node.update_issuer(now)
 
     def apply_removed(self, slot: int, index: int, now: float) -> None:
--- a/packages/azurefield-testkit/src/azurefield_testkit/slot_store.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/slot_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from azurefield.issuer_slots import SlotClaim, SlotKey
 
@@ -45,3 +45,12 @@
         key = SlotKey(slot=claim.slot, instance=instance, lease=lease, revision=self.revision)
         self.keys[claim.slot] = key
         return key
+
+    def confirm(self, key: SlotKey, now: float) -> SlotKey | None:
+        """Write a key again if it is unchanged and its lease has not ended."""
+        known = self.keys.get(key.slot)
+        if known is None or known.revision != key.revision or self.lease_ends[key.lease] <= now:
+            return None
+        self.revision += 1
+        self.keys[key.slot] = replace(key, revision=self.revision)
+        return self.keys[key.slot]
--- a/packages/azurefield/src/azurefield/quota_shares.py
+++ b/packages/azurefield/src/azurefield/quota_shares.py
@@ -23,6 +23,9 @@
 SLOT_NAMES = tuple(str(slot) for slot in range(ISSUER_SLOTS))
 # Fraction by which the clock of an issuer may be fast.
 CLOCK_RATE_ERROR = 0.001
+# Part of the capacity that a share keeps for the tokens with which a new issuer may begin. The rest
+# has to cover the loss of one issuer.
+START_FRACTION = 0.25
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -51,18 +54,21 @@
     :param shares: number of shares
     :param rate_per_s: tokens per second of one share
     :param tokens_max: capacity of one share
+    :param start_tokens: tokens with which the bucket of a new issuer may begin, once per window
     """
 
     shares: int
     rate_per_s: float
     tokens_max: float
+    start_tokens: float = 0.0
 
 
 def share_limit(quota: RequestQuota, bounds: QuotaBounds) -> ShareLimit:
     """Divide a quota into shares that together allow ``requests_max`` in any window.
 
     Half of the tolerated overage raises the rate, the rest and the slack raise the capacity. A
-    quota that is too small to give each of several shares one token has fewer shares.
+    quota that is too small to give each of several shares one token has fewer shares. What the
+    capacity has beyond the burst is in part kept for new issuers.
     """
     allowed = bounds.requests_max(quota)
     if allowed < 1:
@@ -71,7 +77,15 @@
     rate_per_s = min(quota.rate_per_s * (1 + bounds.overage / 2), (allowed - 1) / window_s)
     tokens_max = allowed - rate_per_s * window_s
     shares = max(1, min(SHARES_MAX, floor(tokens_max)))
-    return ShareLimit(shares=shares, rate_per_s=rate_per_s / shares, tokens_max=tokens_max / shares)
+    # Each share but one may hold a part of a token when a burst begins, and each needs a whole one.
+    needed = max(quota.burst + shares - 1, float(shares))
+    start_tokens = max(0.0, min(START_FRACTION * tokens_max, tokens_max - needed))
+    return ShareLimit(
+        shares=shares,
+        rate_per_s=rate_per_s / shares,
+        tokens_max=(tokens_max - start_tokens) / shares,
+        start_tokens=start_tokens / shares,
+    )
 
 
 def share_slots(workspace: str) -> tuple[int, ...]:
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
+from azurefield.issuer_slots import SlotHold
 from azurefield.quota import ROUNDING_TOLERANCE, QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds, ShareLimit, share_limit, share_slots
 from azurefield.workspaces import RequestQuota
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 # A workspace without requests is forgotten after this time. Longer than instances work with
 # different versions of the configuration, so that an older limit does not come back.
 UNUSED_MAX_S = 600.0
@@ -69,34 +74,44 @@
 class ShareIssuer:
     """Issues the shares of the slots that this instance holds.
 
-    A bucket is empty at the moment from which the slot is held, since the previous holder may have
-    issued all tokens until then.
+    A bucket begins at the moment from which nobody else has issued, empty or with its start tokens,
+    since the previous holder may have issued all tokens until then.
 
     :param lease_until: when the slots are no longer held unless the lease is renewed
-    :param held_since: from when each slot is held
+    :param reported: the slots as they were last reported to be held
+    :param held: how each slot is held, counted anew if its lease ended meanwhile
     """
 
     bounds: QuotaBounds = field(default_factory=QuotaBounds)
     lease_until: float = float("-inf")
-    held_since: dict[int, float] = field(default_factory=dict)
+    reported: dict[int, SlotHold] = field(default_factory=dict)
+    held: dict[int, SlotHold] = field(default_factory=dict)
     buckets: dict[tuple[int, str], ShareBucket] = field(default_factory=dict)
 
-    def on_lease(self, now: float, lease_until: float, held: frozenset[int]) -> None:
+    def on_lease(self, now: float, lease_until: float, held: Mapping[int, SlotHold]) -> None:
         """Apply what is known of the lease and of the slots written under it.
 
         :param lease_until: the end of the lease, counted from before it was granted or renewed
         """
-        if now >= self.lease_until:
-            self.held_since.clear()
+        self.held = {slot: self.effective_hold(now, slot, hold) for slot, hold in held.items()}
+        self.reported = {**held}
         self.lease_until = lease_until
-        self.held_since = {slot: self.held_since.get(slot, now) for slot in held}
         for slot, workspace in [*self.buckets]:
-            if self.buckets[slot, workspace].filled_at < self.held_since.get(slot, float("inf")):
+            known = self.held.get(slot)
+            if known is None or self.buckets[slot, workspace].filled_at < known.filled_from:
                 del self.buckets[slot, workspace]
 
+    def effective_hold(self, now: float, slot: int, hold: SlotHold) -> SlotHold:
+        """Return how a slot is held, given how it is reported to be held."""
+        if slot not in self.reported:
+            return hold
+        if self.reported[slot] == hold and now < self.lease_until:
+            return self.held[slot]
+        return SlotHold(taken_at=now, filled_from=now)
+
     def holds(self, now: float, slot: int) -> bool:
         """Whether this instance issues the shares of a slot."""
-        return now < self.lease_until and slot in self.held_since
+        return now < self.lease_until and slot in self.held
 
     def request(self, now: float, request: ShareRequest) -> TokenDecision:
         """Decide on a request at once."""
@@ -112,11 +127,13 @@
 
     def new_bucket(self, request: ShareRequest) -> ShareBucket:
         """Build the bucket of a workspace as it was when the slot was taken."""
+        hold = self.held[request.slot]
+        limit = share_limit(request.quota, self.bounds)
         return ShareBucket(
-            limit=share_limit(request.quota, self.bounds),
+            limit=limit,
             version=request.version,
-            tokens=0.0,
-            filled_at=self.held_since[request.slot],
+            tokens=limit.start_tokens if hold.start_tokens else 0.0,
+            filled_at=hold.filled_from,
         )
 
     def on_tick(self, now: float) -> None:
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
+from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from azurefield.issuer_slots import SlotClaim, SlotHold, SlotLease
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.workspace_quota import ShareBucket, ShareChoice, ShareIssuer, ShareRequest
 from azurefield.workspaces import RequestQuota
-from azurefield_testkit.quota_fleet import Fault, FaultKind, LimitChange, QuotaFleet
+from azurefield_testkit.quota_faults import Fault, FaultKind, LimitChange
+from azurefield_testkit.quota_fleet import QuotaFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 BOUNDS = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
 QUOTA = RequestQuota(rate_per_s=23.0, burst=23.0)
@@ -20,6 +26,12 @@
 BEGIN_S = 6.0
 END_S = 40.0
 KINDS = tuple(FaultKind)
+LENGTHS_S = (0.2, 1.0, 3.0, 8.0, 20.0)
+# Shorter than a window and than the lease, so that the same slots change hands several times.
+SHORT_S = (0.2, 1.0)
+# A process that is ended again and again takes its slots over ten times in a window.
+REPEATS = 10
+REPEAT_S = 0.5
 
 
 def most_in_window(runs: list[tuple[float, float]], window_s: float, since: float = 0.0) -> int:
@@ -60,6 +72,7 @@
     """Parameters of one run.
 
     :param hit_together: how many issuers are hit by the same fault at once
+    :param repeats: how often each fault comes, ``REPEAT_S`` apart
     :param lowered_at: when a lower limit is accepted; None if it is not
     """
 
@@ -72,6 +85,8 @@
     loss: float
     views_differ: bool = False
     kinds: tuple[FaultKind, ...] = KINDS
+    lengths_s: tuple[float, ...] = LENGTHS_S
+    repeats: int = 1
     lowered_at: float | None = None
 
     def faults(self, random: Random, issuers: list[int]) -> list[Fault]:
@@ -79,17 +94,22 @@
         faults = []
         for _ in range(self.fault_count):
             kind, begin_s = random.choice(self.kinds), random.uniform(BEGIN_S, END_S)
-            length_s = random.choice([0.2, 1.0, 3.0, 8.0, 20.0])
+            length_s = random.choice(self.lengths_s)
             anybody = [random.randrange(self.instances)]
             for instance in random.sample(
                 issuers or anybody, min(self.hit_together, len(issuers) or 1)
             ):
-                faults.append(
-                    Fault(kind=kind, instance=instance, begin_s=begin_s, length_s=length_s)
-                )
+                faults += [
+                    Fault(kind=kind, instance=instance, begin_s=at, length_s=length_s)
+                    for at in (begin_s + number * REPEAT_S for number in range(self.repeats))
+                ]
         return faults
 
-    def run(self, make_issuer: type[ShareIssuer] = ShareIssuer) -> QuotaFleet:
+    def run(
+        self,
+        make_issuer: type[ShareIssuer] = ShareIssuer,
+        make_lease: type[SlotLease] = SlotLease,
+    ) -> QuotaFleet:
         """Run the fleet; the issuers before the faults are found by a run without any."""
         issuers = self.issuers()
         random = Random(self.seed)
@@ -110,6 +130,7 @@
             lease_s=6.0,
             renew_interval_s=0.0,
             make_issuer=make_issuer,
+            make_lease=make_lease,
         )
         receivers = random.sample(range(self.instances), min(self.receivers, self.instances))
         rate = self.factor * QUOTA.rate_per_s
@@ -135,6 +156,8 @@
     factor=st.sampled_from([1.0, 3.0, 6.0]),
     fault_count=st.integers(0, 14),
     kinds=st.sampled_from([KINDS, *((kind,) for kind in KINDS)]),
+    lengths_s=st.sampled_from([LENGTHS_S, SHORT_S]),
+    repeats=st.sampled_from([1, 1, REPEATS]),
     hit_together=st.integers(1, 3),
     loss=st.sampled_from([0.0, 0.02, 0.1]),
     views_differ=st.booleans(),
@@ -176,12 +199,12 @@
         self,
         now: float,
         lease_until: float,  # noqa: ARG002 - the fault
-        held: frozenset[int],
+        held: Mapping[int, SlotHold],
     ) -> None:
         ShareIssuer.on_lease(self, now, float("inf"), held)
 
     def holds(self, now: float, slot: int) -> bool:  # noqa: ARG002 - the fault
-        return slot in self.held_since
+        return slot in self.held
 
 
 class WholeQuota(ShareIssuer):
@@ -196,16 +219,34 @@
         return bucket
 
 
+class AlwaysStartTokens(SlotLease):
+    """Gives start tokens to each process, also to one that follows another at once."""
+
+    def new_hold(self, now: float, claim: SlotClaim) -> SlotHold:
+        return replace(SlotLease.new_hold(self, now, claim), start_tokens=True)
+
+
+class FilledWhileAnotherIssued(SlotLease):
+    """Fills buckets for a window in which the process before may have issued."""
+
+    def new_hold(self, now: float, claim: SlotClaim) -> SlotHold:
+        hold = SlotLease.new_hold(self, now, claim)
+        return replace(hold, filled_from=hold.filled_from - self.window_s)
+
+
 @pytest.mark.parametrize(
-    ("weakened", "kinds"),
+    ("weakened", "kinds", "repeats"),
     [
-        (FullFromTheStart, (FaultKind.KILL,)),
-        (WithoutLease, (FaultKind.CUT_STORE,)),
-        (WholeQuota, KINDS),
+        ({"make_issuer": FullFromTheStart}, (FaultKind.KILL,), 1),
+        ({"make_issuer": WithoutLease}, (FaultKind.CUT_STORE,), 1),
+        ({"make_issuer": WholeQuota}, KINDS, 1),
+        ({"make_lease": AlwaysStartTokens}, (FaultKind.KILL,), REPEATS),
+        ({"make_lease": FilledWhileAnotherIssued}, (FaultKind.KILL,), 1),
     ],
+    ids=["full", "no-lease", "whole-quota", "always-start-tokens", "filled-too-early"],
 )
 def test_the_same_check_finds_a_weakened_issuer(
-    weakened: type[ShareIssuer], kinds: tuple[FaultKind, ...]
+    weakened: dict[str, type], kinds: tuple[FaultKind, ...], repeats: int
 ) -> None:
     """Guards against a check that passes whatever the issuers do."""
     simulations = [
@@ -214,15 +255,17 @@
             instances=7,
             receivers=40,
             factor=6.0,
-            fault_count=14,
+            fault_count=14 if repeats == 1 else 4,
             hit_together=3,
             loss=0.0,
             kinds=kinds,
+            lengths_s=SHORT_S if kinds == (FaultKind.KILL,) else LENGTHS_S,
+            repeats=repeats,
         )
         for seed in range(6)
     ]
     assert all(excess(simulation.run(), simulation) <= 0 for simulation in simulations)
-    assert any(excess(simulation.run(weakened), simulation) > 0 for simulation in simulations)
+    assert any(excess(simulation.run(**weakened), simulation) > 0 for simulation in simulations)
 
 
 def conforming(random: Random, quota: RequestQuota, begin: float, end: float) -> list[float]:
@@ -313,7 +356,7 @@
 ) -> None:
     """Guards against shares of small quotas that are rounded up."""
     limit = share_limit(quota, bounds)
-    in_window = limit.rate_per_s * bounds.window_s + limit.tokens_max
+    in_window = limit.rate_per_s * bounds.window_s + limit.tokens_max + limit.start_tokens
     assert limit.shares * in_window <= bounds.requests_max(quota)
     assert limit.tokens_max >= 1 or bounds.requests_max(quota) < 1
 
