Ask a share again while its holder takes the slot over

Change: a request whose shares have no issuer asks again each 20 ms for 0.2 of its route's goal, if a holder has replied or this process knows of holders for less than 3 s.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/asking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/asking.py
@@ -45,7 +45,7 @@
             case QuotaRefused(number=number, wait_s=wait_s):
                 self.set(QuotaDenied(key=number, wait_s=wait_s))
             case ShareNotIssued():
-                self.set(QuotaNotIssued())
+                self.set(QuotaNotIssued(replied=True))
 
     def on_lost(self, detail: str) -> None:  # noqa: ARG002 - the link logs it
         """Record that the link has ended."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -52,6 +52,13 @@
 WAIT_FRACTION = 0.3
 WAIT_WITHOUT_GOAL_S = 0.2
 WAIT_MIN_S = 0.03
+# A share that has no issuer yet is asked again for this fraction of the goal. A caller that is then
+# refused can still be served elsewhere within its goal.
+ASK_AGAIN_FRACTION = 0.2
+ASK_AGAIN_INTERVAL_S = 0.02
+# For this time after this process has learned of the holders, they may be starting, too, and an
+# instance that can't be connected to is asked again like one that replies.
+START_S = 3.0
 # An issuer that has not replied for this time is given up.
 REPLY_TIMEOUT_S = 1.0
 # The next share is asked, too, if one does not reply within this fraction of the wait, and at the
@@ -75,6 +82,7 @@
 
     :param own: the name of this instance
     :param holders: the instance that holds each issuer slot, as far as is known
+    :param holders_since: since when holders are known
     :param silent_until: until when each slow or unreachable holder is asked last
     """
 
@@ -84,6 +92,7 @@
     issuer: ShareIssuer = field(default_factory=ShareIssuer)
     choice: ShareChoice = field(init=False)
     holders: dict[int, str] = field(default_factory=dict)
+    holders_since: float | None = None
     silent_until: dict[str, float] = field(default_factory=dict)
     refused_lines: LineLimit = field(
         default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
@@ -120,6 +129,8 @@
         if held.keys() != self.issuer.held.keys():
             log.info("Issuing quota of workspaces for the slots {}.", sorted(held))
         self.holders = holders
+        if holders and self.holders_since is None:
+            self.holders_since = now()
         self.issuer.on_lease(lease_now(), lease_until, held)
         self.metrics.issuer_slots.set(len(held))
 
@@ -139,8 +150,14 @@
             return None
         asked_at = now()
         wait_s = WAIT_WITHOUT_GOAL_S if goal_s is None else WAIT_FRACTION * goal_s
-        requests = self.share_requests(workspace.name, workspace.quota, version)
-        decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, wait_s))
+        again_until = asked_at + ASK_AGAIN_FRACTION / WAIT_FRACTION * wait_s
+        while True:
+            requests = self.share_requests(workspace.name, workspace.quota, version)
+            left_s = wait_s - (now() - asked_at)
+            decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, left_s))
+            if now() + ASK_AGAIN_INTERVAL_S > again_until or not self.may_change(decision):
+                break
+            await asyncio.sleep(ASK_AGAIN_INTERVAL_S)
         if isinstance(decision, QuotaGranted):
             self.metrics.workspace_quota_requests.labels("granted").inc()
             return None
@@ -161,6 +178,12 @@
             )
         return failure
 
+    def may_change(self, decision: TokenDecision) -> bool:
+        """Whether a share without an issuer may have one in a moment."""
+        if not isinstance(decision, QuotaNotIssued) or self.holders_since is None:
+            return False
+        return decision.replied or now() - self.holders_since < START_S
+
     def share_requests(
         self, workspace: str, quota: RequestQuota, version: int
     ) -> list[ShareRequest]:
@@ -187,6 +210,7 @@
         """
         asked: set[asyncio.Task[TokenDecision]] = set()
         denied = 0
+        replied = False
         slice_s = min(NEXT_SHARE_MAX_S, NEXT_SHARE_FRACTION * wait_s)
         try:
             for request in requests:
@@ -203,6 +227,7 @@
                     for decision in decisions:
                         if isinstance(decision, QuotaGranted):
                             return decision
+                        replied |= isinstance(decision, QuotaNotIssued) and decision.replied
                     denied += sum(isinstance(one, QuotaDenied) for one in decisions)
                     if done and not last:
                         break
@@ -215,7 +240,7 @@
                 task.cancel()
         if denied == len(requests):
             return QuotaDenied(key=None, wait_s=0.0)
-        return QuotaNotIssued()
+        return QuotaNotIssued(replied=replied)
 
     def silent(self, slot: int) -> bool:
         """Whether the holder of a slot did not reply in time lately."""
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -16,7 +16,7 @@
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.workspace_quota import QuotaNotIssued, ShareRequest, TokenDecision
 from azurefield.workspaces import RequestQuota, Workspace
-from azurefield_entry.clock import lease_now
+from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.peers.links import PeerLinks
 from azurefield_entry.gateway.quotas import workspace_quotas
@@ -192,8 +192,10 @@
     """Takes the replies of the shares from a table, each after a time in seconds."""
 
     replies: dict[int, tuple[float, TokenDecision]]
+    rounds: int = 0
 
     async def ask(self, request: ShareRequest) -> TokenDecision:
+        self.rounds += request.slot == SLOTS[0]
         delay_s, decision = self.replies[request.slot]
         await asyncio.sleep(delay_s)
         return decision
@@ -242,3 +244,30 @@
     requests = quotas.share_requests("w", QUOTA, 1)
     assert await quotas.ask_in_turn(requests, wait_s) == granted
     assert quotas.silent_until.keys() == {HOLDERS[requests[0].slot]}
+
+
+@pytest.mark.parametrize(
+    ("replied", "known_s", "kind"),
+    [(True, 10.0, None), (False, 0.0, None), (False, 10.0, FailureKind.NOT_READY)],
+    ids=["taking-over", "starting", "lost"],
+)
+async def test_shares_that_have_no_issuer_yet_are_asked_again(
+    replied: bool, known_s: float, kind: FailureKind | None
+) -> None:
+    """Guards against 503 while restarted instances take their slots over, and idle waits."""
+    quotas = answering(*((0.0, QuotaNotIssued(replied=replied)) for _ in SLOTS))
+    quotas.holders_since = now() - known_s
+    granted = dict.fromkeys(SLOTS, (0.0, QuotaGranted(key=None)))
+    asyncio.get_running_loop().call_later(0.01, quotas.replies.update, granted)
+    failure = await quotas.admit(make_request(workspace=WORKSPACE), 1, 0.2)
+    assert (None if failure is None else failure.kind) is kind
+
+
+async def test_a_request_that_gets_no_issuer_is_refused_within_a_part_of_its_goal() -> None:
+    """Guards against callers that are refused too late to be served elsewhere."""
+    quotas = answering(*((0.0, QuotaNotIssued(replied=True)) for _ in SLOTS))
+    quotas.holders_since = now()
+    begun_at = now()
+    assert await quotas.admit(make_request(workspace=WORKSPACE), 1, 0.4) is not None
+    assert now() - begun_at >= 0.04
+    assert quotas.rounds <= 0.2 * 0.4 / workspace_quotas.ASK_AGAIN_INTERVAL_S + 1
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -36,7 +36,12 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class QuotaNotIssued:
-    """The asked instance does not hold the issuer slot."""
+    """The asked instance does not hold the issuer slot.
+
+    :param replied: whether the instance runs, so that it may be about to take the slot over
+    """
+
+    replied: bool = False
 
 
 TokenDecision = QuotaGranted | QuotaDenied | QuotaNotIssued
@@ -116,7 +121,7 @@
     def request(self, now: float, request: ShareRequest) -> TokenDecision:
         """Decide on a request at once."""
         if not self.holds(now, request.slot):
-            return QuotaNotIssued()
+            return QuotaNotIssued(replied=True)
         key = (request.slot, request.workspace)
         bucket = self.buckets.get(key)
         if bucket is None:
