Run requests only in the regions that their route and workspace allow

Cause: a configuration may bind routes and workspaces to regions, but the gateway ignored the field and called servers, coordinators and other instances in any region. Change: Residency decides by the settings' regions of zones; all choices of servers go through the allowed holders, coordinators and instances in a partition are chosen among allowed ones, and a request whose regions have too few servers gets 503 at once, not run. Route and workspace bounds are combined where the request is admitted.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -34,6 +34,7 @@
     completed_rises: Counter = field(init=False)
     evacuated_zones: Gauge = field(init=False)
     evacuated_calls: Counter = field(init=False)
+    region_refusals: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
     workspace_quota_requests: Counter = field(init=False)
     issuer_slots: Gauge = field(init=False)
@@ -155,6 +156,12 @@
             "Calls not sent because the zone of their server was evacuated while they waited.",
             registry=registry,
         )
+        self.region_refusals = Counter(
+            "azurefield_gateway_region_refusals",
+            "Requests refused, and calls not sent, because no allowed region could run them.",
+            ("what",),
+            registry=registry,
+        )
         self.quota_requests = Counter(
             "azurefield_gateway_quota_requests",
             "Requests of this instance for quota of limited servers by how they ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -16,6 +16,7 @@
 from azurefield.coordinators import CoordinatorView, fleet_needs_coordinators, zones_near_shards
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
+from azurefield.residency import Residency
 from azurefield.routes import ShardSet
 from azurefield.routing import OwnObservationRouter
 from azurefield_entry.clock import now
@@ -128,11 +129,14 @@
     :param router: chooses coordinators by the observed time to their results
     :param zones: the availability zones near the shards of each route, by route name; empty
         while the fleet needs no coordinators
+    :param bounded_zones: those near the shards' servers in some regions, by these regions
     """
 
     view: CoordinatorView
     router: OwnObservationRouter
+    residency: Residency = field(default_factory=Residency)
     zones: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    bounded_zones: dict[frozenset[str], dict[str, frozenset[str]]] = field(default_factory=dict)
     peers: PeerLinks = field(init=False)
     choice: CoordinatorChoice = field(init=False)
 
@@ -140,14 +144,46 @@
         self.choice = CoordinatorChoice(view=self.view, router=self.router)
         self.peers = PeerLinks(view=self.view, on_heard=self.choice.on_heard)
 
-    def update(self, table: RouteTable, directory: Directory, instances: int) -> None:
-        """Recompute for which routes the fleet needs coordinators, and where they should be."""
-        self.zones = {
-            route.name: zones_near_shards(directory, route.target.shards)
-            for route in table.routes
-            if isinstance(route.target, ShardSet)
-            and self.needs_coordinators(route.target, table, directory, instances)
-        }
+    def update(self, table: RouteTable, directory: Directory, instances: int) -> bool:
+        """Recompute for which routes the fleet needs coordinators, and where they should be.
+
+        :return: whether that has changed
+        """
+        before, bounded_before = self.zones, self.bounded_zones
+        self.zones, self.bounded_zones = {}, {}
+        for route in table.routes:
+            target = route.target
+            if isinstance(target, ShardSet) and self.needs_coordinators(
+                target, table, directory, instances
+            ):
+                shards, allowed = target.shards, route.allowed_regions
+                self.zones[route.name] = self.near_zones(directory, shards, allowed)
+                for bound in table.region_bounds(route):
+                    near = self.near_zones(directory, shards, bound)
+                    self.bounded_zones.setdefault(bound, {})[route.name] = near
+        if self.zones != before:
+            zones = {route: sorted(zones) for route, zones in self.zones.items()}
+            log.info("Coordinators run the requests of these routes, in these zones: {}.", zones)
+        return (self.zones, self.bounded_zones) != (before, bounded_before)
+
+    def near_zones(
+        self, directory: Directory, shards: Collection[str], allowed: frozenset[str] | None
+    ) -> frozenset[str]:
+        """Return the zones that host most of the shards in allowed regions."""
+        return zones_near_shards(
+            directory, shards, lambda zone: self.residency.allows(zone, allowed)
+        )
+
+    def zones_for(self, route: Route) -> frozenset[str] | None:
+        """Return the zones whose coordinators may run a route's requests; None for no coordinators.
+
+        :param route: as it applies to the requests' workspace
+        """
+        zones, allowed = self.zones.get(route.name), route.allowed_regions
+        if zones is None or allowed is None:
+            return zones
+        bounded = self.bounded_zones.get(allowed, {}).get(route.name, zones)
+        return frozenset(zone for zone in bounded if self.residency.allows(zone, allowed))
 
     def needs_coordinators(
         self, target: ShardSet, table: RouteTable, directory: Directory, instances: int
@@ -166,12 +202,16 @@
 
     def zones_by_service(self, table: RouteTable) -> dict[str, frozenset[str]]:
         """Return the zones of the coordinators that call each service of a shard."""
-        return {
-            service: self.zones[route.name]
-            for route in table.routes
-            if route.name in self.zones
-            for service in route.services
-        }
+        zones: dict[str, frozenset[str]] = {}
+        for route in table.routes:
+            if route.name in self.zones:
+                bounded = [
+                    near.get(route.name, frozenset()) for near in self.bounded_zones.values()
+                ]
+                near = self.zones[route.name].union(*bounded)
+                for service in route.services:
+                    zones[service] = zones.get(service, frozenset()) | near
+        return zones
 
     def connection_shares(self, table: RouteTable) -> dict[str, int]:
         """Return this instance's share of a server's connections, for each service of a shard."""
@@ -189,10 +229,17 @@
         }
 
     def profiles_for(self, route: Route) -> list[InstanceProfile]:
-        """List the instances that can run a route: its coordinators if it has any, else all."""
-        zones = self.zones.get(route.name)
+        """List the instances that may run a route: its coordinators if it has any, else all.
+
+        Those outside the allowed regions never get a body.
+        """
+        zones = self.zones_for(route)
         if zones is None:
-            return [*self.view.profiles.values()]
+            return [
+                profile
+                for profile in self.view.profiles.values()
+                if self.residency.allows(profile.availability_zone, route.allowed_regions)
+            ]
         names = {name for zone in zones for name in self.view.by_zone.get(zone, ())}
         return [self.view.profiles[name] for name in sorted(names)]
 
@@ -201,7 +248,7 @@
 
         :param tried: those that are not asked again
         """
-        zones = self.zones.get(route.name)
+        zones = self.zones_for(route)
         return None if zones is None else self.choice.choose(now(), zones, tried)
 
     async def forward(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -181,7 +181,7 @@
     if workspace is not request.workspace or request.caller_key is not None:
         request = replace(request, workspace=workspace, caller_key=None)
     return AdmittedRequest(
-        request=request, route=table.prioritize(route, workspace), version=table.version
+        request=request, route=table.for_workspace(route, workspace), version=table.version
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -25,6 +25,7 @@
 )
 from azurefield_entry.gateway.requests.outcomes import (
     describe,
+    no_allowed_server_failure,
     no_server_reachable_failure,
     refusal,
 )
@@ -67,6 +68,8 @@
         """Run a request and return its result; cancelling this cancels its calls."""
         if self.is_refused(request):
             return await self.runner.run(request, route, version)
+        if self.lacks_allowed_servers(request, route):
+            return Err(no_allowed_server_failure())
         if request.stops_at is not None and request.deadline_on(route.timeout_s) > request.stops_at:
             if not route.idempotent:
                 return Err(refusal(FailureKind.SHUTTING_DOWN, "it might not end before the stop"))
@@ -94,6 +97,21 @@
             return False
         return crash_watch.standing(request.content_digest) is Standing.REFUSED
 
+    def lacks_allowed_servers(self, request: GatewayRequest, route: Route) -> bool:
+        """Whether a request may run only in some regions and too few servers there are usable."""
+        residency, directory = self.runner.planner.residency, self.runner.directory
+        if route.allowed_regions is None or residency.has_servers(directory, route):
+            return False
+        self.metrics.region_refusals.labels("request").inc()
+        log.info(
+            "Request id={} route={} workspace={} is refused: no usable server in the regions {}.",
+            request.request_id,
+            route.name,
+            request.workspace_name,
+            sorted(route.allowed_regions),
+        )
+        return True
+
     def passes_on(self) -> bool:
         """Whether another instance should run the next request.
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/outcomes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/outcomes.py
@@ -34,6 +34,11 @@
     )
 
 
+def no_allowed_server_failure() -> RequestFailure:
+    """Build the failure of a request that no server in an allowed region can run."""
+    return refusal(FailureKind.LEAF_UNAVAILABLE, "no server in an allowed region is usable")
+
+
 def crashing_request_failure() -> RequestFailure:
     """Build the failure of a request under which servers ended."""
     return RequestFailure(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
@@ -5,20 +5,22 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from azurefield.directory import Directory
 from azurefield.hedging import LeafLatencies, NoHedging, SharedDelayHedging
 from azurefield.merge import TopRecordsMerge
 from azurefield.model import Snapshot
 from azurefield.query import FanOut
+from azurefield.residency import AllowedHolders, Residency
 from azurefield.retry import WindowedBudget
 from azurefield.routes import ShardSet, SingleService, WeightedRoundRobin, WeightedServices
 from azurefield.routing import Router
-from azurefield.server_choice import Holders
 from azurefield.server_limits import RouteServerLimits, ServerLimits
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.requests.answers import PassThrough, ShardMerge
 
 if TYPE_CHECKING:
     from azurefield.routes import Route, RouteTable
+    from azurefield.server_choice import Holders
     from azurefield_entry.gateway.ports import GatewayRequest
 
 
@@ -26,9 +28,10 @@
 class RequestPlanner:
     """Builds the fan-out of each request from the policies that all requests share."""
 
-    holders: Holders
+    directory: Directory
     router: Router
     budget: WindowedBudget
+    residency: Residency = field(default_factory=Residency)
     limits: ServerLimits = field(default_factory=ServerLimits)
     weighted_round_robin: WeightedRoundRobin = field(default_factory=WeightedRoundRobin)
     hedging: dict[str, SharedDelayHedging] = field(default_factory=dict)
@@ -79,7 +82,7 @@
             "request_id": f"{request.request_id}.{self.request_count}",
             "snapshot": Snapshot(index_version=version, map_version=version),
             "deadline": deadline,
-            "holders": self.holders,
+            "holders": self.holders(route),
             "router": self.router,
             "hedging": NoHedging() if suspect else self.route_hedging(now, route),
             "retries": self.budget,
@@ -104,6 +107,14 @@
                 leafs = () if chosen is None else (chosen,)
                 return FanOut(leafs=leafs, merge=PassThrough(), **options)
 
+    def holders(self, route: Route) -> Holders:
+        """Return the servers that requests of a route may use."""
+        if route.allowed_regions is None:
+            return self.directory
+        return AllowedHolders(
+            directory=self.directory, residency=self.residency, allowed=route.allowed_regions
+        )
+
     def route_hedging(self, now: float, route: Route) -> SharedDelayHedging:
         """Return the hedge policy of a route, made on first use."""
         known = self.hedging.get(route.name)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -35,6 +35,7 @@
 from azurefield_entry.logs import describe_error
 
 if TYPE_CHECKING:
+    from azurefield.directory import RegisteredServer
     from azurefield.query_actions import Action
     from azurefield.routes import Route
 
@@ -239,6 +240,8 @@
         entry = self.directory.servers.get(action.server)
         if entry is None:
             return Err(not_sent(LeafFailureReason.NO_SERVER))
+        if not self.is_allowed(entry, running):
+            return Err(not_sent(LeafFailureReason.OUTSIDE_REGIONS))
         if not await self.quotas.acquire(entry, running.route.priority, action.start_by):
             return Err(not_sent(LeafFailureReason.RATE_LIMITED))
         pool = self.connections.pool(entry)
@@ -272,6 +275,19 @@
         finally:
             pool.release(connection, reusable=True)
 
+    def is_allowed(self, entry: RegisteredServer, running: RunningRequest) -> bool:
+        """Whether a server, which may have moved since it was chosen, is in an allowed region."""
+        zone, allowed = entry.availability_zone, running.route.allowed_regions
+        if self.planner.residency.allows(zone, allowed):
+            return True
+        self.metrics.region_refusals.labels("call").inc()
+        log.info(
+            "Request id={}: server {} is no longer in an allowed region.",
+            running.request.request_id,
+            entry.server,
+        )
+        return False
+
     def record_sent(
         self, running: RunningRequest, action: SendLeafCall, connection: LeafConnection
     ) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -14,6 +14,7 @@
 from azurefield.directory import Directory, RegisteredServer
 from azurefield.instances import RunningInstances
 from azurefield.peer_selection import PeerSelection
+from azurefield.residency import Residency
 from azurefield.retry import WindowedBudget
 from azurefield.routes import RouteTable
 from azurefield.routing import OwnObservationRouter
@@ -51,6 +52,7 @@
 from azurefield_entry.gateway.requests.planning import RequestPlanner
 from azurefield_entry.gateway.requests.runner import RequestRunner
 from azurefield_entry.gateway.requests.start_wait import wait_for_start
+from azurefield_entry.gateway.requests.table_problems import log_problems
 from azurefield_entry.gateway.servers.checker import ServerChecker
 from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_entry.gateway.servers.partition_watch import PartitionWatch
@@ -77,6 +79,7 @@
     :param further_calls_allowance: further calls (retries and hedges) that all instances together
         may send beyond the ratio
     :param warmup_bound: bound for servers that warm up; None for none
+    :param residency: knows the region of each availability zone
     :param ready_event: set once a route table and a listing of the store are known
     :param store_contact_at: when the store last answered, directly or through a relay
     """
@@ -89,6 +92,7 @@
     metrics: GatewayMetrics
     further_calls_allowance: float = 0.0
     warmup_bound: WarmupBound | None = None
+    residency: Residency = field(default_factory=Residency)
     table: RouteTable | None = None
     directory: Directory = field(default_factory=Directory)
     listing_received: bool = False
@@ -119,6 +123,7 @@
             router=OwnObservationRouter(
                 random=self.router.random, failure_cost_s=self.router.failure_cost_s
             ),
+            residency=self.residency,
         )
         self.quotas = ServerQuotas(
             own=self.instance,
@@ -133,9 +138,7 @@
             own=self.instance, peers=self.forwarding.peers, metrics=self.metrics
         )
         self.crash_broadcast = CrashBroadcast(
-            own=self.instance,
-            peers=self.forwarding.peers,
-            instances=lambda: self.instances.names,
+            own=self.instance, peers=self.forwarding.peers, instances=lambda: self.instances.names
         )
         checker = ServerChecker(
             directory=self.directory,
@@ -166,7 +169,8 @@
             metrics=self.metrics,
         )
         self.planner = RequestPlanner(
-            holders=self.directory,
+            directory=self.directory,
+            residency=self.residency,
             router=self.router,
             budget=self.budget,
             limits=self.quotas.limits,
@@ -218,6 +222,7 @@
                     self.further_calls_allowance = settings.further_calls_allowance
                     self.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
                     self.quotas.warmups.bound = settings.warmup_bound
+                    self.residency.regions = settings.regions
                     self.divide_limits()
                 case Tick():
                     self.tick(now)
@@ -260,14 +265,13 @@
             now, {item.instance for item in items if isinstance(item, InstanceEntry)}
         )
         for item in items:
-            if isinstance(item, InstanceEntry):
-                self.forwarding.view.on_profile(item.profile)
-        for item in items:
-            if isinstance(item, CrashReportEntry):
-                self.crash_watch.on_report(item.report)
-        for item in items:
-            if isinstance(item, RouteTable):
-                self.apply_route_table(item)
+            match item:
+                case InstanceEntry():
+                    self.forwarding.view.on_profile(item.profile)
+                case CrashReportEntry(report=report):
+                    self.crash_watch.on_report(report)
+                case RouteTable():
+                    self.apply_route_table(item)
         self.listing_received = True
         if self.ready:
             self.ready_event.set()
@@ -310,8 +314,7 @@
         log.info(
             "Configuration version {} is in force with {} routes.", table.version, len(table.routes)
         )
-        if table.workspaces is not None and table.workspaces.left_out:
-            log.warning("Version {} leaves out {}.", table.version, table.workspaces.left_out)
+        log_problems(table, self.residency)
         if self.kernel is not None:
             notify_all(self.kernel, RouteTableChanged(table=table))
 
@@ -329,11 +332,7 @@
 
     def update_coordinators(self, table: RouteTable) -> None:
         """Decide again which requests are forwarded, and divide the connections accordingly."""
-        before = self.forwarding.zones
-        self.forwarding.update(table, self.directory, len(self.instances))
-        if self.forwarding.zones != before:
-            zones = {route: sorted(zones) for route, zones in self.forwarding.zones.items()}
-            log.info("Coordinators run the requests of these routes, in these zones: {}.", zones)
+        if self.forwarding.update(table, self.directory, len(self.instances)):
             self.divide_limits()
 
     def divide_limits(self) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -4,6 +4,7 @@
 
 import os
 import resource
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from azurefield.held_memory import LIMIT_BYTES
@@ -43,6 +44,7 @@
     :param relay_address: ``host:port`` for instances that follow this one; None for no relay
     :param coordinator_address: ``host:port`` for requests that other instances forward to this one;
         None to accept none
+    :param regions: the region of each availability zone
     :param capacity: the processor capacity of this instance in cores
     :param warmup_bound: bound for servers that warm up; with it, the load of servers that start or
         recover follows their answers; None for the fixed ramp and no bound
@@ -64,6 +66,7 @@
     stop_grace_s: float
     relay_address: str | None = None
     coordinator_address: str | None = None
+    regions: Mapping[str, str] = field(default_factory=dict)
     capacity: float = 0.0
     memory_mb: float | None = None
     descriptors_max: float | None = None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from azurefield.residency import Residency
 from azurefield.retry import WindowedBudget
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_pace import AdaptivePace, FixedRamp
@@ -81,6 +82,7 @@
         ),
         further_calls_allowance=settings.further_calls_allowance,
         warmup_bound=settings.warmup_bound,
+        residency=Residency(regions=settings.regions),
         metrics=metrics,
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
--- a/packages/azurefield-entry/tests/gateway/test_dispatch.py
+++ b/packages/azurefield-entry/tests/gateway/test_dispatch.py
@@ -67,7 +67,7 @@
     """Guards against a request that runs on more servers because two instances ran it."""
     frame = encode_request(1, 7, make_request(attempts_used=1), now())
     planner = RequestPlanner(
-        holders=Directory(),
+        directory=Directory(),
         router=OwnObservationRouter(random=Random(1)),
         budget=WindowedBudget(ratio=0.2, window_s=10.0),
     )
--- a/packages/azurefield/src/azurefield/call_result.py
+++ b/packages/azurefield/src/azurefield/call_result.py
@@ -39,7 +39,13 @@
     }
 )
 # No byte of the call reached the server, and it is not the reason.
-NOT_SENT_REASONS = frozenset({LeafFailureReason.RATE_LIMITED, LeafFailureReason.EVACUATED})
+NOT_SENT_REASONS = frozenset(
+    {
+        LeafFailureReason.RATE_LIMITED,
+        LeafFailureReason.EVACUATED,
+        LeafFailureReason.OUTSIDE_REGIONS,
+    }
+)
 
 
 def result_of(failure: LeafFailure) -> CallResult:
--- a/packages/azurefield/src/azurefield/coordinators.py
+++ b/packages/azurefield/src/azurefield/coordinators.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from azurefield.directory import Directory
 
@@ -75,15 +75,22 @@
     return tuple(chosen)
 
 
-def zones_near_shards(directory: Directory, shards: Collection[str]) -> frozenset[str]:
-    """Return the availability zones that host most of the shards."""
+def zones_near_shards(
+    directory: Directory,
+    shards: Collection[str],
+    allows: Callable[[str], bool] = lambda _: True,
+) -> frozenset[str]:
+    """Return the availability zones that host most of the shards.
+
+    :param allows: whether a zone may be used
+    """
     hosted: dict[str, int] = {}
     for shard in shards:
         zones = {
             directory.servers[server].availability_zone
             for server in directory.usable.get(shard, ())
         }
-        for zone in zones:
+        for zone in filter(allows, zones):
             hosted[zone] = hosted.get(zone, 0) + 1
     most = max(hosted.values(), default=0)
     return frozenset(zone for zone, count in hosted.items() if count >= NEAR_ZONE_FRACTION * most)
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -33,6 +33,7 @@
     NO_CAPACITY = "no_capacity"
     RATE_LIMITED = "rate_limited"
     EVACUATED = "evacuated"
+    OUTSIDE_REGIONS = "outside_regions"
 
 
 # No byte of such a call reached a server.
@@ -42,6 +43,7 @@
         LeafFailureReason.NO_CAPACITY,
         LeafFailureReason.RATE_LIMITED,
         LeafFailureReason.EVACUATED,
+        LeafFailureReason.OUTSIDE_REGIONS,
     }
 )
 
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -47,6 +47,7 @@
     :param attempts_max: the maximum number of servers of a service on which one request may run
     :param priority: priority among the routes, 0 first
     :param public: whether requests need no key of a workspace
+    :param allowed_regions: the regions that requests may run in; None for any
     """
 
     name: str
@@ -59,6 +60,7 @@
     attempts_max: int = 1
     priority: int = 0
     public: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -169,8 +171,8 @@
             return False
         return any(workspace.quota for workspace in self.workspaces.by_name.values())
 
-    def prioritize(self, route: Route, workspace: Workspace | None) -> Route:
-        """Return a route with the rank of a workspace's requests as its priority.
+    def for_workspace(self, route: Route, workspace: Workspace | None) -> Route:
+        """Return a route as it applies to a workspace's requests, with their rank and regions.
 
         The priority of the workspace decides first, that of the route among equal ones. Without
         workspaces, the route is unchanged.
@@ -180,7 +182,29 @@
         priority = None if workspace is None else workspace.priority
         first = route.priority if priority is None else priority
         second = self.route_priorities.index(route.priority)
-        return replace(route, priority=first * len(self.route_priorities) + second)
+        regions = None if workspace is None else workspace.allowed_regions
+        return replace(
+            route,
+            priority=first * len(self.route_priorities) + second,
+            allowed_regions=in_both(route.allowed_regions, regions),
+        )
+
+    def region_bounds(self, route: Route) -> frozenset[frozenset[str]]:
+        """Return the different sets of regions that the requests of a route may run in."""
+        workspaces = frozenset() if self.workspaces is None else self.workspaces.region_bounds
+        bounds = {in_both(route.allowed_regions, bound) for bound in (None, *workspaces)}
+        return frozenset(bound for bound in bounds if bound is not None)
+
+
+def in_both(first: frozenset[str] | None, second: frozenset[str] | None) -> frozenset[str] | None:
+    """Return the regions that two bounds allow; None stands for any region.
+
+    >>> in_both(frozenset({"eu"}), None), in_both(frozenset({"eu"}), frozenset({"us"}))
+    (frozenset({'eu'}), frozenset())
+    """
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/azurefield/src/azurefield/server_limits.py
+++ b/packages/azurefield/src/azurefield/server_limits.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from math import inf
 
 # Value of a limit, in requests per second, of a server that names none.
 NO_LIMIT = inf
+WRITTEN_LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 # Shortest time for which a server is passed over after its quota was denied.
 DENIED_MIN_S = 0.02
 # A changed limit is logged only if it differs by at least this fraction.
 LOGGED_CHANGE_FRACTION = 0.25
 
 
+def parse_limit(limit: str | None) -> float | None:
+    """Return the limit in an answer's header, in requests per second; None if it is unreadable."""
+    if limit is None:
+        return NO_LIMIT
+    return float(limit) if WRITTEN_LIMIT.fullmatch(limit) else None
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NamedLimit:
     """The limit that a server named last.
--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -52,11 +52,13 @@
 
     :param priority: decides before the priority of the routes, 0 first; None to keep theirs
     :param quota: None if any number of requests may run
+    :param allowed_regions: the regions that requests may run in; None for any
     """
 
     name: str
     priority: int | None = None
     quota: RequestQuota | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -67,6 +69,17 @@
     keys: tuple[str, ...] = field(repr=False)
     priority: int | None = None
     quota: RequestQuota | None = None
+    allowed_regions: frozenset[str] | None = None
+
+    @property
+    def workspace(self) -> Workspace:
+        """The workspace without its keys."""
+        return Workspace(
+            name=self.name,
+            priority=self.priority,
+            quota=self.quota,
+            allowed_regions=self.allowed_regions,
+        )
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -101,6 +114,8 @@
 
     Only digests of the keys are kept, so that nothing that is written of this object shows a key.
 
+    :param region_bounds: the different sets of regions that workspaces may use
+
     >>> entry = WorkspaceEntry(name="w", keys=("secret",))
     >>> workspaces = WorkspaceKeys.build([entry])
     >>> workspaces.find("secret").name, workspaces.find("other"), "secret" in repr(workspaces)
@@ -110,6 +125,7 @@
     by_name: dict[str, Workspace] = field(default_factory=dict)
     by_digest: dict[bytes, Workspace] = field(default_factory=dict, repr=False)
     left_out: LeftOutEntries = field(default_factory=LeftOutEntries)
+    region_bounds: frozenset[frozenset[str]] = frozenset()
 
     @classmethod
     def build(cls, entries: Iterable[WorkspaceEntry]) -> WorkspaceKeys:
@@ -119,10 +135,7 @@
         used = [entry for entry in entries if is_usable_name(entry.name) and names[entry.name] == 1]
         holders = Counter(key for entry in entries for key in frozenset(entry.keys))
         usable = {key for key in holders if is_usable_key(key)}
-        by_name = {
-            entry.name: Workspace(name=entry.name, priority=entry.priority, quota=entry.quota)
-            for entry in used
-        }
+        by_name = {entry.name: entry.workspace for entry in used}
         return cls(
             by_name=by_name,
             by_digest={
@@ -136,6 +149,11 @@
                 unusable_keys=len(holders) - len(usable),
                 shared_keys=sum(holders[key] > 1 for key in usable),
             ),
+            region_bounds=frozenset(
+                workspace.allowed_regions
+                for workspace in by_name.values()
+                if workspace.allowed_regions is not None
+            ),
         )
 
     def find(self, key: str) -> Workspace | None:
--- a/packages/azurefield/tests/test_routes.py
+++ b/packages/azurefield/tests/test_routes.py
@@ -104,8 +104,8 @@
     )
 
     def rank(workspace: int | None, number: int) -> int:
-        return table.prioritize(routes[number], Workspace(name="w", priority=workspace)).priority
+        return table.for_workspace(routes[number], Workspace(name="w", priority=workspace)).priority
 
     assert rank(*first) < rank(*later)
     plain = RouteTable.build(version=1, routes=routes, services={}, limits=limits)
-    assert plain.prioritize(routes[1], None) is routes[1]
+    assert plain.for_workspace(routes[1], None) is routes[1]
--- a/tests/fleet/test_records.py
+++ b/tests/fleet/test_records.py
@@ -146,6 +146,28 @@
     assert table.services == {"desk": expected, "other": ServiceLimits(connections_max=30)}
 
 
+@pytest.mark.parametrize(
+    ("named", "allowed"),
+    [
+        ({}, None),
+        ({"allowed_regions": None}, None),
+        ({"allowed_regions": []}, None),
+        ({"allowed_regions": ["eu", "us", "eu"]}, frozenset({"eu", "us"})),
+    ],
+)
+def test_routes_and_workspaces_name_their_regions(
+    named: dict[str, Any], allowed: frozenset[str] | None
+) -> None:
+    """Guards against a bound that is lost, and an empty list that refuses all requests."""
+    value = config(7, route("r", "/r/", service="desk", **named), services=("desk",))
+    tenants = [{"name": "w", "api_keys": ["k"], **named}]
+    table = decode_item("op/config", encoded(value | {"tenants": tenants})).unwrap()
+    assert isinstance(table, RouteTable)
+    assert table.workspaces is not None
+    assert [found.allowed_regions for found in table.routes] == [allowed]
+    assert table.workspaces.by_name["w"].allowed_regions == allowed
+
+
 def test_a_route_that_names_no_service_is_refused() -> None:
     """Guards against a configuration that is accepted although a route has no target."""
     value = config(7, route("r", "/x/"), services=())
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -51,6 +51,14 @@
     assert loaded.warmup_bound == WarmupBound(rate_factor=1.5, extra_requests=5.0)
 
 
+def test_the_settings_name_the_region_of_each_zone(tmp_path: Path) -> None:
+    """Guards against a zone without a region, whose servers get no bound requests."""
+    assert load(write(tmp_path, SETTINGS)).unwrap().regions == {}
+    zones = '[zones]\none = "eu"\ntwo = "us"\n[listen]'
+    loaded = load(write(tmp_path, SETTINGS.replace("[listen]", zones))).unwrap()
+    assert loaded.regions == {"one": "eu", "two": "us"}
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
