Count the load that servers report when a server is chosen

Cause: an instance sees of a server only its own calls; a server whose machine is slowed for a few hundred ms, or that others fill, is found out by late answers. Change: server_load.py parses a report of running and waiting requests, slots and slowness, in answers and refusals, and the router multiplies the observed latency by how much more the report slows an answer down than usual; its weight ends after 0.25 s. Callers don't see the header.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -29,6 +29,7 @@
     servers: Gauge = field(init=False)
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
+    load_reports: Counter = field(init=False)
     limited_servers: Gauge = field(init=False)
     warming_servers: Gauge = field(init=False)
     completed_rises: Counter = field(init=False)
@@ -130,6 +131,11 @@
             "1 while this instance can reach no server, else 0.",
             registry=registry,
         )
+        self.load_reports = Counter(
+            "azurefield_gateway_load_reports",
+            "Answers in which a backend server reported its load.",
+            registry=registry,
+        )
         self.limited_servers = Gauge(
             "azurefield_gateway_limited_servers",
             "Backend servers that name a limit of requests per second.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -11,6 +11,7 @@
 from azurefield.issuer_slots import SlotKey
 from azurefield.routes import RouteTable
 from azurefield.server_limits import NO_LIMIT
+from azurefield.server_load import ServerLoad
 from azurefield.workspaces import Workspace
 from azurefield_platform.failures import InvalidCall
 
@@ -96,6 +97,7 @@
     :param proof: proves to the caller which server answered which request; None if missing
     :param limit_per_s: requests per second that the server takes from all instances together;
         ``NO_LIMIT`` if the answer names no limit, None if what it names is unreadable
+    :param load: the load that the server reported; None without a readable report
     """
 
     status: int
@@ -103,6 +105,7 @@
     body: bytes
     proof: str | None
     limit_per_s: float | None = NO_LIMIT
+    load: ServerLoad | None = None
 
     @property
     def success(self) -> bool:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -219,6 +219,7 @@
         ended_at = now()
         if call.sent_at is not None:
             self.record_limit(action.server, result, call.sent_at)
+            self.record_load(ended_at, action.server, result)
             record_reply(running, action.call_id, result)
         match result:
             case Ok(answer):
@@ -321,6 +322,15 @@
                     self.quotas.on_limit_ended(entry)
             self.metrics.limited_servers.set(len(limits.known))
 
+    def record_load(
+        self, ended_at: float, server: str, result: Result[OpaqueAnswer, LeafFailure]
+    ) -> None:
+        """Record the load that a server has reported in its answer."""
+        answer = result.ok_value if isinstance(result, Ok) else result.err_value
+        if answer.load is not None:
+            self.metrics.load_reports.inc()
+            self.planner.router.on_load(ended_at, server, answer.load)
+
     def connection_wait_s(self, route: Route) -> float:
         """Return how long a call may wait for a connection."""
         if route.goal_s is None:
--- a/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
@@ -128,6 +128,9 @@
     def on_result(self, now: float, server: str, result: object, latency_s: float) -> None:
         """Do nothing."""
 
+    def on_load(self, now: float, server: str, load: object) -> None:
+        """Do nothing."""
+
 
 class RouterWithoutEjection(OwnObservationRouter):
     """The shipped router without ejection of failing servers."""
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from azurefield.model import Outcome
+from azurefield.server_load import ServerLoad
 
 
 class LeafFailureReason(StrEnum):
@@ -54,13 +55,15 @@
 
     ``outcome`` is ``NOT_RUN`` only if no byte of the request can have reached the backend server,
     or if the server answered that it did not run the call. ``limit_per_s`` is the limit, in
-    requests per second, that such an answer named; None if it named none.
+    requests per second, that such an answer named; None if it named none. ``load`` is the load that
+    the server reported in it.
     """
 
     reason: LeafFailureReason
     outcome: Outcome
     detail: str = ""
     limit_per_s: float | None = None
+    load: ServerLoad | None = None
 
 
 class FailureKind(StrEnum):
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from azurefield.server_load import ServerLoad
+
 # Number of randomly sampled servers that are compared per call. Leafs usually have three servers,
 # and all of them are compared, because comparing only two sends more calls to slow servers. For
 # leafs with more servers, sampling bounds the work and the herding of calls on one server.
@@ -46,6 +48,9 @@
     def on_result(self, now: float, server: str, result: CallResult, latency_s: float) -> None:
         """Record how a call ended, after ``latency_s`` seconds."""
 
+    def on_load(self, now: float, server: str, load: ServerLoad) -> None:
+        """Record the load that a server has reported in an answer."""
+
 
 @dataclass(slots=True, kw_only=True)
 class RoundRobinRouter:
@@ -74,6 +79,9 @@
         """Count the call as ended."""
         self.outstanding[server] -= 1
 
+    def on_load(self, now: float, server: str, load: ServerLoad) -> None:
+        """Do nothing."""
+
 
 @dataclass(slots=True, kw_only=True)
 class OwnObservationRouter:
@@ -86,8 +94,8 @@
     repetition. After a start or an ejection, ``pace`` says which share of its calls a server gets.
     ``failure_cost_s`` is added to the expected wait of a server whose calls all fail; a lower
     failure rate adds a proportional part. ``on_restart`` begins the rise of a restarted server, and
-    ``forget`` removes a server that left the configuration. The load reports of the servers are not
-    used, because outdated reports did not improve the choice.
+    ``forget`` removes a server that left the configuration. A server's own report of its load
+    counts only while it is recent, because outdated reports did not improve the choice.
     """
 
     random: Random
@@ -160,6 +168,10 @@
             if view.consecutive_failures >= CONSECUTIVE_FAILURES_TO_EJECT:
                 self.eject(now, server)
 
+    def on_load(self, now: float, server: str, load: ServerLoad) -> None:
+        """Record the load that a server has reported in an answer."""
+        self.view(server).on_load(now, load)
+
     def on_restart(self, now: float, server: str) -> None:
         """Reset the observations of a server that has restarted and begin its rise."""
         view = self.view(server)
@@ -205,6 +217,7 @@
         """
         view = self.view(server)
         latency_s = max(view.estimate(now, median_latency_s), view.waiting_s(now))
+        latency_s *= view.latency_factor(now)
         wait_s = (view.outstanding + 1) * latency_s + self.penalties_s.get(server, 0.0)
         wait_s += self.failure_cost_s * view.recent_failure_rate(now)
         # An ejected server that is used because too many are ejected is needed at its full share.
--- a/packages/azurefield/src/azurefield/server_view.py
+++ b/packages/azurefield/src/azurefield/server_view.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from azurefield.server_load import ReportedLoad, ServerLoad
+
 LATENCY_EWMA_WEIGHT = 0.2
 # While a server gets no calls, its latency estimate decays with this half-life to the median of the
 # leaf's servers, and its failure rate to 0. Otherwise a slow server would never get calls again.
@@ -25,6 +27,7 @@
     """What one instance observed of one backend server.
 
     :param usual_s: median latency of its leaf's servers when it was last chosen; None if unknown
+    :param reported: the load that it has reported; None if it reports none
     """
 
     sent_at: list[float] = field(default_factory=list)
@@ -40,6 +43,7 @@
     failure_rate: float = 0.0
     ended_at: float = float("-inf")
     usual_s: float | None = None
+    reported: ReportedLoad | None = None
 
     def observe(self, now: float, latency_s: float) -> None:
         """Update the moving average of the latency with one observation."""
@@ -70,6 +74,17 @@
         """Return the time since the oldest outstanding call was sent; 0 without such a call."""
         return now - self.sent_at[0] if self.sent_at else 0.0
 
+    def on_load(self, now: float, load: ServerLoad) -> None:
+        """Record a report of the server's load."""
+        if self.reported is None:
+            self.reported = ReportedLoad.first(now, load)
+        else:
+            self.reported.update(now, load)
+
+    def latency_factor(self, now: float) -> float:
+        """Return how much longer an answer takes now than observed, as the server reports it."""
+        return 1.0 if self.reported is None else self.reported.latency_factor(now)
+
     def record_outcome(self, now: float, *, failed: bool) -> None:
         """Update the moving average of the failure rate with one call."""
         rate = self.recent_failure_rate(now)
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -12,6 +12,7 @@
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
 from azurefield.server_limits import NO_LIMIT
+from azurefield.server_load import ServerLoad
 from azurefield.workspaces import Workspace
 from azurefield_entry.gateway.http_headers import end_to_end
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, OpaqueAnswer
@@ -306,8 +307,25 @@
         assert result.err_value.limit_per_s == expected
 
 
-def test_callers_do_not_see_the_limit_of_a_leaf() -> None:
+@pytest.mark.parametrize(
+    ("headers", "running"),
+    [((("Server-Load", "3,0,8"),), 3), ((("Server-Load", "?"),), None), ((), None)],
+)
+def test_answers_and_refusals_name_the_load_of_a_leaf(
+    headers: tuple[tuple[str, str], ...], running: int | None
+) -> None:
+    """Guards against a report that is lost, or that makes an answer unusable."""
+    load = None if running is None else ServerLoad(running=running, waiting=0, slots=8)
+    answered = LeafsHttp().decode(CALL, 200, (*OK_HEADERS, *headers), b"x")
+    refused = LeafsHttp().decode(CALL, 503, (*OK_HEADERS, ("Not-Executed", "1"), *headers), b"")
+    assert isinstance(answered, Ok)
+    assert isinstance(refused, Err)
+    assert (answered.ok_value.load, refused.err_value.load) == (load, load)
+
+
+@pytest.mark.parametrize("header", [("Server-Limit", "2"), ("Server-Load", "3,0,8")])
+def test_callers_do_not_see_the_limit_or_the_load_of_a_leaf(header: tuple[str, str]) -> None:
     """Guards against a header about the leaf that callers could take for their own limit."""
-    headers = (*OK_HEADERS, ("Server-Limit", "2"))
+    headers = (*OK_HEADERS, header)
     answer = OpaqueAnswer(status=200, headers=headers, body=b"x", proof="p")
-    assert "Server-Limit" not in CallersHttp().build_response(Ok(answer)).headers
+    assert header[0] not in CallersHttp().build_response(Ok(answer)).headers
