--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -38,6 +38,7 @@
     MetadataStore,
     Removed,
 )
+from azurefield_entry.gateway.zone_traffic import TrafficKind, ZoneTraffic
 from azurefield_entry.kernel import Kernel, Stop
 from azurefield_entry.notify import notify
 
@@ -96,6 +97,7 @@
     store_available: bool = True
     backoff_s: float = RETRY_BACKOFF_MIN_S
     tree: RelayTree = field(init=False)
+    traffic: ZoneTraffic = field(init=False)
     relay_addresses: dict[str, str] = field(default_factory=dict)
     avoided_until: dict[str, float] = field(default_factory=dict)
     position: StorePosition | None = None
@@ -117,6 +119,7 @@
             publish=self.publish_slots,
         )
         self.tree = RelayTree(own=self.entry.instance, own_zone=self.entry.availability_zone)
+        self.traffic = ZoneTraffic.of(self.entry.availability_zone, self.metrics)
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Run the calls to the store until ``Stop``."""
@@ -323,7 +326,8 @@
                     case Err(lost):
                         return position, lost
                     case Ok(frame):
-                        pass
+                        zone = self.tree.zone_of(relay)
+                        self.traffic.record(TrafficKind.RELAY, zone, len(frame.encoded))
                 problem = check_frame(frame, position)
                 if problem is not None:
                     return position, problem
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -22,6 +22,7 @@
     share_refusals: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     forwarded_other_zone: Counter = field(init=False)
+    other_zone_bytes: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     stray_bytes: Counter = field(init=False)
@@ -97,6 +98,12 @@
             "Requests forwarded to an instance of another availability zone.",
             registry=registry,
         )
+        self.other_zone_bytes = Counter(
+            "azurefield_gateway_other_zone_bytes",
+            "Bytes exchanged with other availability zones, both ways, by kind of traffic.",
+            ("kind",),
+            registry=registry,
+        )
         self.leaf_calls = Counter(
             "azurefield_gateway_leaf_calls",
             "Calls to backend servers by how they ended.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -32,6 +32,7 @@
 )
 from azurefield_entry.gateway.peers.links import PeerLink, PeerLinks
 from azurefield_entry.gateway.requests.running import RequestResult
+from azurefield_entry.gateway.zone_traffic import ZoneTraffic
 
 if TYPE_CHECKING:
     from azurefield.coordinators import InstanceProfile
@@ -129,12 +130,14 @@
     :param router: chooses coordinators by the observed time to their results
     :param zones: the availability zones near the shards of each route, by route name; empty
         while the fleet needs no coordinators
+    :param traffic: counts the bytes exchanged with other zones; None not to count them
     :param bounded_zones: those near the shards' servers in some regions, by these regions
     """
 
     view: CoordinatorView
     router: OwnObservationRouter
     residency: Residency = field(default_factory=Residency)
+    traffic: ZoneTraffic | None = None
     zones: Mapping[str, frozenset[str]] = field(default_factory=dict)
     bounded_zones: dict[frozenset[str], dict[str, frozenset[str]]] = field(default_factory=dict)
     peers: PeerLinks = field(init=False)
@@ -142,7 +145,7 @@
 
     def __post_init__(self) -> None:
         self.choice = CoordinatorChoice(view=self.view, router=self.router)
-        self.peers = PeerLinks(view=self.view, on_heard=self.choice.on_heard)
+        self.peers = PeerLinks(view=self.view, on_heard=self.choice.on_heard, traffic=self.traffic)
 
     def update(self, table: RouteTable, directory: Directory, instances: int) -> bool:
         """Recompute for which routes the fleet needs coordinators, and where they should be.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING, Protocol
 
@@ -18,7 +19,13 @@
 from azurefield_entry.background import BackgroundTasks
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.peers.frames import FROM_PEER, FromPeer, Heartbeat, ToPeer
-from azurefield_entry.gateway.peers.framing import encode, read_frame
+from azurefield_entry.gateway.peers.framing import (
+    LENGTH_PREFIX_BYTES,
+    decode_frame,
+    encode,
+    read_length,
+)
+from azurefield_entry.gateway.zone_traffic import ZoneTraffic, kind_of_frame
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -52,10 +59,12 @@
     """A connection to another instance, with the replies that it owes.
 
     :param on_heard: called when a frame of the other instance has arrived
+    :param on_exchanged: called with each frame that is sent or received, and its length in bytes
     """
 
     writer: asyncio.StreamWriter
     on_heard: Callable[[], None] = lambda: None
+    on_exchanged: Callable[[ToPeer | FromPeer, int], None] = lambda _, __: None
     pending: dict[int, PendingReply] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=count)
     last_frame_at: float = 0.0
@@ -72,16 +81,20 @@
     def send(self, frame: ToPeer) -> None:
         """Send a frame."""
         if not self.closed:
-            self.writer.write(encode(frame))
+            encoded = encode(frame)
+            self.writer.write(encoded)
+            self.on_exchanged(frame, len(encoded))
 
     async def receive(self, reader: asyncio.StreamReader) -> None:
         """Pass on replies until the connection ends."""
         detail = "closed"
         try:
             while True:
-                frame = await read_frame(reader, FROM_PEER)
+                length = await read_length(reader)
+                frame = decode_frame(await reader.readexactly(length), FROM_PEER)
                 self.last_frame_at = now()
                 self.on_heard()
+                self.on_exchanged(frame, LENGTH_PREFIX_BYTES + length)
                 # Replies that nothing waits for any more are ignored.
                 if not isinstance(frame, Heartbeat) and frame.number in self.pending:
                     self.pending[frame.number].on_frame(frame)
@@ -119,10 +132,12 @@
 
     :param view: knows the addresses of the other instances
     :param on_heard: called with the name of an instance when a frame of it has arrived
+    :param traffic: counts the bytes exchanged with other zones; None not to count them
     """
 
     view: CoordinatorView
     on_heard: Callable[[str], None] = lambda _: None
+    traffic: ZoneTraffic | None = None
     links: dict[str, PeerLink] = field(default_factory=dict)
     connecting: dict[str, asyncio.Task[Result[PeerLink, PeerUnreachable]]] = field(
         default_factory=dict
@@ -157,7 +172,10 @@
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENCE_TIMEOUT_S * 1000))
         link = PeerLink(
-            writer=writer, last_frame_at=now(), on_heard=lambda: self.on_heard(instance)
+            writer=writer,
+            last_frame_at=now(),
+            on_heard=lambda: self.on_heard(instance),
+            on_exchanged=partial(self.record_exchanged, instance),
         )
         self.links[instance] = link
         self.tasks.start("receive-from-peer", link.receive(reader))
@@ -165,6 +183,12 @@
         log.info("Connected to instance {}.", instance)
         return Ok(link)
 
+    def record_exchanged(self, instance: str, frame: ToPeer | FromPeer, length: int) -> None:
+        """Count a frame of an instance in another zone."""
+        if self.traffic is not None and self.view.is_distant(instance):
+            zone = self.view.profiles[instance].availability_zone
+            self.traffic.record(kind_of_frame(frame), zone, length)
+
     def retain_only(self, instances: Collection[str]) -> list[str]:
         """Close the idle links to instances that no longer run, and return their names."""
         ended = [
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -123,9 +123,13 @@
 
 
 class LeafConnection(Protocol):
-    """One connection to a backend server, for one call at a time."""
+    """One connection to a backend server, for one call at a time.
+
+    :param bytes_exchanged: what all its calls have sent and received
+    """
 
     idle_since: float
+    bytes_exchanged: int
 
     @property
     def usable(self) -> bool:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -30,8 +30,10 @@
     RequestResult,
     RunningRequest,
     SentCall,
+    record_reply,
 )
 from azurefield_entry.gateway.servers.connections import ServerConnections
+from azurefield_entry.gateway.zone_traffic import ZoneTraffic, kind_of_call
 from azurefield_entry.logs import describe_error
 
 if TYPE_CHECKING:
@@ -39,10 +41,6 @@
     from azurefield.query_actions import Action
     from azurefield.routes import Route
 
-# After these failures, the server may have ended while it ran the call.
-UNANSWERED_REASONS = frozenset(
-    {LeafFailureReason.CONNECTION_LOST, LeafFailureReason.TRUNCATED, LeafFailureReason.TIMEOUT}
-)
 # Priorities that have label values of their own.
 PRIORITIES_LABELLED = 32
 log = Logger("gateway")
@@ -54,6 +52,7 @@
 
     :param running: the running requests, by their digest
     :param store_age_s: returns the time since the store last answered, for the log
+    :param traffic: counts the bytes exchanged with other zones; None not to count them
     """
 
     directory: Directory
@@ -63,6 +62,7 @@
     metrics: GatewayMetrics
     store_age_s: Callable[[], float]
     quotas: ServerQuotas
+    traffic: ZoneTraffic | None = None
     active_calls: dict[str, ActiveCall] = field(default_factory=dict)
     running: dict[str, list[RunningRequest]] = field(default_factory=dict)
 
@@ -245,6 +245,7 @@
             return Err(not_sent(LeafFailureReason.OUTSIDE_REGIONS))
         if not await self.quotas.acquire(entry, running.route.priority, action.start_by):
             return Err(not_sent(LeafFailureReason.RATE_LIMITED))
+        kind = kind_of_call(running.fan_out.progress[action.leaf])
         pool = self.connections.pool(entry)
         if running.standing is Standing.SUSPECT:
             connection = pool.open_fresh()
@@ -261,6 +262,7 @@
                     pass
         self.active_calls[action.call_id].connection = connection
         running.fan_out.set_stage(action.call_id, CallStage.CONNECTING)
+        before = connection.bytes_exchanged
         try:
             if not await connection.open():
                 return Err(not_sent(LeafFailureReason.CONNECT_FAILED))
@@ -275,6 +277,9 @@
             return await connection.exchange(call)
         finally:
             pool.release(connection, reusable=True)
+            if self.traffic is not None:
+                count = connection.bytes_exchanged - before
+                self.traffic.record(kind, entry.availability_zone, count)
 
     def is_allowed(self, entry: RegisteredServer, running: RunningRequest) -> bool:
         """Whether a server, which may have moved since it was chosen, is in an allowed region."""
@@ -379,21 +384,3 @@
 def not_sent(reason: LeafFailureReason) -> LeafFailure:
     """Build the failure of a call of which no byte was sent."""
     return LeafFailure(reason=reason, outcome=Outcome.NOT_RUN)
-
-
-def record_reply(
-    running: RunningRequest, call_id: str, result: Result[OpaqueAnswer, LeafFailure]
-) -> None:
-    """Record whether the server of a call has survived it."""
-    call = running.sent_calls.get(call_id)
-    if call is None:
-        return
-    match result:
-        case Ok(_):
-            running.answered_services.add(call.service)
-        case Err(LeafFailure(reason=reason)) if reason in UNANSWERED_REASONS:
-            call.lost = reason is not LeafFailureReason.TIMEOUT
-            return
-        case Err(LeafFailure(outcome=Outcome.NOT_RUN)):
-            running.attempts[call.service] -= 1
-    del running.sent_calls[call_id]
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/running.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from result import Result
+from result import Err, Ok, Result
 
 from azurefield.crash_evidence import Standing
-from azurefield.failures import RequestFailure
+from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.merge import MergedParts
+from azurefield.model import Outcome
 from azurefield.query import FanOut
 from azurefield.routes import Route
 from azurefield.sharing import RequestClass
@@ -20,6 +21,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# After these failures, the server may have ended while it ran the call.
+UNANSWERED_REASONS = frozenset(
+    {LeafFailureReason.CONNECTION_LOST, LeafFailureReason.TRUNCATED, LeafFailureReason.TIMEOUT}
+)
 RequestResult = Result[OpaqueAnswer | MergedParts, RequestFailure]
 
 
@@ -132,3 +137,21 @@
         """Record, for the log line, how a call ended."""
         if len(self.logged_calls) < LOGGED_CALLS_MAX:
             self.logged_calls.append(f"{server}:{result}:{elapsed_s * 1000:.0f}")
+
+
+def record_reply(
+    running: RunningRequest, call_id: str, result: Result[OpaqueAnswer, LeafFailure]
+) -> None:
+    """Record whether the server of a call has survived it."""
+    call = running.sent_calls.get(call_id)
+    if call is None:
+        return
+    match result:
+        case Ok(_):
+            running.answered_services.add(call.service)
+        case Err(LeafFailure(reason=reason)) if reason in UNANSWERED_REASONS:
+            call.lost = reason is not LeafFailureReason.TIMEOUT
+            return
+        case Err(LeafFailure(outcome=Outcome.NOT_RUN)):
+            running.attempts[call.service] -= 1
+    del running.sent_calls[call_id]
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -58,6 +58,7 @@
 
     __slots__ = (
         "address",
+        "bytes_exchanged",
         "calls_sent",
         "closed",
         "current_exchange",
@@ -92,6 +93,7 @@
         self.closed = False
         self.calls_sent = 0
         self.parser: HttpResponseParser | None = None
+        self.bytes_exchanged = 0
         self.idle_since = 0.0
         self.idle_until = float("inf")
 
@@ -112,7 +114,9 @@
         )
         self.calls_sent += 1
         try:
-            self.transport.writelines(self.dialect.encode(call, self._loop.time()))
+            encoded = self.dialect.encode(call, self._loop.time())
+            self.bytes_exchanged += sum(map(len, encoded))
+            self.transport.writelines(encoded)
             return await self.current_exchange.result_future
         except asyncio.CancelledError:
             self.abort()
@@ -183,6 +187,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; bytes that no call waits for close the connection."""
+        self.bytes_exchanged += len(data)
         exchange = self.current_exchange
         before = b"" if exchange is None else exchange.received.last
         for piece in split_behind_chunks(before, data, PARSED_BYTES_MAX):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -20,6 +20,7 @@
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_limits import ServerLimits
 from azurefield.warmup_limits import WarmupBound, WarmupLimits
+from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
 from azurefield_entry.gateway.crashes.broadcast import CrashBroadcast
 from azurefield_entry.gateway.crashes.watch import CrashWatch
@@ -57,6 +58,7 @@
 from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_entry.gateway.servers.partition_watch import PartitionWatch
 from azurefield_entry.gateway.servers.registry import ServerRegistry
+from azurefield_entry.gateway.zone_traffic import ZoneTraffic
 from azurefield_entry.kernel import Kernel, Stop, send_every
 from azurefield_entry.notify import notify, notify_all
 
@@ -124,6 +126,7 @@
                 random=self.router.random, failure_cost_s=self.router.failure_cost_s
             ),
             residency=self.residency,
+            traffic=ZoneTraffic.of(self.availability_zone, self.metrics),
         )
         self.quotas = ServerQuotas(
             own=self.instance,
@@ -183,6 +186,7 @@
             metrics=self.metrics,
             store_age_s=self.store_age_s,
             quotas=self.quotas,
+            traffic=self.forwarding.traffic,
         )
         self.dispatcher = RequestDispatcher(
             runner=self.runner,
@@ -205,15 +209,15 @@
         ticking = asyncio.create_task(send_every(mailbox, Tick(), policies.TICK_INTERVAL_S))
         while True:
             message = await mailbox.receive()
-            now = self.now()
+            received_at = now()
             match message:
                 case MetadataListed(listing=listing, after_outage=after_outage):
-                    self.record_store_contact(now, 0.0, after_outage=after_outage)
-                    self.apply_listing(now, listing.items)
+                    self.record_store_contact(received_at, 0.0, after_outage=after_outage)
+                    self.apply_listing(received_at, listing.items)
                 case MetadataChanged(changes=changes, after_outage=after_outage, age_s=age_s):
-                    self.record_store_contact(now, age_s, after_outage=after_outage)
+                    self.record_store_contact(received_at, age_s, after_outage=after_outage)
                     for item in changes.items:
-                        self.apply_change(now, item)
+                        self.apply_change(received_at, item)
                 case SettingsChanged(settings=settings):
                     self.budget.ratio = (
                         policies.FURTHER_CALLS_RATIO_FRACTION * settings.further_calls_ratio
@@ -225,7 +229,7 @@
                     self.residency.regions = settings.regions
                     self.divide_limits()
                 case Tick():
-                    self.tick(now)
+                    self.tick(received_at)
                 case Stop():
                     break
         ticking.cancel()
@@ -236,10 +240,6 @@
         self.forwarding.peers.close()
         self.connections.retire_all()
 
-    def now(self) -> float:
-        """Return the time of the event loop's clock."""
-        return asyncio.get_running_loop().time()
-
     @property
     def ready(self) -> bool:
         """Whether a route table and a listing of the store are known."""
@@ -396,4 +396,4 @@
 
     def store_age_s(self) -> float:
         """Return the time since the store last answered."""
-        return self.now() - self.store_contact_at
+        return now() - self.store_contact_at
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -14,6 +14,7 @@
 from azurefield.failures import FailureKind
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits, Route, RouteTable, ServiceLimits, SingleService
+from azurefield_entry.clock import now
 from azurefield_entry.gateway.messages import MetadataListed, WriteCrashReport
 from azurefield_entry.gateway.policies import TICK_INTERVAL_S
 from azurefield_entry.gateway.ports import (
@@ -248,7 +249,7 @@
     mailbox = Mailbox(name="gateway")
     running = asyncio.create_task(service.run(Kernel(), mailbox))
     await asyncio.sleep(TICK_INTERVAL_S / 2)
-    sent_at = service.now()
+    sent_at = now()
     listing = Listing(items=(table(1),), revision=1)
     mailbox.send(MetadataListed(listing=listing, after_outage=False))
     await wait_until(lambda: service.ready, "the listing is known")
--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -20,8 +20,7 @@
     InstanceEntry,
     Removed,
 )
-from azurefield_entry.gateway.requests.runner import record_reply
-from azurefield_entry.gateway.requests.running import RunningRequest, SentCall
+from azurefield_entry.gateway.requests.running import RunningRequest, SentCall, record_reply
 from azurefield_entry.gateway.servers.connection import HttpLeafConnection
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 from azurefield_testkit.entry_support.scripted_server import ScriptedServer, listening
--- a/packages/azurefield/src/azurefield/relay_tree.py
+++ b/packages/azurefield/src/azurefield/relay_tree.py
@@ -37,6 +37,10 @@
         """Add an instance that can relay."""
         self.zones.setdefault(zone, set()).add(instance)
 
+    def zone_of(self, instance: str) -> str | None:
+        """Return the zone of an instance; None if it is not known."""
+        return next((zone for zone, members in self.zones.items() if instance in members), None)
+
     def remove(self, instance: str) -> None:
         """Remove an instance."""
         for members in self.zones.values():
