--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -24,6 +24,7 @@
     edge_refusals: Counter = field(init=False)
     forwarded: Counter = field(init=False)
     forwarded_other_zone: Counter = field(init=False)
+    other_zone_bytes: Counter = field(init=False)
     leaf_calls: Counter = field(init=False)
     connections_opened: Counter = field(init=False)
     stray_bytes: Counter = field(init=False)
@@ -31,11 +32,13 @@
     servers: Gauge = field(init=False)
     instances: Gauge = field(init=False)
     partitioned: Gauge = field(init=False)
+    load_reports: Counter = field(init=False)
     limited_servers: Gauge = field(init=False)
     warming_servers: Gauge = field(init=False)
     completed_rises: Counter = field(init=False)
     evacuated_zones: Gauge = field(init=False)
     evacuated_calls: Counter = field(init=False)
+    region_refusals: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
     workspace_quota_requests: Counter = field(init=False)
     issuer_slots: Gauge = field(init=False)
@@ -109,6 +112,12 @@
             "Requests forwarded to an instance of another availability zone.",
             registry=registry,
         )
+        self.other_zone_bytes = Counter(
+            "azurefield_gateway_other_zone_bytes",
+            "Bytes exchanged with other availability zones, both ways, by kind of traffic.",
+            ("kind",),
+            registry=registry,
+        )
         self.leaf_calls = Counter(
             "azurefield_gateway_leaf_calls",
             "Calls to backend servers by how they ended.",
@@ -143,6 +152,11 @@
             "1 while this instance can reach no server, else 0.",
             registry=registry,
         )
+        self.load_reports = Counter(
+            "azurefield_gateway_load_reports",
+            "Answers in which a backend server reported its load.",
+            registry=registry,
+        )
         self.limited_servers = Gauge(
             "azurefield_gateway_limited_servers",
             "Backend servers that name a limit of requests per second.",
@@ -169,6 +183,12 @@
             "Calls not sent because the zone of their server was evacuated while they waited.",
             registry=registry,
         )
+        self.region_refusals = Counter(
+            "azurefield_gateway_region_refusals",
+            "Requests refused, and calls not sent, because no allowed region could run them.",
+            ("what",),
+            registry=registry,
+        )
         self.quota_requests = Counter(
             "azurefield_gateway_quota_requests",
             "Requests of this instance for quota of limited servers by how they ended.",
