--- a/packages/azurefield-entry/tests/gateway/test_allowed_regions.py
+++ b/packages/azurefield-entry/tests/gateway/test_allowed_regions.py
@@ -21,7 +21,7 @@
     ShardSet,
     SingleService,
 )
-from azurefield.workspaces import WorkspaceEntry, WorkspaceKeys
+from azurefield.workspaces import KeyDigest, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.peers.forwarding import Forwarding
 from azurefield_entry.gateway.policies import TICK_INTERVAL_S
@@ -62,7 +62,7 @@
 
 
 def table(route: Route, workspace: frozenset[str] | None = None) -> RouteTable:
-    entry = WorkspaceEntry(name="w", keys=("k",), allowed_regions=workspace)
+    entry = WorkspaceEntry(name="w", keys=(KeyDigest.of("k"),), allowed_regions=workspace)
     return RouteTable.build(
         version=1,
         routes=[route],
--- a/packages/azurefield-entry/tests/gateway/test_edge.py
+++ b/packages/azurefield-entry/tests/gateway/test_edge.py
@@ -7,14 +7,14 @@
 import pytest
 
 from azurefield.routes import CallerLimits, RouteTable
-from azurefield.workspaces import WorkspaceEntry, WorkspaceKeys
+from azurefield.workspaces import KeyDigest, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.gateway.messages import RouteTableChanged
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.requests.edge import EdgeService
 from azurefield_entry.kernel import Kernel, Mailbox, Stop
 from azurefield_testkit.waiting import wait_until
 
-WORKSPACES = WorkspaceKeys.build([WorkspaceEntry(name="w1", keys=("k1",))])
+WORKSPACES = WorkspaceKeys.build([WorkspaceEntry(name="w1", keys=(KeyDigest.of("k1"),))])
 
 
 def changed(workspaces: WorkspaceKeys | None) -> RouteTableChanged:
--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -16,6 +16,7 @@
 from azurefield.directory import RegisteredState
 from azurefield.explanation import ExplainQuery, Explanation, ObstacleReason, Place
 from azurefield.failures import FailureKind
+from azurefield.issuer_slots import SlotHold
 from azurefield.quota_shares import share_slots
 from azurefield.routes import (
     CallerLimits,
@@ -29,7 +30,7 @@
 )
 from azurefield.sharing import RequestClass
 from azurefield.warmup_limits import WarmupBound
-from azurefield.workspaces import RequestQuota, WorkspaceEntry, WorkspaceKeys
+from azurefield.workspaces import KeyDigest, RequestQuota, WorkspaceEntry, WorkspaceKeys
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.callers.front import GatewayFront
 from azurefield_entry.gateway.explain.explainer import RequestExplainer
@@ -70,7 +71,7 @@
     limits=CallerLimits(),
     workspaces=WorkspaceKeys.build(
         [
-            WorkspaceEntry(name="w1", keys=(KEY,), priority=1),
+            WorkspaceEntry(name="w1", keys=(KeyDigest.of(KEY),), priority=1),
             WorkspaceEntry(name="w2", keys=(), quota=QUOTA),
         ]
     ),
@@ -129,9 +130,9 @@
 def hold_empty_shares(made: Parts) -> None:
     """Let this instance issue all shares, of which nothing is left yet."""
     slots = share_slots("w2")
-    made.gateway.workspace_quotas.on_slots(
-        dict.fromkeys(slots, "i1"), lease_now() + 60.0, frozenset(slots)
-    )
+    since = lease_now()
+    holds = dict.fromkeys(slots, SlotHold(taken_at=since, filled_from=since))
+    made.gateway.workspace_quotas.on_slots(dict.fromkeys(slots, "i1"), since + 60.0, holds)
 
 
 def deny_shares(made: Parts) -> None:
--- a/packages/azurefield/tests/test_decision_previews.py
+++ b/packages/azurefield/tests/test_decision_previews.py
@@ -9,6 +9,7 @@
 import pytest
 
 from azurefield.call_result import CallResult
+from azurefield.issuer_slots import SlotHold
 from azurefield.quota import QuotaDenied
 from azurefield.quota_shares import share_slots
 from azurefield.routes import WeightedRoundRobin
@@ -114,7 +115,8 @@
     """Guards against an explanation that uses a turn or a token of a workspace."""
     slots = share_slots("w")
     issuer, choice = ShareIssuer(), ShareChoice()
-    issuer.on_lease(0.0, 100.0, frozenset(slots[:2]))
+    hold = SlotHold(taken_at=0.0, filled_from=0.0)
+    issuer.on_lease(0.0, 100.0, dict.fromkeys(slots[:2], hold))
     for step in range(1, 40):
         now = 0.05 * step
         before = deepcopy((issuer, choice))
--- a/packages/azurefield/tests/test_residency.py
+++ b/packages/azurefield/tests/test_residency.py
@@ -13,7 +13,7 @@
 from azurefield.residency import AllowedHolders, Residency
 from azurefield.routes import CallerLimits, Route, RouteTable, ShardSet, SingleService, in_both
 from azurefield.snapshot import Holding
-from azurefield.workspaces import Workspace, WorkspaceEntry, WorkspaceKeys
+from azurefield.workspaces import KeyDigest, Workspace, WorkspaceEntry, WorkspaceKeys
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -113,8 +113,10 @@
 def test_the_regions_without_a_zone_are_named() -> None:
     """Guards against a misspelt region that refuses all requests without a trace."""
     entries = [
-        WorkspaceEntry(name="v", keys=("k",), allowed_regions=frozenset({"eu", "mars"})),
-        WorkspaceEntry(name="w", keys=("l",)),
+        WorkspaceEntry(
+            name="v", keys=(KeyDigest.of("k"),), allowed_regions=frozenset({"eu", "mars"})
+        ),
+        WorkspaceEntry(name="w", keys=(KeyDigest.of("l"),)),
     ]
     table = RouteTable.build(
         version=1,
