--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -38,7 +38,7 @@
 # Nor does the room fall below this part of the rate that was accepted before: what then makes the
 # process late are the refusals, which a lower capacity makes more.
 ROOM_FLOOR_FRACTION = 0.1
-# Time constant in which an earlier rate is forgotten.
+# Time constant in which a larger earlier rate is forgotten.
 PEAK_S = 60.0
 # Credit is kept for this time: a workspace whose requests come unevenly gets its part all the same.
 CREDIT_MAX_S = 1.0
@@ -258,7 +258,7 @@
     :param capacity_per_s: requests that are accepted per second; infinite while there is no limit
     :param demand: average requests per second of each class
     :param accepted_per_s: average of the accepted requests per second
-    :param peak_per_s: the largest such average of late
+    :param peak_per_s: the largest such average, which falls while less is accepted
     :param parts: requests per second of the classes that ask for more than they get
     :param credits: how many requests of these classes may be accepted now
     :param was_late: whether the process was late in the last interval; a single one limits nothing
@@ -306,18 +306,33 @@
             return
         elapsed_s = now - began_at
         self.average(elapsed_s)
-        distance = 1.0 - late_s / self.late_target_s
+        self.change_capacity(late_s)
+        self.set_parts(elapsed_s, self.room_per_s(late_s))
+
+    @property
+    def floor_per_s(self) -> float:
+        """The room that is left however late the process is."""
+        return max(CAPACITY_MIN_PER_S, ROOM_FLOOR_FRACTION * self.peak_per_s)
+
+    def distance(self, late_s: float) -> float:
+        """Return how far a lateness is from the target, as a part of it; negative above it."""
+        return 1.0 - late_s / self.late_target_s
+
+    def change_capacity(self, late_s: float) -> None:
+        """Raise or lower the capacity by the lateness of an interval."""
         late_again = self.was_late and late_s > self.late_target_s
         self.was_late = late_s > self.late_target_s
         if late_again:
             self.capacity_per_s = min(self.capacity_per_s, self.accepted_per_s)
-        self.capacity_per_s *= 1.0 + max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * distance)
-        floor_per_s = max(CAPACITY_MIN_PER_S, ROOM_FLOOR_FRACTION * self.peak_per_s)
-        self.capacity_per_s = max(floor_per_s, self.capacity_per_s)
+        change = max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * self.distance(late_s))
+        self.capacity_per_s = max(self.floor_per_s, self.capacity_per_s * (1.0 + change))
         if self.capacity_per_s > UNLIMITED_FACTOR * sum(self.demand.values()):
             self.capacity_per_s = inf
-        change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * distance))
-        self.set_parts(elapsed_s, max(floor_per_s, self.capacity_per_s * (1.0 + change)))
+
+    def room_per_s(self, late_s: float) -> float:
+        """Return what is divided in the next interval: the capacity, corrected by the lateness."""
+        change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * self.distance(late_s)))
+        return max(self.floor_per_s, self.capacity_per_s * (1.0 + change))
 
     def average(self, elapsed_s: float) -> None:
         """Add an interval to the averages."""
