Remember a single failure of a server briefly and repeated ones longer

One lost answer kept a server out of use for 15 s. Change: the half-life of the failure rate begins at 1 s instead of 5 s and doubles up to 10 s while the server fails again after it.

--- a/packages/azurefield/src/azurefield/server_view.py
+++ b/packages/azurefield/src/azurefield/server_view.py
@@ -8,8 +8,14 @@
 
 LATENCY_EWMA_WEIGHT = 0.2
 # While a server gets no calls, its latency estimate decays with this half-life to the median of the
-# leaf's servers, and its failure rate to 0. Otherwise a slow server would never get calls again.
+# leaf's servers. Otherwise a slow server would never get calls again.
 OBSERVATION_HALF_LIFE_S = 5.0
+# The failure rate decays to 0 with a half-life that doubles when the server fails again after it:
+# a single failure is soon forgotten, and a server that keeps failing is tried rarely.
+FAILURE_HALF_LIFE_MIN_S = 1.0
+FAILURE_HALF_LIFE_MAX_S = 10.0
+# After this time without a failure the shortest half-life applies again.
+FAILURE_HALF_LIFE_RESET_S = 30.0
 DEFAULT_LATENCY_S = 0.01
 # After a failed call, a server gets no calls for this time as long as another server can take them.
 # The time doubles with each further failure up to the maximum.
@@ -41,6 +47,8 @@
     backoff_s: float = 0.0
     answered_at: float = float("-inf")
     failure_rate: float = 0.0
+    failure_half_life_s: float = FAILURE_HALF_LIFE_MIN_S
+    failed_at: float = float("-inf")
     ended_at: float = float("-inf")
     usual_s: float | None = None
     reported: ReportedLoad | None = None
@@ -88,13 +96,25 @@
     def record_outcome(self, now: float, *, failed: bool) -> None:
         """Update the moving average of the failure rate with one call."""
         rate = self.recent_failure_rate(now)
+        if failed:
+            self.lengthen_failure_memory(now)
         self.failure_rate = rate + FAILURE_RATE_EWMA_WEIGHT * (failed - rate)
         self.ended_at = now
 
     def recent_failure_rate(self, now: float) -> float:
         """Return the failure rate, which decays to 0 while there are no calls."""
         idle_s = max(0.0, now - self.ended_at)
-        return float(self.failure_rate * 0.5 ** (idle_s / OBSERVATION_HALF_LIFE_S))
+        return float(self.failure_rate * 0.5 ** (idle_s / self.failure_half_life_s))
+
+    def lengthen_failure_memory(self, now: float) -> None:
+        """Remember failures longer if the server fails again after a half-life."""
+        since_s = now - self.failed_at
+        if since_s > FAILURE_HALF_LIFE_RESET_S:
+            self.failure_half_life_s = FAILURE_HALF_LIFE_MIN_S
+        elif since_s > self.failure_half_life_s:
+            doubled_s = 2 * self.failure_half_life_s
+            self.failure_half_life_s = min(FAILURE_HALF_LIFE_MAX_S, doubled_s)
+        self.failed_at = now
 
     def stalled(self, now: float, median_latency_s: float) -> bool:
         """Whether the server has answered nothing since its oldest call, which is overdue."""
