Write nothing to a lost connection between instances

Cause: the service relay sent a frame to a follower whose connection had just been lost; uvloop refuses that with a RuntimeError, which ended the process with code 70. Links between instances, a new follower and calls to servers had the same gap between the loss and the turn in which its reader learns of it. Change: relays, links and connections to servers look whether the connection is closing; the loss is reported by its reader as before.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
@@ -163,7 +163,10 @@
         """Send a frame to all followers."""
         data = encode(frame)
         for writer in [*self.followers]:
-            if writer.transport.get_write_buffer_size() > UNSENT_BYTES_MAX:
+            if writer.is_closing():
+                # Its own task has not yet seen that the connection is lost.
+                self.followers.discard(writer)
+            elif writer.transport.get_write_buffer_size() > UNSENT_BYTES_MAX:
                 log.warning("Disconnecting a follower that reads too slowly.")
                 self.followers.discard(writer)
                 writer.transport.abort()
@@ -188,9 +191,10 @@
     def add_follower(self, request: FollowRequest, writer: asyncio.StreamWriter) -> bool:
         """Register a new follower and send it the changes that it lacks.
 
-        :return: whether the history has all these changes; otherwise it is not registered
+        :return: whether it is registered, as the history has all these changes and the connection
+            is open
         """
-        if self.position is None or self.position.era != request.era:
+        if writer.is_closing() or self.position is None or self.position.era != request.era:
             return False
         oldest = self.history[0].after if self.history else self.position.revision
         if request.after < oldest:
@@ -231,5 +235,7 @@
             reader, writer = await asyncio.open_connection(host, port)
     except (OSError, ValueError) as error:
         return Err(RelayLost(detail=repr(error)))
+    if writer.is_closing():
+        return Err(RelayLost(detail="closed at once"))
     writer.write(encode(FollowRequest(after=position.revision, era=position.era)))
     return Ok(RelayLink(reader=reader, writer=writer))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
@@ -79,8 +79,8 @@
         return number
 
     def send(self, frame: ToPeer) -> None:
-        """Send a frame."""
-        if not self.closed:
+        """Send a frame; it is dropped if the connection is lost, which ``receive`` reports."""
+        if not (self.closed or self.writer.is_closing()):
             encoded = encode(frame)
             self.writer.write(encoded)
             self.on_exchanged(frame, len(encoded))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connection.py
@@ -20,7 +20,7 @@
 from azurefield_entry.addresses import split_address
 from azurefield_entry.gateway.servers.answer_confusion import describe_confusion
 from azurefield_entry.gateway.servers.answer_end import split_behind_chunks
-from azurefield_entry.gateway.servers.exchange import Exchange
+from azurefield_entry.gateway.servers.exchange import Exchange, has_unsent_bytes, is_open
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -129,7 +129,7 @@
         """Connect unless that was done before; return whether a call can be sent at once."""
         if self.transport is None and not await self.connect():
             return False
-        return not self.closed and self.transport is not None
+        return not self.closed and is_open(self.transport)
 
     def new_parser(self, call: LeafCall) -> HttpResponseParser:
         """Make a parser, without anything of earlier answers.
@@ -312,8 +312,7 @@
         if unexpected or exchange.answers or not exchange.received.end_with(message, body):
             self.on_stray_bytes()
             return False
-        unsent = self.transport is None or self.transport.get_write_buffer_size() > 0
-        return named and not (message.should_close or unsent)
+        return named and not (message.should_close or has_unsent_bytes(self.transport))
 
     def renew_parser(self, exchange: Exchange) -> None:
         """Use a new parser for what follows an extra answer in chunks, without its trailers.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/exchange.py
@@ -56,3 +56,15 @@
         """Remove and return the body of the first answer."""
         parts, self.body = self.body, []
         return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+def is_open(transport: asyncio.WriteTransport | None) -> bool:
+    """Whether bytes can be written; a lost connection is closing before it is reported as lost."""
+    return transport is not None and not transport.is_closing()
+
+
+def has_unsent_bytes(transport: asyncio.WriteTransport | None) -> bool:
+    """Whether the server has not yet read all that was written, or the connection is lost."""
+    if transport is None or transport.is_closing():
+        return True
+    return transport.get_write_buffer_size() > 0
--- a/packages/azurefield-entry/src/azurefield_entry/peers/link.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/link.py
@@ -172,5 +172,7 @@
         while self.queue:
             data = self.queue.popleft()
             self.queued_bytes -= len(data)
+            if self.writer.is_closing():
+                raise ConnectionResetError("the connection is lost")
             self.writer.write(data)
             await self.writer.drain()
