Explain allowed regions

Change: an explanation names the regions that a route and a workspace allow, servers outside them, and the refusal of a request that no server in them can run. The dispatcher's decision on it is split from its counter and log line.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -32,6 +32,7 @@
 from azurefield_entry.gateway.requests.dispatch import may_outlast_stop, shutting_down_failure
 from azurefield_entry.gateway.requests.outcomes import (
     crashing_request_failure,
+    no_allowed_server_failure,
     no_server_reachable_failure,
 )
 from azurefield_entry.gateway.service import GatewayService
@@ -154,12 +155,14 @@
             place = self.place_in_partition(instances)
         refusal = described.refusal or describe_refusal(
             quota_refusal(request.workspace, shares)
-            or dispatch_refusal(admitted, standing)
+            or self.dispatch_refusal(admitted, standing)
             or (self.run_refusal(fan_out) if place is Place.HERE else None)
         )
         zones = self.gateway.forwarding.zones_for(route) or ()
+        matched = described.route
         explained = replace(
             described,
+            route=None if matched is None else replace(matched, allowed_regions=regions(route)),
             place=place if refusal is None else Place.NOWHERE,
             refusal=refusal,
             workspace=describe_workspace(request.workspace, shares),
@@ -194,6 +197,17 @@
         reachable = any(other.may_be_chosen for other in others)
         return Place.OTHER_INSTANCE if passes_all_on and reachable else Place.HERE
 
+    def dispatch_refusal(
+        self, admitted: AdmittedRequest, standing: Standing | None
+    ) -> RequestFailure | None:
+        """Return why a request would be refused wherever it runs; None if it would not."""
+        if standing is Standing.REFUSED:
+            return crashing_request_failure()
+        if self.gateway.dispatcher.lacks_allowed_servers(admitted.route):
+            return no_allowed_server_failure()
+        outlasts = may_outlast_stop(admitted.request, admitted.route)
+        return shutting_down_failure() if outlasts and not admitted.route.idempotent else None
+
     def run_refusal(self, fan_out: FanOut[Any, Any]) -> RequestFailure | None:
         """Return why a request that runs here would fail at once; None if it would be sent."""
         if self.gateway.dispatcher.reaches_no_server:
@@ -214,6 +228,11 @@
         return ForwardedRequests(refusal=self.coordinator.preview(admitted))
 
 
+def regions(route: Route) -> tuple[str, ...] | None:
+    """Return the regions that a route allows, in order; None if it allows all."""
+    return None if route.allowed_regions is None else tuple(sorted(route.allowed_regions))
+
+
 def quota_refusal(workspace: Workspace | None, shares: list[SharePreview]) -> RequestFailure | None:
     """Return why the quota of a workspace would refuse a request; None if it may get a token."""
     if workspace is None or not shares:
@@ -221,14 +240,6 @@
     return expected_refusal(workspace.name, shares)
 
 
-def dispatch_refusal(admitted: AdmittedRequest, standing: Standing | None) -> RequestFailure | None:
-    """Return why a request would be refused wherever it runs; None if it would not."""
-    if standing is Standing.REFUSED:
-        return crashing_request_failure()
-    outlasts = may_outlast_stop(admitted.request, admitted.route)
-    return shutting_down_failure() if outlasts and not admitted.route.idempotent else None
-
-
 def describe_refusal(failure: RequestFailure | None) -> ExpectedRefusal | None:
     """Describe a failure for the answer."""
     if failure is None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/servers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/servers.py
@@ -181,7 +181,7 @@
             other_zone=entry.availability_zone != self.own_zone,
             may_be_chosen=server in compared.possible,
             against=(
-                *self.directory_obstacles(entry),
+                *self.directory_obstacles(entry, compared.usable),
                 *router_obstacles(at, self.router, server, compared.median_latency_s),
                 *obstacle_until(
                     at, ObstacleReason.NO_TOKEN, fan_out.choice.limits.opens_at(server)
@@ -201,12 +201,20 @@
             connections=connections,
         )
 
-    def directory_obstacles(self, entry: RegisteredServer) -> list[Obstacle]:
-        """List why a server gets no calls, whatever was observed of it."""
+    def directory_obstacles(
+        self, entry: RegisteredServer, usable: tuple[str, ...]
+    ) -> list[Obstacle]:
+        """List why a server gets no calls, whatever was observed of it.
+
+        :param usable: the servers of its service that the request may use
+        """
+        registered = self.directory.usable.get(entry.service, ())
         reasons = {
             ObstacleReason.LEAVING: entry.state is not RegisteredState.LIVE,
             ObstacleReason.MISDIRECTED: entry.server in self.directory.misdirected,
             ObstacleReason.EVACUATED: self.directory.is_evacuated(entry.server),
+            ObstacleReason.OUTSIDE_REGIONS: entry.server in registered
+            and entry.server not in usable,
         }
         return [Obstacle(reason=reason) for reason, applies in reasons.items() if applies]
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -68,8 +68,8 @@
         """Run a request and return its result; cancelling this cancels its calls."""
         if self.is_refused(request):
             return await self.runner.run(request, route, version)
-        if self.lacks_allowed_servers(request, route):
-            return Err(no_allowed_server_failure())
+        if self.lacks_allowed_servers(route):
+            return Err(self.refuse_outside_regions(request, route))
         if may_outlast_stop(request, route):
             if not route.idempotent:
                 return Err(shutting_down_failure())
@@ -97,20 +97,22 @@
             return False
         return crash_watch.standing(request.content_digest) is Standing.REFUSED
 
-    def lacks_allowed_servers(self, request: GatewayRequest, route: Route) -> bool:
-        """Whether a request may run only in some regions and too few servers there are usable."""
+    def lacks_allowed_servers(self, route: Route) -> bool:
+        """Whether requests may run only in some regions and too few servers there are usable."""
         residency, directory = self.runner.planner.residency, self.runner.directory
-        if route.allowed_regions is None or residency.has_servers(directory, route):
-            return False
+        return route.allowed_regions is not None and not residency.has_servers(directory, route)
+
+    def refuse_outside_regions(self, request: GatewayRequest, route: Route) -> RequestFailure:
+        """Count and log a request that no server in an allowed region can run."""
         self.metrics.region_refusals.labels("request").inc()
         log.info(
             "Request id={} route={} workspace={} is refused: no usable server in the regions {}.",
             request.request_id,
             route.name,
             request.workspace_name,
-            sorted(route.allowed_regions),
+            sorted(route.allowed_regions or ()),
         )
-        return True
+        return no_allowed_server_failure()
 
     def passes_on(self) -> bool:
         """Whether another instance should run the next request.
--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -64,6 +64,7 @@
         route("order", SingleService(service="desk"), idempotent=False),
         route("open", SingleService(service="desk"), public=True, priority=5),
         route("none", SingleService(service="none")),
+        route("eu", SingleService(service="desk"), allowed_regions=frozenset({"eu"})),
         route("w", WeightedServices(weights=(("light", 1.0), ("desk", 3.0)))),
         route("l", ShardSet(shards=SHARDS, top=1, coverage_min=0.5)),
     ],
@@ -207,6 +208,9 @@
         pytest.param(stop_soon, {"path": "/order/1"}, FailureKind.SHUTTING_DOWN, id="stop"),
         pytest.param(lose_servers, {}, FailureKind.LEAF_UNAVAILABLE, id="partition"),
         pytest.param(nothing, {"path": "/none/1"}, FailureKind.LEAF_UNAVAILABLE, id="no-server"),
+        pytest.param(
+            nothing, {"path": "/eu/1"}, FailureKind.LEAF_UNAVAILABLE, id="no-allowed-region"
+        ),
         pytest.param(deny_tokens, {}, FailureKind.LEAF_UNAVAILABLE, id="no-token"),
     ],
 )
@@ -305,6 +309,20 @@
     assert chosen == {"desk-1", "desk-2"}
 
 
+async def test_servers_outside_the_allowed_regions_are_named_as_such() -> None:
+    """Guards against a server that is named although the request may not run there."""
+    made = parts()
+    made.gateway.residency.regions = {"one": "eu", "two": "us"}
+    change(made, availability_zone="two")
+    explanation = await made.explain("/eu/1")
+    assert explanation.route is not None
+    assert explanation.route.allowed_regions == ("eu",)
+    (service,) = explanation.services
+    against = {one.server: [found.reason for found in one.against] for one in service.servers}
+    assert against == {"desk-0": [ObstacleReason.OUTSIDE_REGIONS], "desk-1": [], "desk-2": []}
+    assert [one.server for one in service.servers if not one.may_be_chosen] == ["desk-0"]
+
+
 async def test_a_server_without_a_free_connection_is_named_as_such() -> None:
     """Guards against a call whose wait for a connection can't be seen in advance."""
     made = parts()
@@ -498,7 +516,7 @@
     assert all(one.servers[0].may_be_chosen for one in explanation.services)
 
 
-@pytest.mark.parametrize("path", ["/s/1", "/w/1", "/l/1", "/none/1", "/other/1"])
+@pytest.mark.parametrize("path", ["/s/1", "/w/1", "/l/1", "/none/1", "/eu/1", "/other/1"])
 @pytest.mark.parametrize(
     "prepare", [nothing, hold_empty_shares, convict, lose_servers, deny_tokens, eject, deny_token]
 )
--- a/packages/azurefield-operator/src/azurefield_operator/explanation_text.py
+++ b/packages/azurefield-operator/src/azurefield_operator/explanation_text.py
@@ -87,6 +87,8 @@
         f"at most {route.attempts_max} attempts",
         f"priority {route.priority}",
     ]
+    if route.allowed_regions is not None:
+        parts.append(f"only in the regions {', '.join(route.allowed_regions) or '(none)'}")
     return ", ".join(parts)
 
 
--- a/packages/azurefield/src/azurefield/explanation.py
+++ b/packages/azurefield/src/azurefield/explanation.py
@@ -88,6 +88,7 @@
     :param needs_key: whether requests need the key of a workspace; not on public routes, nor while
         the configuration has no workspaces
     :param priority: priority of the route, 0 first
+    :param allowed_regions: where its requests may run, also by their workspace; None for anywhere
     """
 
     name: str
@@ -100,6 +101,7 @@
     goal_ms: float | None
     attempts_max: int
     priority: int
+    allowed_regions: tuple[str, ...] | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -143,6 +145,7 @@
     LEAVING = "leaving"
     MISDIRECTED = "another-server-at-its-address"
     EVACUATED = "zone-evacuated"
+    OUTSIDE_REGIONS = "outside-allowed-regions"
     EJECTED = "ejected"
     BACKOFF = "backoff-after-failure"
     STALLED = "stalled"
