Explain refusals of a busy instance

Cause: the instance that a caller reaches now refuses requests while it is busy, which explanations did not show. Change: the reason for such a refusal is a method that changes nothing, which the decision and the explanation call. Result: the tests of the gateway, and of explanations with decisions and with processes, pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -154,7 +154,8 @@
             instances = self.instances.other_instances(route)
             place = self.place_in_partition(instances)
         refusal = described.refusal or describe_refusal(
-            quota_refusal(request.workspace, shares)
+            self.gateway.access.edge.preview(request, route)
+            or quota_refusal(request.workspace, shares)
             or self.dispatch_refusal(admitted, standing)
             or (self.run_refusal(fan_out) if place is Place.HERE else None)
         )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/edge.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/edge.py
@@ -100,12 +100,19 @@
             return None
         self.metrics.edge_refusals.labels(refused.reason).inc()
         self.log_refused(request, route, refused)
-        return RequestFailure(
-            kind=FailureKind.QUEUE_FULL,
-            outcome=Outcome.NOT_RUN,
-            detail=DETAILS[refused.reason],
-            retry_after_s=refused.retry_after_s,
-        )
+        return busy_failure(refused.reason, refused.retry_after_s)
+
+    def preview(self, request: GatewayRequest, route: Route) -> RequestFailure | None:
+        """Return why a request would be refused now; counts and logs nothing.
+
+        :return: None if it would be accepted
+        """
+        if request.workspace is None:
+            return None
+        request_class = RequestClass.of(route.priority, request.workspace)
+        deadline = request.deadline_on(route.timeout_s)
+        reason = self.admission.reason_to_refuse(now(), request_class, deadline)
+        return None if reason is None else busy_failure(reason)
 
     def log_refused(self, request: GatewayRequest, route: Route, refused: EdgeRefusal) -> None:
         """Log a refused request; a flood of them gets few lines."""
@@ -120,3 +127,13 @@
                 refused.late_s * 1000,
                 refused.retry_after_s * 1000,
             )
+
+
+def busy_failure(reason: EdgeRefusalReason, retry_after_s: float | None = None) -> RequestFailure:
+    """Build the failure of a request that is refused while this process is busy."""
+    return RequestFailure(
+        kind=FailureKind.QUEUE_FULL,
+        outcome=Outcome.NOT_RUN,
+        detail=DETAILS[reason],
+        retry_after_s=retry_after_s,
+    )
--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 from prometheus_client import generate_latest
+from result import Ok
 
 from azurefield.coordinators import InstanceProfile
 from azurefield.crash_evidence import ServerEnded, digest_of
@@ -170,6 +171,19 @@
         made.gateway.quotas.limits.on_denied(now(), f"desk-{number}", 0, 60.0)
 
 
+def use_up_part_of_callers(made: Parts) -> None:
+    """Let the workspace have used up its part while this process is busy."""
+    shared = made.gateway.access.edge.admission.shared
+    request_class = RequestClass(priority=2, workspace="w1", weight=None)
+    shared.parts, shared.credits = {request_class: 1.0}, {request_class: 0.0}
+
+
+def be_late(made: Parts) -> None:
+    """Let this process be too late for any request."""
+    lag = made.gateway.access.edge.admission.lag
+    lag.lasting, lag.lag_s = True, 60.0
+
+
 def stop_soon(made: Parts) -> None:
     made.front.stops_at = now() + 0.1
 
@@ -197,6 +211,8 @@
             nothing, {"body_bytes": 2_000_000}, FailureKind.BODY_TOO_LARGE, id="body-too-large"
         ),
         pytest.param(fill_memory, {"body_bytes": BODY_BYTES}, FailureKind.QUEUE_FULL, id="memory"),
+        pytest.param(use_up_part_of_callers, {}, FailureKind.QUEUE_FULL, id="busy"),
+        pytest.param(be_late, {}, FailureKind.QUEUE_FULL, id="too-late"),
         pytest.param(nothing, {"workspace": "w2"}, FailureKind.NOT_READY, id="no-quota-issuer"),
         pytest.param(
             hold_empty_shares, {"workspace": "w2"}, FailureKind.QUOTA_EXCEEDED, id="quota-empty"
@@ -229,10 +245,13 @@
     found = TABLE.workspaces and TABLE.workspaces.by_name.get(workspace or "")
     sent = make_request(query.get("path", "/s/1"), workspace=found, stops_at=made.front.stops_at)
     if found is not None:
-        admitted = made.gateway.access.preview(sent, TABLE, workspace)
-        if admitted.is_ok():
-            result = await made.gateway.run_admitted(admitted.unwrap())
-            assert result.unwrap_err().kind is kind
+        previewed = made.gateway.access.preview(sent, TABLE, workspace)
+        if isinstance(previewed, Ok):
+            admitted = previewed.ok_value
+            refused = made.gateway.access.edge.refuse(admitted.request, admitted.route)
+            if refused is None:
+                refused = (await made.gateway.run_admitted(admitted)).unwrap_err()
+            assert refused.kind is kind
 
 
 async def test_without_a_configuration_the_answer_says_so() -> None:
@@ -518,7 +537,18 @@
 
 @pytest.mark.parametrize("path", ["/s/1", "/w/1", "/l/1", "/none/1", "/eu/1", "/other/1"])
 @pytest.mark.parametrize(
-    "prepare", [nothing, hold_empty_shares, convict, lose_servers, deny_tokens, eject, deny_token]
+    "prepare",
+    [
+        use_up_part_of_callers,
+        be_late,
+        nothing,
+        hold_empty_shares,
+        convict,
+        lose_servers,
+        deny_tokens,
+        eject,
+        deny_token,
+    ],
 )
 async def test_an_explanation_changes_nothing(path: str, prepare: Callable[[Parts], None]) -> None:
     """Guards against tokens, turns, random numbers, counters or views that asking uses up."""
--- a/packages/azurefield/src/azurefield/edge_admission.py
+++ b/packages/azurefield/src/azurefield/edge_admission.py
@@ -86,16 +86,24 @@
         self, now: float, request_class: RequestClass, deadline: float
     ) -> EdgeRefusal | None:
         """Decide on a request; None if it is accepted."""
-        late_s = self.lag.late_s(now)
-        too_late = self.lag.lasting and now + DELAYED_STEPS * late_s > deadline
-        if self.shared.accepts(request_class, late=too_late):
+        reason = self.reason_to_refuse(now, request_class, deadline)
+        self.shared.accepts(request_class, late=reason is EdgeRefusalReason.LATE)
+        if reason is None:
             return None
         return EdgeRefusal(
-            reason=EdgeRefusalReason.LATE if too_late else EdgeRefusalReason.SHARE,
+            reason=reason,
             retry_after_s=self.retry_after_s(now, request_class),
-            late_s=late_s,
+            late_s=self.lag.late_s(now),
         )
 
+    def reason_to_refuse(
+        self, now: float, request_class: RequestClass, deadline: float
+    ) -> EdgeRefusalReason | None:
+        """Return why a request would be refused, None if it would be accepted; changes nothing."""
+        if self.lag.lasting and now + DELAYED_STEPS * self.lag.late_s(now) > deadline:
+            return EdgeRefusalReason.LATE
+        return None if self.shared.has_credit(request_class) else EdgeRefusalReason.SHARE
+
     def retry_after_s(self, now: float, request_class: RequestClass) -> float:
         """Return when a refused caller should return.
 
