--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 from prometheus_client import generate_latest
+from result import Ok
 
 from azurefield.coordinators import InstanceProfile
 from azurefield.crash_evidence import ServerEnded, digest_of
@@ -64,6 +65,7 @@
         route("order", SingleService(service="desk"), idempotent=False),
         route("open", SingleService(service="desk"), public=True, priority=5),
         route("none", SingleService(service="none")),
+        route("eu", SingleService(service="desk"), allowed_regions=frozenset({"eu"})),
         route("w", WeightedServices(weights=(("light", 1.0), ("desk", 3.0)))),
         route("l", ShardSet(shards=SHARDS, top=1, coverage_min=0.5)),
     ],
@@ -169,6 +171,19 @@
         made.gateway.quotas.limits.on_denied(now(), f"desk-{number}", 0, 60.0)
 
 
+def use_up_part_of_callers(made: Parts) -> None:
+    """Let the workspace have used up its part while this process is busy."""
+    shared = made.gateway.access.edge.admission.shared
+    request_class = RequestClass(priority=2, workspace="w1", weight=None)
+    shared.parts, shared.credits = {request_class: 1.0}, {request_class: 0.0}
+
+
+def be_late(made: Parts) -> None:
+    """Let this process be too late for any request."""
+    lag = made.gateway.access.edge.admission.lag
+    lag.lasting, lag.lag_s = True, 60.0
+
+
 def stop_soon(made: Parts) -> None:
     made.front.stops_at = now() + 0.1
 
@@ -196,6 +211,8 @@
             nothing, {"body_bytes": 2_000_000}, FailureKind.BODY_TOO_LARGE, id="body-too-large"
         ),
         pytest.param(fill_memory, {"body_bytes": BODY_BYTES}, FailureKind.QUEUE_FULL, id="memory"),
+        pytest.param(use_up_part_of_callers, {}, FailureKind.QUEUE_FULL, id="busy"),
+        pytest.param(be_late, {}, FailureKind.QUEUE_FULL, id="too-late"),
         pytest.param(nothing, {"workspace": "w2"}, FailureKind.NOT_READY, id="no-quota-issuer"),
         pytest.param(
             hold_empty_shares, {"workspace": "w2"}, FailureKind.QUOTA_EXCEEDED, id="quota-empty"
@@ -207,6 +224,9 @@
         pytest.param(stop_soon, {"path": "/order/1"}, FailureKind.SHUTTING_DOWN, id="stop"),
         pytest.param(lose_servers, {}, FailureKind.LEAF_UNAVAILABLE, id="partition"),
         pytest.param(nothing, {"path": "/none/1"}, FailureKind.LEAF_UNAVAILABLE, id="no-server"),
+        pytest.param(
+            nothing, {"path": "/eu/1"}, FailureKind.LEAF_UNAVAILABLE, id="no-allowed-region"
+        ),
         pytest.param(deny_tokens, {}, FailureKind.LEAF_UNAVAILABLE, id="no-token"),
     ],
 )
@@ -225,10 +245,13 @@
     found = TABLE.workspaces and TABLE.workspaces.by_name.get(workspace or "")
     sent = make_request(query.get("path", "/s/1"), workspace=found, stops_at=made.front.stops_at)
     if found is not None:
-        admitted = made.gateway.access.preview(sent, TABLE, workspace)
-        if admitted.is_ok():
-            result = await made.gateway.run_admitted(admitted.unwrap())
-            assert result.unwrap_err().kind is kind
+        previewed = made.gateway.access.preview(sent, TABLE, workspace)
+        if isinstance(previewed, Ok):
+            admitted = previewed.ok_value
+            refused = made.gateway.access.edge.refuse(admitted.request, admitted.route)
+            if refused is None:
+                refused = (await made.gateway.run_admitted(admitted)).unwrap_err()
+            assert refused.kind is kind
 
 
 async def test_without_a_configuration_the_answer_says_so() -> None:
@@ -305,6 +328,20 @@
     assert chosen == {"desk-1", "desk-2"}
 
 
+async def test_servers_outside_the_allowed_regions_are_named_as_such() -> None:
+    """Guards against a server that is named although the request may not run there."""
+    made = parts()
+    made.gateway.residency.regions = {"one": "eu", "two": "us"}
+    change(made, availability_zone="two")
+    explanation = await made.explain("/eu/1")
+    assert explanation.route is not None
+    assert explanation.route.allowed_regions == ("eu",)
+    (service,) = explanation.services
+    against = {one.server: [found.reason for found in one.against] for one in service.servers}
+    assert against == {"desk-0": [ObstacleReason.OUTSIDE_REGIONS], "desk-1": [], "desk-2": []}
+    assert [one.server for one in service.servers if not one.may_be_chosen] == ["desk-0"]
+
+
 async def test_a_server_without_a_free_connection_is_named_as_such() -> None:
     """Guards against a call whose wait for a connection can't be seen in advance."""
     made = parts()
@@ -498,9 +535,20 @@
     assert all(one.servers[0].may_be_chosen for one in explanation.services)
 
 
-@pytest.mark.parametrize("path", ["/s/1", "/w/1", "/l/1", "/none/1", "/other/1"])
+@pytest.mark.parametrize("path", ["/s/1", "/w/1", "/l/1", "/none/1", "/eu/1", "/other/1"])
 @pytest.mark.parametrize(
-    "prepare", [nothing, hold_empty_shares, convict, lose_servers, deny_tokens, eject, deny_token]
+    "prepare",
+    [
+        use_up_part_of_callers,
+        be_late,
+        nothing,
+        hold_empty_shares,
+        convict,
+        lose_servers,
+        deny_tokens,
+        eject,
+        deny_token,
+    ],
 )
 async def test_an_explanation_changes_nothing(path: str, prepare: Callable[[Parts], None]) -> None:
     """Guards against tokens, turns, random numbers, counters or views that asking uses up."""
