Check a server's region again after the waits of a call

Cause: the region of a server was checked before a call waited for its token and its connection. A server whose entry named another zone meanwhile still got the body. After a wait for a token, a pool was also made for the address that the server had before, and kept. Change: the entry is read again after the token, and for routes with allowed regions before the call is sent. The kind of a call for the bytes between zones is taken before its waits, in which a hedge may be added.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/outcomes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/outcomes.py
@@ -1,4 +1,4 @@
-"""Failures that the gateway builds itself, and the text of a request's result in the log."""
+"""Failures that the gateway builds itself, and how results are named in the log and the metrics."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from result import Err, Ok
 
-from azurefield.failures import FailureKind, RequestFailure
+from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
 from azurefield.merge import MergedParts
 from azurefield.model import Outcome
 from azurefield.partition import PROBE_INTERVAL_S
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from result import Result
 
+# Priorities that have label values of their own.
+PRIORITIES_LABELLED = 32
+
 
 def refusal(kind: FailureKind, detail: str) -> RequestFailure:
     """Build the failure of a request that was not run and may be sent again."""
@@ -60,3 +63,13 @@
         case Err(failure):
             return f"{failure.kind} outcome={failure.outcome} detail={failure.detail!r}"
     return "unknown"
+
+
+def priority_label(priority: int) -> str:
+    """Return the label value of a priority; only the most urgent ones have values of their own."""
+    return str(priority) if 0 <= priority < PRIORITIES_LABELLED else "other"
+
+
+def not_sent(reason: LeafFailureReason) -> LeafFailure:
+    """Build the failure of a call of which no byte was sent."""
+    return LeafFailure(reason=reason, outcome=Outcome.NOT_RUN)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -22,7 +22,12 @@
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import GatewayRequest, LeafCall, LeafConnection, OpaqueAnswer
 from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
-from azurefield_entry.gateway.requests.outcomes import crashing_request_failure, describe
+from azurefield_entry.gateway.requests.outcomes import (
+    crashing_request_failure,
+    describe,
+    not_sent,
+    priority_label,
+)
 from azurefield_entry.gateway.requests.planning import RequestPlanner
 from azurefield_entry.gateway.requests.running import (
     ActiveCall,
@@ -41,8 +46,6 @@
     from azurefield.query_actions import Action
     from azurefield.routes import Route
 
-# Priorities that have label values of their own.
-PRIORITIES_LABELLED = 32
 log = Logger("gateway")
 
 
@@ -238,40 +241,31 @@
         self, running: RunningRequest, action: SendLeafCall
     ) -> Result[OpaqueAnswer, LeafFailure]:
         """Make one call over a connection from the server's pool."""
-        entry = self.directory.servers.get(action.server)
-        if entry is None:
-            return Err(not_sent(LeafFailureReason.NO_SERVER))
-        if not self.is_allowed(entry, running):
-            return Err(not_sent(LeafFailureReason.OUTSIDE_REGIONS))
-        if not await self.quotas.acquire(entry, running.route.priority, action.start_by):
-            return Err(not_sent(LeafFailureReason.RATE_LIMITED))
         kind = kind_of_call(running.fan_out.progress[action.leaf])
-        pool = self.connections.pool(entry)
+        found = await self.wait_for_token(running, action)
+        if isinstance(found, Err):
+            return found
+        pool = self.connections.pool(found.ok_value)
         if running.standing is Standing.SUSPECT:
             connection = pool.open_fresh()
         else:
             wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
-            match await pool.acquire(
+            acquired = await pool.acquire(
                 request_class=running.request_class,
                 deadline=wait_until,
                 avoid=running.carried_by,
-            ):
-                case Err(failure):
-                    return Err(failure)
-                case Ok(connection):
-                    pass
+            )
+            if isinstance(acquired, Err):
+                return acquired
+            connection = acquired.ok_value
         self.active_calls[action.call_id].connection = connection
         running.fan_out.set_stage(action.call_id, CallStage.CONNECTING)
         before = connection.bytes_exchanged
         try:
             if not await connection.open():
                 return Err(not_sent(LeafFailureReason.CONNECT_FAILED))
-            if running.fan_out.leaf_of_pending_call(action.call_id) is None:
-                # The request has ended meanwhile, perhaps with the answer that it has not run.
-                return Err(not_sent(LeafFailureReason.CANCELLED))
-            if self.directory.is_evacuated(action.server):
-                self.metrics.evacuated_calls.inc()
-                return Err(not_sent(LeafFailureReason.EVACUATED))
+            if isinstance(refused := self.check_before_sending(running, action), Err):
+                return refused
             self.record_sent(running, action, connection)
             call = LeafCall(request=running.request, server=action.server, deadline=action.deadline)
             return await connection.exchange(call)
@@ -279,20 +273,50 @@
             pool.release(connection, reusable=True)
             if self.traffic is not None:
                 count = connection.bytes_exchanged - before
-                self.traffic.record(kind, entry.availability_zone, count)
+                self.traffic.record(kind, found.ok_value.availability_zone, count)
+
+    async def wait_for_token(
+        self, running: RunningRequest, action: SendLeafCall
+    ) -> Result[RegisteredServer, LeafFailure]:
+        """Wait until a call may be sent, and return the entry that its server has then."""
+        found = self.find_entry(running, action.server)
+        if isinstance(found, Err):
+            return found
+        if not await self.quotas.acquire(found.ok_value, running.route.priority, action.start_by):
+            return Err(not_sent(LeafFailureReason.RATE_LIMITED))
+        return self.find_entry(running, action.server)
 
-    def is_allowed(self, entry: RegisteredServer, running: RunningRequest) -> bool:
-        """Whether a server, which may have moved since it was chosen, is in an allowed region."""
+    def check_before_sending(
+        self, running: RunningRequest, action: SendLeafCall
+    ) -> Result[None, LeafFailure]:
+        """Check again, after the wait for a connection, that a call may be sent."""
+        if running.fan_out.leaf_of_pending_call(action.call_id) is None:
+            # The request has ended meanwhile, perhaps with the answer that it has not run.
+            return Err(not_sent(LeafFailureReason.CANCELLED))
+        if self.directory.is_evacuated(action.server):
+            self.metrics.evacuated_calls.inc()
+            return Err(not_sent(LeafFailureReason.EVACUATED))
+        if running.route.allowed_regions is None:
+            return Ok(None)
+        return self.find_entry(running, action.server).map(lambda _: None)
+
+    def find_entry(
+        self, running: RunningRequest, server: str
+    ) -> Result[RegisteredServer, LeafFailure]:
+        """Return the entry of a server, which may have moved or ended since it was chosen."""
+        entry = self.directory.servers.get(server)
+        if entry is None:
+            return Err(not_sent(LeafFailureReason.NO_SERVER))
         zone, allowed = entry.availability_zone, running.route.allowed_regions
         if self.planner.residency.allows(zone, allowed):
-            return True
+            return Ok(entry)
         self.metrics.region_refusals.labels("call").inc()
         log.info(
             "Request id={}: server {} is no longer in an allowed region.",
             running.request.request_id,
-            entry.server,
+            server,
         )
-        return False
+        return Err(not_sent(LeafFailureReason.OUTSIDE_REGIONS))
 
     def record_sent(
         self, running: RunningRequest, action: SendLeafCall, connection: LeafConnection
@@ -374,13 +398,3 @@
             result,
             ",".join(running.logged_calls),
         )
-
-
-def priority_label(priority: int) -> str:
-    """Return the label value of a priority; only the most urgent ones have values of their own."""
-    return str(priority) if 0 <= priority < PRIORITIES_LABELLED else "other"
-
-
-def not_sent(reason: LeafFailureReason) -> LeafFailure:
-    """Build the failure of a call of which no byte was sent."""
-    return LeafFailure(reason=reason, outcome=Outcome.NOT_RUN)
--- a/packages/azurefield-entry/tests/gateway/test_allowed_regions.py
+++ b/packages/azurefield-entry/tests/gateway/test_allowed_regions.py
@@ -25,7 +25,9 @@
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.peers.forwarding import Forwarding
 from azurefield_entry.gateway.policies import TICK_INTERVAL_S
+from azurefield_entry.gateway.quotas.server_quotas import ServerQuotas
 from azurefield_entry.gateway.requests.planning import RequestPlanner
+from azurefield_entry.gateway.servers.connection import HttpLeafConnection
 from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_testkit.entry_support.gateway_parts import make_gateway, make_request, make_server
 
@@ -198,3 +200,55 @@
     assert isinstance(result, Err)
     assert result.err_value.outcome is Outcome.NOT_RUN
     assert service.metrics.region_refusals.labels("call")._value.get() >= len(REGIONS)
+
+
+@pytest.mark.parametrize(
+    ("owner", "method"),
+    [(ServerQuotas, "acquire"), (HttpLeafConnection, "open")],
+    ids=["for-a-token", "for-a-connection"],
+)
+async def test_a_server_that_moves_while_a_call_waits_gets_no_call(
+    monkeypatch: pytest.MonkeyPatch, owner: type, method: str
+) -> None:
+    """Guards against a body that reaches another region after a wait."""
+    service = gateway(table(replace(ROUTE, allowed_regions=EU, public=True)))
+    sent: list[object] = []
+
+    async def move(*_: object) -> bool:
+        entry = service.directory.servers["desk-one"]
+        service.apply_change(now(), replace(entry, availability_zone="two"))
+        return True
+
+    async def exchange(_: object, call: object) -> Err[LeafFailure]:
+        sent.append(call)
+        return Err(LeafFailure(reason=LeafFailureReason.SHEDDING, outcome=Outcome.NOT_RUN))
+
+    monkeypatch.setattr(HttpLeafConnection, "open", move)
+    monkeypatch.setattr(owner, method, move)
+    monkeypatch.setattr(HttpLeafConnection, "exchange", exchange)
+    result = await service.handle(make_request())
+    assert isinstance(result, Err)
+    assert result.err_value.outcome is Outcome.NOT_RUN
+    assert not sent
+
+
+async def test_a_call_that_waited_for_a_token_uses_the_present_address(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a pool that keeps the address that a server had before it moved."""
+    service = gateway(table(replace(ROUTE, allowed_regions=EU, public=True)))
+    connected: list[str] = []
+
+    async def move(*_: object) -> bool:
+        entry = service.directory.servers["desk-one"]
+        service.apply_change(now(), replace(entry, address="192.0.2.2:80"))
+        return True
+
+    async def refuse(connection: HttpLeafConnection) -> bool:
+        connected.append(connection.address)
+        return False
+
+    monkeypatch.setattr(ServerQuotas, "acquire", move)
+    monkeypatch.setattr(HttpLeafConnection, "open", refuse)
+    await service.handle(make_request())
+    assert set(connected) == {"192.0.2.2:80"}
