Compare the era of a slot's key with that of the lease

Cause: the era was that of the last listing. If the store is restored between the listing and the lease, the key of the copy and the listing name the same era, and a new holder begins with start tokens although the key may have been replaced since the copy. Change: the era of the lease, which the store checks with each claim, decides. A test case, red before; the tests of the issuer slots pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -79,12 +79,8 @@
             self.wake.set()
         self.used = used
 
-    def on_listing(self, items: tuple[Item, ...], era: int | None) -> None:
-        """Apply a complete listing of the store.
-
-        :param era: the era of the store
-        """
-        self.slot_lease.era = era
+    def on_listing(self, items: tuple[Item, ...]) -> None:
+        """Apply a complete listing of the store."""
         self.issuers.clear()
         self.claims.on_listing(now(), [item for item in items if isinstance(item, SlotKey)])
         self.on_changes(items)
@@ -173,7 +169,7 @@
             case Ok(lease):
                 self.lease = lease
                 length_s = SLOT_LEASE_S if lease.length_s is None else lease.length_s
-                self.slot_lease.on_granted(lease.number, asked_at, length_s)
+                self.slot_lease.on_granted(lease.number, asked_at, length_s, lease.era)
                 self.plan_renewal()
                 return True
             case Err(failure):
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -49,6 +49,7 @@
     keys: dict[int, SlotKey] = field(default_factory=dict)
     leases: int = 0
     length_s: float | None = None
+    era: int | None = None
     ended: bool = False
     calls: int = 0
     before_reply: Callable[[], None] | None = None
@@ -56,7 +57,7 @@
     async def new_lease(self, ttl_s: float) -> Result[Lease, InvalidCall]:  # noqa: ARG002
         self.calls += 1
         self.leases += 1
-        return Ok(Lease(number=self.leases, length_s=self.length_s))
+        return Ok(Lease(number=self.leases, era=self.era, length_s=self.length_s))
 
     async def renew_lease(
         self, lease: Lease  # noqa: ARG002
@@ -120,7 +121,7 @@
 
 def list_again(slots: IssuerSlots, *keys: SlotKey) -> None:
     """List the store with some keys, long enough ago to claim."""
-    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *keys), None)
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *keys))
     slots.claims.listed_at = slots.claims.used_since = now() - SETTLE_S
     slots.claims.free_since = dict.fromkeys(slots.claims.free_since, now() - SETTLE_S)
 
@@ -137,17 +138,26 @@
 
 
 @pytest.mark.parametrize(
-    ("held_s", "era", "start_tokens", "since_start"),
-    [(5.1, None, True, True), (4.9, None, False, True), (5.1, 1, False, False)],
-    ids=["held-for-a-window", "taken-over-just-before", "of-another-history"],
+    ("held_s", "eras", "start_tokens", "since_start"),
+    [
+        (5.1, (None, None), True, True),
+        (5.1, (2, 2), True, True),
+        (4.9, (None, None), False, True),
+        (5.1, (1, None), False, False),
+        (5.1, (1, 2), False, False),
+    ],
+    ids=["held-for-a-window", "same-history", "taken-over-just-before", "unknown", "restored"],
 )
 async def test_the_buckets_of_a_slot_begin_by_the_key_of_the_earlier_process(
-    held_s: float, era: int | None, start_tokens: bool, since_start: bool
+    held_s: float, eras: tuple[int | None, int | None], start_tokens: bool, since_start: bool
 ) -> None:
-    """Guards against buckets that are empty after a restart, and two that begin full at once."""
-    earlier = replace(EARLIER, held_s=held_s, era=era)
+    """Guards against buckets that are empty after a restart, and two that begin full at once.
+
+    The key's era is compared with that of the lease: the store may be restored after the listing.
+    """
+    earlier = replace(EARLIER, held_s=held_s, era=eras[0])
     published: list[IssuerSlotsChanged] = []
-    slots = build(SlotStore(keys={4: earlier}), published)
+    slots = build(SlotStore(keys={4: earlier}, era=eras[1]), published)
     begun_at = slots.slot_lease.reachable_since = lease_now() - 1.0
     await slots.send_due_calls()
     hold = published[-1].held[4]
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -196,7 +196,7 @@
     :param held_before: the slots that this process has held at any time
     :param reachable_since: since when no earlier process of this instance runs
     :param window_s: length of the windows in which requests are counted
-    :param era: the store's era as it was last listed
+    :param era: the store's era in which the lease was granted
     """
 
     own: str
@@ -217,11 +217,14 @@
         """A time on any instance's clock in which a whole window passes."""
         return self.window_s * (1 + 2 * CLOCK_RATE_ERROR)
 
-    def on_granted(self, lease: int, asked_at: float, lease_s: float) -> None:
+    def on_granted(
+        self, lease: int, asked_at: float, lease_s: float, era: int | None = None
+    ) -> None:
         """Record a new lease, which was asked for at a time.
 
         Slots that are reclaimed stay held until the end of the earlier lease.
         """
+        self.era = era
         self.held = {slot: hold for slot, hold in self.held.items() if slot in self.reclaims}
         self.lease = lease
         self.lease_s = lease_s
