Refuse at once while the holders issue nothing for long

Cause: a request whose holders reply that they do not issue was asked again each 20 ms for 0.2 of its goal, however long this had lasted. After an outage of the store that outlasts the leases, each request waited and sent up to ten times the questions, to be refused in the end. Change: a holder is asked again for 3 s after it was first found not to issue; a pause of 3 s in which it was not found so ends that. A test, red before; the tests of the workspaces' quotas pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -59,7 +59,8 @@
 ASK_AGAIN_FRACTION = 0.2
 ASK_AGAIN_INTERVAL_S = 0.02
 # For this time after this process has learned of the holders, they may be starting, too, and an
-# instance that can't be connected to is asked again like one that replies.
+# instance that can't be connected to is asked again like one that replies. One that replies is
+# asked again for this time after it was first found not to issue.
 START_S = 3.0
 # An issuer that has not replied for this time is given up.
 REPLY_TIMEOUT_S = 1.0
@@ -99,6 +100,14 @@
         return self.tokens is not None and self.tokens >= TOKENS_TO_GRANT
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class NotIssuing:
+    """The time in which the holder of a slot was found not to issue."""
+
+    since: float
+    until: float
+
+
 @dataclass(slots=True, kw_only=True)
 class WorkspaceQuotas:
     """Gets a token for each request of a workspace with a quota, and issues tokens to others.
@@ -109,6 +118,7 @@
     :param own: the name of this instance
     :param holders: the instance that holds each issuer slot, as far as is known
     :param holders_since: since when holders are known
+    :param not_issuing: when the holder of each slot has replied that it does not issue
     :param silent_until: until when each slow or unreachable holder is asked last
     """
 
@@ -119,6 +129,7 @@
     choice: ShareChoice = field(init=False)
     holders: dict[int, str] = field(default_factory=dict)
     holders_since: float | None = None
+    not_issuing: dict[int, NotIssuing] = field(default_factory=dict)
     silent_until: dict[str, float] = field(default_factory=dict)
     refused_lines: LineLimit = field(
         default_factory=lambda: LineLimit(lines_per_s=REFUSED_LINES_PER_S)
@@ -311,8 +322,18 @@
             decision = await self.ask_other(holder, request)
         if isinstance(decision, QuotaDenied):
             self.choice.on_denied(now(), request, decision.wait_s)
+        if isinstance(decision, QuotaNotIssued) and decision.replied:
+            return QuotaNotIssued(replied=self.on_not_issuing(request.slot))
         return decision
 
+    def on_not_issuing(self, slot: int) -> bool:
+        """Record that a slot's holder does not issue; return whether it may in a moment."""
+        at = now()
+        known = self.not_issuing.get(slot)
+        since = at if known is None or at - known.until > START_S else known.since
+        self.not_issuing[slot] = NotIssuing(since=since, until=at)
+        return at - since < START_S
+
     async def ask_other(self, holder: str, request: ShareRequest) -> TokenDecision:
         """Ask another instance for a token."""
 
--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -263,6 +263,37 @@
     assert (None if failure is None else failure.kind) is kind
 
 
+class CountingQuotas(WorkspaceQuotas):
+    """Counts how often the shares are asked."""
+
+    rounds: int = 0
+
+    def share_requests(
+        self, workspace: str, quota: RequestQuota, version: int
+    ) -> list[ShareRequest]:
+        self.rounds += 1
+        return WorkspaceQuotas.share_requests(self, workspace, quota, version)
+
+
+async def test_holders_that_issue_nothing_for_long_are_not_asked_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait for nothing while all leases have ended."""
+    passed_s = 0.0
+    monkeypatch.setattr(workspace_quotas, "now", lambda: now() + passed_s)
+    quotas = CountingQuotas(
+        own="i0", peers=PeerLinks(view=view_of("i0", {})), metrics=GatewayMetrics()
+    )
+    quotas.set_bounds(BOUNDS)
+    quotas.on_slots(dict.fromkeys(SLOTS, "i0"), lease_now(), {})
+    asked_again = []
+    for passed_s in (0.0, 2.0, 3.5, 5.0, 60.0):  # noqa: B007 - read by the clock
+        rounds = quotas.rounds
+        assert await quotas.admit(make_request(workspace=WORKSPACE), 1, 1.0) is not None
+        asked_again.append(quotas.rounds > rounds + 1)
+    assert asked_again == [True, True, False, False, True]
+
+
 async def test_a_request_that_gets_no_issuer_is_refused_within_a_part_of_its_goal() -> None:
     """Guards against callers that are refused too late to be served elsewhere."""
     quotas = answering(*((0.0, QuotaNotIssued(replied=True)) for _ in SLOTS))
