Wait in the tests of quotas until all instances know the holders

Cause: test_the_leafs_run_no_more_requests_than_the_quota_of_all_instances waited until the holders knew that they hold all slots and each instance had answered a probe. An instance reads the last keys up to 0.25 s later and refuses as not ready until then, as the design allows. No assertion is changed.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -42,6 +42,7 @@
     quota_requests: Counter = field(init=False)
     workspace_quota_requests: Counter = field(init=False)
     issuer_slots: Gauge = field(init=False)
+    known_issuer_slots: Gauge = field(init=False)
     issuer_slot_claims: Counter = field(init=False)
     servers_ended: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
@@ -206,6 +207,11 @@
             "Issuer slots of workspaces' quotas that this instance holds.",
             registry=registry,
         )
+        self.known_issuer_slots = Gauge(
+            "azurefield_gateway_known_issuer_slots",
+            "Issuer slots of workspaces' quotas whose holder this instance knows.",
+            registry=registry,
+        )
         self.issuer_slot_claims = Counter(
             "azurefield_gateway_issuer_slot_claims",
             "Issuer slots that this instance has claimed, by how their buckets begin.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -170,6 +170,7 @@
             self.holders_since = now()
         self.issuer.on_lease(lease_now(), lease_until, held)
         self.metrics.issuer_slots.set(len(held))
+        self.metrics.known_issuer_slots.set(len(holders))
 
     async def admit(
         self, request: GatewayRequest, version: int, goal_s: float | None
--- a/tests/fleet/test_workspace_quotas.py
+++ b/tests/fleet/test_workspace_quotas.py
@@ -43,13 +43,19 @@
 
 
 async def wait_for_issuers(sites: dict[str, Site]) -> None:
-    """Wait until each issuer slot is held."""
+    """Wait until each issuer slot is held and each instance knows all holders."""
 
     async def held() -> bool:
         metrics = [await site.metric("azurefield_gateway_issuer_slots") for site in sites.values()]
         return sum(metric or 0 for metric in metrics) == ISSUER_SLOTS
 
+    async def known() -> bool:
+        name = "azurefield_gateway_known_issuer_slots"
+        metrics = [await site.metric(name) for site in sites.values()]
+        return all(metric == ISSUER_SLOTS for metric in metrics)
+
     await wait_until(held, "all issuer slots are held")
+    await wait_until(known, "all instances know all holders")
     for site in sites.values():
         await wait_until(partial(admits, site), f"{site.name} knows who holds the slots")
 
