Keep the coordinators' address in use until the last caller is served

Cause: a planned stop ended the service coordinator, which closes its address, before front. Until the requests of its callers had ended, up to 3 s later, the process took tokens of its own issuer slots, while a successor could listen on the address, take that for the end of this process, claim the slots and fill its buckets for the same time. Change: coordinator stops after front, so a free address shows that no token is issued any more.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -108,10 +108,11 @@
         "edge": gateway.access.edge,
         "workspace-quotas": gateway.workspace_quotas,
         "metadata": make_metadata(settings, adapters.store, random, metrics, coordinator),
-        "front": front,
     }
     if coordinator is not None:
+        # Stops after "front": its address shows a successor whether this process may issue quota.
         services["coordinator"] = coordinator
+    services["front"] = front
     if settings.relay_address is not None:
         services["relay"] = RelayService(address=settings.relay_address)
     if settings.admin_address is not None:
--- a/tests/fleet/test_workspace_quotas.py
+++ b/tests/fleet/test_workspace_quotas.py
@@ -5,12 +5,14 @@
 import asyncio
 import re
 import signal
+import socket
 from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING
 
 import pytest
 
+from azurefield_fleet.settings import COORDINATOR_PORT_INDEX
 from azurefield_testkit.waiting import wait_until
 from gateway_process import Site, serving_fleet
 from standins import config, route
@@ -33,11 +35,19 @@
 ISSUER_SLOTS = 12
 # Only a request that no issuer has answered within 0.3 of the route's goal of 200 ms may get 503.
 WAIT_MS = 60
+# In this time the buckets get tokens.
+FILL_S = 1.0
+# Longer than a planned stop.
+LONG_MS = 20_000
 
 
-async def put_quota(site: Site) -> None:
-    """Write a configuration with one workspace that has a quota."""
-    entry = config(2, route("single", "/s/", service="desk"), services=("desk",))
+async def put_quota(site: Site, **further: object) -> None:
+    """Write a configuration with one workspace that has a quota.
+
+    :param further: further fields of its route
+    """
+    single = route("single", "/s/", service="desk", **further)
+    entry = config(2, single, services=("desk",))
     tenant = {"name": "w", "api_keys": [KEY], "rate_per_s": RATE_PER_S, "burst": BURST}
     site.store.put("op/config", entry | {"tenants": [tenant]})
 
@@ -149,3 +159,45 @@
     site.process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(1.0)
     site.process.send_signal(signal.SIGCONT)
+
+
+def is_in_use(port: int) -> bool:
+    """Whether a process listens on a port, so that its successor can't."""
+    with socket.socket() as successor:
+        successor.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            successor.bind(("127.0.0.1", port))
+        except OSError:
+            return True
+    return False
+
+
+async def test_a_successor_can_not_listen_while_a_stopping_instance_serves_its_callers(
+    tmp_path: Path,
+) -> None:
+    """Guards against a successor whose buckets fill while this instance still takes tokens."""
+    put_long_quota = partial(put_quota, timeout_ms=LONG_MS)
+    async with serving_fleet(tmp_path, {"n1": 1.0}, before_start=put_long_quota) as sites:
+        site = sites["n1"]
+        await wait_for_issuers(sites)
+        await asyncio.sleep(FILL_S)
+        assert site.process is not None
+        assert site.first_port is not None
+        site.leafs["d1"].behaviour = "hang"
+        headers = {"Credential": KEY}
+        running = asyncio.create_task(
+            site.call("/s/x", "q", deadline_ms=LONG_MS, further_headers=headers)
+        )
+        await wait_until(lambda: "q" in ran_by(site), "the leaf has the request")
+        site.process.send_signal(signal.SIGTERM)
+        callers_port = int(site.callers.rpartition(":")[2])
+        await wait_until(lambda: not is_in_use(callers_port), "callers can't connect any more")
+        assert not running.done()
+        assert is_in_use(site.first_port + COORDINATOR_PORT_INDEX)
+        assert (await running)[0] == 504
+        assert await site.process.wait() == 0
+
+
+def ran_by(site: Site) -> list[str]:
+    """List the ids of the requests that have reached the leaf."""
+    return [request["Request-Id"] for request in site.leafs["d1"].requests]
