Let the tests' fleet wait for the admin address of an instance

Cause: an instance may be ready before its admin address is open; the wait for all instances then failed with a refused connection (1 of 10 runs of test_the_leafs_run_no_more_requests_than_the_quota_of_all_instances at a load average of 25 to 45, in the fixture). Change: such a connection counts as not yet; an ended process fails the wait with its log.

--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -189,10 +189,18 @@
             return answer.status, answer.headers, await answer.read()
 
     async def wait_for_instances(self, count: int) -> None:
-        """Wait until this instance knows a number of running instances."""
+        """Wait until this instance knows a number of running instances.
+
+        Its admin address may be open only after it is ready.
+        """
 
         async def known() -> bool:
-            return await self.metric("azurefield_gateway_instances") == count
+            assert self.process is not None
+            assert self.process.running, self.process.tail()
+            try:
+                return await self.metric("azurefield_gateway_instances") == count
+            except aiohttp.ClientConnectorError:
+                return False
 
         await wait_until(known, f"{self.name} knows {count} instances")
 
