--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -181,5 +181,5 @@
 
 
 def counted_bytes(body_bytes: int) -> int:
-    """Return what a body in use counts; small ones count nothing."""
+    """Return the bytes that a body in use counts; 0 for a small one."""
     return 0 if body_bytes <= UNCOUNTED_BYTES else COPIES_IN_USE * body_bytes
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -116,9 +116,9 @@
     def describe(
         self, table: RouteTable | None, request: GatewayRequest, refusal: RequestFailure | None
     ) -> Explanation:
-        """Describe this instance and the route of a request, which would be refused so far.
+        """Describe this instance and the route of a request.
 
-        :param refusal: why; None if nothing is known to speak against it
+        :param refusal: why it would be refused; None if nothing speaks against it so far
         """
         gateway = self.gateway
         age_s = gateway.store_age_s()
@@ -163,7 +163,9 @@
         matched = described.route
         explained = replace(
             described,
-            route=None if matched is None else replace(matched, allowed_regions=regions(route)),
+            route=(
+                None if matched is None else replace(matched, allowed_regions=sorted_regions(route))
+            ),
             place=place if refusal is None else Place.NOWHERE,
             refusal=refusal,
             workspace=describe_workspace(request.workspace, shares),
@@ -229,7 +231,7 @@
         return ForwardedRequests(refusal=self.coordinator.preview(admitted))
 
 
-def regions(route: Route) -> tuple[str, ...] | None:
+def sorted_regions(route: Route) -> tuple[str, ...] | None:
     """Return the regions that a route allows, in order; None if it allows all."""
     return None if route.allowed_regions is None else tuple(sorted(route.allowed_regions))
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/instances.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/instances.py
@@ -48,16 +48,16 @@
         return self.describe((view.profiles[name] for name in named), possible, against, waits_s)
 
     def coordinator_obstacles(
-        self, now: float, name: str, candidates: Collection[str], median_latency_s: float
+        self, at: float, name: str, candidates: Collection[str], median_latency_s: float
     ) -> list[Obstacle]:
         """List what speaks against a coordinator."""
         choice, router = self.forwarding.choice, self.forwarding.router
-        against = router_obstacles(now, router, name, median_latency_s)
+        against = router_obstacles(at, router, name, median_latency_s)
         if name not in candidates:
             against.append(Obstacle(reason=ObstacleReason.FARTHER))
-        if choice.is_silent(now, name):
+        if choice.is_silent(at, name):
             until = router.observed(name).backoff_until
-            silent = obstacle_until(now, ObstacleReason.SILENT, until)
+            silent = obstacle_until(at, ObstacleReason.SILENT, until)
             against = [one for one in against if one.reason is not ObstacleReason.BACKOFF] + silent
         return against
 
@@ -84,14 +84,14 @@
         against = {name: self.peer_obstacles(at, name, median_s) for name in profiles}
         return self.describe(profiles.values(), possible, against, waits_s)
 
-    def peer_obstacles(self, now: float, name: str, median_latency_s: float) -> list[Obstacle]:
+    def peer_obstacles(self, at: float, name: str, median_latency_s: float) -> list[Obstacle]:
         """List what speaks against another instance."""
-        refused_until = self.peers.avoided_until.get(name, now)
-        late_until = self.peers.late_until.get(name, now)
+        refused_until = self.peers.avoided_until.get(name, at)
+        late_until = self.peers.late_until.get(name, at)
         return [
-            *obstacle_until(now, ObstacleReason.REFUSED, refused_until),
-            *obstacle_until(now, ObstacleReason.LATE, late_until),
-            *router_obstacles(now, self.forwarding.router, name, median_latency_s),
+            *obstacle_until(at, ObstacleReason.REFUSED, refused_until),
+            *obstacle_until(at, ObstacleReason.LATE, late_until),
+            *router_obstacles(at, self.forwarding.router, name, median_latency_s),
         ]
 
     def describe(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/servers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/servers.py
@@ -26,30 +26,30 @@
     from azurefield.directory import RegisteredServer
     from azurefield.query import FanOut
 
-# Servers that are listed of all services together, and of one service.
+# Servers that are listed at most, of all services together and of one service.
 SERVERS_LISTED_MAX = 120
 SERVERS_LISTED_PER_SERVICE_MAX = 12
 MS_PER_S = 1000.0
 
 
 def milliseconds(seconds: float) -> float:
-    """Convert a time, rounded to microseconds."""
+    """Convert seconds to milliseconds, rounded to microseconds."""
     return round(MS_PER_S * seconds, 3)
 
 
-def obstacle_until(now: float, reason: ObstacleReason, until: float) -> list[Obstacle]:
+def obstacle_until(at: float, reason: ObstacleReason, until: float) -> list[Obstacle]:
     """Return an obstacle that lasts until a time; none if that has passed."""
-    return [Obstacle(reason=reason, for_ms=milliseconds(until - now))] if until > now else []
+    return [Obstacle(reason=reason, for_ms=milliseconds(until - at))] if until > at else []
 
 
 def router_obstacles(
-    now: float, router: OwnObservationRouter, name: str, median_latency_s: float
+    at: float, router: OwnObservationRouter, name: str, median_latency_s: float
 ) -> list[Obstacle]:
     """List what a router has observed that speaks against a server or an instance."""
     view = router.observed(name)
-    against = obstacle_until(now, ObstacleReason.EJECTED, view.ejected_until)
-    against += obstacle_until(now, ObstacleReason.BACKOFF, view.backoff_until)
-    if view.stalled(now, median_latency_s):
+    against = obstacle_until(at, ObstacleReason.EJECTED, view.ejected_until)
+    against += obstacle_until(at, ObstacleReason.BACKOFF, view.backoff_until)
+    if view.stalled(at, median_latency_s):
         against.append(Obstacle(reason=ObstacleReason.STALLED))
     return against
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -51,6 +51,7 @@
     :param publish: called with each change of the holders and of the lease
     :param used: whether a workspace has a quota; set by ``set_used``
     :param issuers: the instances that can issue
+    :param wake: set when a claim may have become due before the next check
     """
 
     own: str
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -79,11 +79,11 @@
     """Accepts the requests of other instances, runs them and returns their results.
 
     A request is refused, which guarantees that it does not run, while another version of the route
-    table is in force here or does not admit it, while this process is overloaded or reaches no
-    server itself, and after a planned stop has begun. While it is busy, workspaces that ask for
-    more than their part are refused what exceeds it. Some requests that no other instance is asked
-    for are run in spite of an overload if they may still end in time. A request is never passed on
-    again.
+    table is in force here, if the version does not admit it, while this process is overloaded or
+    reaches no server itself, and after a planned stop has begun. While it is busy, workspaces that
+    ask for more than their part are refused what exceeds it. Some requests that no other instance
+    is asked for are run in spite of an overload if they may still end in time. A request is never
+    passed on again.
 
     :param address: ``host:port`` where other instances connect
     :param version: returns the version of the route table in force; None if there is none
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -58,9 +58,9 @@
 # refused can still be served elsewhere within its goal.
 ASK_AGAIN_FRACTION = 0.2
 ASK_AGAIN_INTERVAL_S = 0.02
-# For this time after this process has learned of the holders, they may be starting, too, and an
-# instance that can't be connected to is asked again like one that replies. One that replies is
-# asked again for this time after it was first found not to issue.
+# Holders may still be starting for this time after this process has learned of them. One that can't
+# be connected to is asked again only until then, and one that replies only for this time after it
+# was first found not to issue.
 START_S = 3.0
 # An issuer that has not replied for this time is given up.
 REPLY_TIMEOUT_S = 1.0
@@ -188,12 +188,12 @@
             return None
         asked_at = now()
         wait_s = WAIT_WITHOUT_GOAL_S if goal_s is None else WAIT_FRACTION * goal_s
-        again_until = asked_at + ASK_AGAIN_FRACTION / WAIT_FRACTION * wait_s
+        ask_again_until = asked_at + ASK_AGAIN_FRACTION / WAIT_FRACTION * wait_s
         while True:
             requests = self.share_requests(workspace.name, workspace.quota, version)
             left_s = wait_s - (now() - asked_at)
             decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, left_s))
-            if now() + ASK_AGAIN_INTERVAL_S > again_until or not self.may_change(decision):
+            if now() + ASK_AGAIN_INTERVAL_S > ask_again_until or not self.may_change(decision):
                 break
             await asyncio.sleep(ASK_AGAIN_INTERVAL_S)
         if isinstance(decision, QuotaGranted):
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -111,11 +111,11 @@
         lookup = self.look_up(request, route, table.workspaces)
         self.metrics.key_lookups.labels(lookup.result).inc()
         if lookup.admits:
-            return self.admit_in_time(admitted(request, route, table, lookup.workspace))
+            return self.admit_unless_busy(admitted(request, route, table, lookup.workspace))
         self.log_refused(request, route, table.version, lookup.result)
         return Err(key_failure(lookup.result))
 
-    def admit_in_time(self, found: AdmittedRequest) -> Result[AdmittedRequest, RequestFailure]:
+    def admit_unless_busy(self, found: AdmittedRequest) -> Result[AdmittedRequest, RequestFailure]:
         """Admit a request unless this process is too busy for it."""
         refused = self.edge.refuse(found.request, found.route)
         if refused is None:
@@ -135,10 +135,10 @@
         workspace = workspaces.find(key)
         if workspace is not None:
             return KeyLookup(result=LookupResult.FOUND, workspace=workspace)
-        return KeyLookup(result=self.not_found())
+        return KeyLookup(result=self.unmatched_result())
 
-    def not_found(self) -> LookupResult:
-        """Return how a look-up without a result ends, by the age of what is known."""
+    def unmatched_result(self) -> LookupResult:
+        """Return the result for a key that no workspace has, by the age of what is known."""
         stale = self.store_age_s() > KEYS_STALE_S
         return LookupResult.STALE if stale else LookupResult.UNKNOWN
 
@@ -160,7 +160,7 @@
             return Err(key_failure(LookupResult.MISSING))
         found = table.workspaces.by_name.get(workspace)
         if found is None:
-            return Err(key_failure(self.not_found()))
+            return Err(key_failure(self.unmatched_result()))
         return Ok(admitted(request, route, table, found))
 
     def readmit(
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -245,14 +245,14 @@
         found = await self.wait_for_token(running, action)
         if isinstance(found, Err):
             return found
-        pool = self.connections.pool(found.ok_value)
+        entry = found.ok_value
+        pool = self.connections.pool(entry)
         if running.standing is Standing.SUSPECT:
             connection = pool.open_fresh()
         else:
-            wait_until = min(action.deadline, now() + self.connection_wait_s(running.route))
             acquired = await pool.acquire(
                 request_class=running.request_class,
-                deadline=wait_until,
+                deadline=min(action.deadline, now() + self.connection_wait_s(running.route)),
                 avoid=running.carried_by,
             )
             if isinstance(acquired, Err):
@@ -272,8 +272,8 @@
         finally:
             pool.release(connection, reusable=True)
             if self.traffic is not None:
-                count = connection.bytes_exchanged - before
-                self.traffic.record(kind, found.ok_value.availability_zone, count)
+                exchanged = connection.bytes_exchanged - before
+                self.traffic.record(kind, entry.availability_zone, exchanged)
 
     async def wait_for_token(
         self, running: RunningRequest, action: SendLeafCall
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -110,7 +110,8 @@
         "metadata": make_metadata(settings, adapters.store, random, metrics, coordinator),
     }
     if coordinator is not None:
-        # Stops after "front": its address shows a successor whether this process may issue quota.
+        # Services stop in reverse order, so this one stops after "front". While it uses its
+        # address, a successor issues no quota.
         services["coordinator"] = coordinator
     services["front"] = front
     if settings.relay_address is not None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/zone_traffic.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/zone_traffic.py
@@ -35,7 +35,7 @@
 class ZoneTraffic:
     """Counts the bytes sent and received in exchanges that this instance begins.
 
-    :param counter: has the kind as its label
+    :param counter: counts bytes, with the kind as its label
     """
 
     own_zone: str
@@ -47,7 +47,7 @@
         return cls(own_zone=own_zone, counter=metrics.other_zone_bytes)
 
     def record(self, kind: TrafficKind, zone: str | None, count: int) -> None:
-        """Count bytes exchanged with a zone; None if it is not known."""
+        """Count bytes exchanged with a zone, unless it is the own one or not known (None)."""
         if zone is not None and zone != self.own_zone:
             self.counter.labels(kind).inc(count)
 
--- a/packages/azurefield-operator/src/azurefield_operator/explanation_text.py
+++ b/packages/azurefield-operator/src/azurefield_operator/explanation_text.py
@@ -72,7 +72,9 @@
         "no configuration" if version is None else f"configuration version {version}",
         "no answer of the store yet" if age_ms is None else f"store heard {age_ms:.0f} ms ago",
     ]
-    return ", ".join(parts + ["draining"] * explanation.draining)
+    if explanation.draining:
+        parts.append("draining")
+    return ", ".join(parts)
 
 
 def route_line(route: MatchedRoute) -> str:
@@ -107,17 +109,19 @@
     if share.tokens is not None:
         parts.append(f"{share.tokens:.1f} requests left")
     parts.append("asked" if share.asked else f"no token expected for {share.denied_for_ms:.0f} ms")
-    return f"  share {share.slot}: " + ", ".join(parts + ["issuer silent lately"] * share.silent)
+    if share.silent:
+        parts.append("issuer silent lately")
+    return f"  share {share.slot}: {', '.join(parts)}"
 
 
 def instance_candidate_line(candidate: InstanceCandidate) -> str:
     """Write one instance that could run the request."""
     parts = [
-        choice(chosen=candidate.may_be_chosen),
+        choice_text(chosen=candidate.may_be_chosen),
         f"expected {candidate.expected_ms:.1f} ms",
         f"{candidate.outstanding} running",
     ]
-    return line(candidate.instance, candidate.availability_zone, parts, candidate.against)
+    return candidate_line(candidate.instance, candidate.availability_zone, parts, candidate.against)
 
 
 def service_lines(service: ServiceCandidates) -> Iterator[str]:
@@ -131,7 +135,7 @@
 def server_line(server: ServerCandidate) -> str:
     """Write one server with what speaks for and against it."""
     counts = server.connections
-    parts = [choice(chosen=server.may_be_chosen), f"expected {server.expected_ms:.1f} ms"]
+    parts = [choice_text(chosen=server.may_be_chosen), f"expected {server.expected_ms:.1f} ms"]
     if server.other_zone:
         parts.append(f"other zone (+{server.penalty_ms:.0f} ms)")
     parts.append(
@@ -149,15 +153,15 @@
     parts.append(f"connections {counts.open} of {counts.ceiling} open, {counts.idle} idle")
     if counts.waiting:
         parts.append(f"{counts.waiting} calls wait")
-    return line(server.server, server.availability_zone, parts, server.against)
+    return candidate_line(server.server, server.availability_zone, parts, server.against)
 
 
-def choice(*, chosen: bool) -> str:
+def choice_text(*, chosen: bool) -> str:
     """Write whether the first attempt may go to a candidate."""
     return "may be the first choice" if chosen else "not the first choice"
 
 
-def line(name: str, zone: str, parts: list[str], against: tuple[Obstacle, ...]) -> str:
+def candidate_line(name: str, zone: str, parts: list[str], against: tuple[Obstacle, ...]) -> str:
     """Write the line of a candidate."""
     reasons = [
         str(one.reason) + ("" if one.for_ms is None else f" for {one.for_ms:.0f} ms")
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_node.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_node.py
@@ -14,6 +14,7 @@
     """One process of an instance.
 
     :param rate: seconds of its clock per second
+    :param offset: what its clock shows at time 0, in seconds
     :param next_renewal_at: when its lease is renewed next
     """
 
--- a/packages/azurefield/src/azurefield/explanation.py
+++ b/packages/azurefield/src/azurefield/explanation.py
@@ -262,8 +262,8 @@
 class Explanation:
     """Where a request would go, as one instance decides now.
 
-    :param version: the version of the configuration that all of the answer refers to; None if there
-        is none
+    :param version: the version of the configuration in which route, workspace and rank were found;
+        None if there is none
     :param store_age_ms: time since the store last answered; None if it never did
     :param draining: whether a planned stop has begun
     :param rank: the combined priority of workspace and route, 0 first
--- a/packages/azurefield/src/azurefield/floor_credits.py
+++ b/packages/azurefield/src/azurefield/floor_credits.py
@@ -1,4 +1,4 @@
-"""The floor that each class keeps in a queue which others have precedence in."""
+"""A floor of service for each class in a queue that serves other classes first."""
 
 from __future__ import annotations
 
@@ -54,7 +54,9 @@
     >>> [key.priority for key in order]
     [0, 0, 0, 0, 1, 0, 0, 0]
 
-    :param fraction: part of an equal service
+    :param fraction: the part of an equal service that each class keeps, 0 to 1
+    :param uses: the classes that asked lately
+    :param served_at: when the last item was served, in seconds; None before the first
     """
 
     fraction: float
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -152,6 +152,8 @@
 
         :param waits_s: the eligible servers with their expected waits
         """
+        # A server can win a sample if its wait is within these limits for all others in it. Their
+        # waits may be divided by their shares.
         limits_s = {
             server: (1.0 + SCORE_TIE_FRACTION) * wait_s / self.share(now, server)
             for server, wait_s in waits_s.items()
--- a/packages/azurefield/src/azurefield/server_view.py
+++ b/packages/azurefield/src/azurefield/server_view.py
@@ -107,7 +107,7 @@
         return float(self.failure_rate * 0.5 ** (idle_s / self.failure_half_life_s))
 
     def lengthen_failure_memory(self, now: float) -> None:
-        """Remember failures longer if the server fails again after a half-life."""
+        """Double the half-life if the server fails again after it; reset it after a long pause."""
         since_s = now - self.failed_at
         if since_s > FAILURE_HALF_LIFE_RESET_S:
             self.failure_half_life_s = FAILURE_HALF_LIFE_MIN_S
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -35,10 +35,10 @@
 AVERAGE_S = 0.5
 # A lower capacity, in requests per second, would accept too little to measure a recovery.
 CAPACITY_MIN_PER_S = 1.0
-# Nor does the room fall below this part of the rate that was accepted before: what then makes the
-# process late are the refusals, which a lower capacity makes more.
-ROOM_FLOOR_FRACTION = 0.1
-# Time constant in which a larger earlier rate is forgotten.
+# Nor does the room fall below this fraction of the recent peak of the accepted rate: the refusals
+# themselves then make the process late, and less room would mean more of them.
+ROOM_MIN_FRACTION = 0.1
+# Time constant with which the peak of the accepted rate falls.
 PEAK_S = 60.0
 # Credit is kept for this time: a workspace whose requests come unevenly gets its part all the same.
 CREDIT_MAX_S = 1.0
@@ -314,12 +314,12 @@
         self.set_parts(elapsed_s, self.room_per_s(late_s))
 
     @property
-    def floor_per_s(self) -> float:
-        """The room that is left however late the process is."""
-        return max(CAPACITY_MIN_PER_S, ROOM_FLOOR_FRACTION * self.peak_per_s)
+    def room_min_per_s(self) -> float:
+        """Lower bound of the room, in requests per second, however late the process is."""
+        return max(CAPACITY_MIN_PER_S, ROOM_MIN_FRACTION * self.peak_per_s)
 
-    def distance(self, late_s: float) -> float:
-        """Return how far a lateness is from the target, as a part of it; negative above it."""
+    def margin(self, late_s: float) -> float:
+        """Return how far a lateness is below the target, as a fraction of it; negative above it."""
         return 1.0 - late_s / self.late_target_s
 
     def change_capacity(self, late_s: float) -> None:
@@ -328,15 +328,15 @@
         self.was_late = late_s > self.late_target_s
         if late_again:
             self.capacity_per_s = min(self.capacity_per_s, self.accepted_per_s)
-        change = max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * self.distance(late_s))
-        self.capacity_per_s = max(self.floor_per_s, self.capacity_per_s * (1.0 + change))
+        change = max(-CAPACITY_FALL_MAX, CAPACITY_GAIN * self.margin(late_s))
+        self.capacity_per_s = max(self.room_min_per_s, self.capacity_per_s * (1.0 + change))
         if self.capacity_per_s > UNLIMITED_FACTOR * sum(self.demand.values()):
             self.capacity_per_s = inf
 
     def room_per_s(self, late_s: float) -> float:
-        """Return what is divided in the next interval: the capacity, corrected by the lateness."""
-        change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * self.distance(late_s)))
-        return max(self.floor_per_s, self.capacity_per_s * (1.0 + change))
+        """Return the rate that is divided next: the capacity, corrected by the lateness."""
+        change = min(ROOM_RISE_MAX, max(-ROOM_FALL_MAX, ROOM_GAIN * self.margin(late_s)))
+        return max(self.room_min_per_s, self.capacity_per_s * (1.0 + change))
 
     def average(self, elapsed_s: float) -> None:
         """Add an interval to the averages."""
