Report a held slot again in the test of an instance without issuers

Cause: since holds have a time, the test reported no held slot, so it no longer guarded against an issuer that goes on after its lease. Change: the instance holds one slot with full buckets and a lease that has ended.

--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -182,7 +182,9 @@
         quotas = instances["i1"].quotas
         quotas.on_slots({}, lease_now(), {})
         assert await instances["i1"].admit() is FailureKind.NOT_READY
-        quotas.on_slots(HOLDERS, lease_now(), {})
+        since = lease_now() - LONG_AGO_S
+        hold = SlotHold(taken_at=since, filled_from=since)
+        quotas.on_slots(HOLDERS, lease_now(), {SLOTS[0]: hold})
         await instances["i2"].stop()
         await instances["i3"].stop()
         assert await instances["i1"].admit() is FailureKind.NOT_READY
