Grant by the count of questions in a test of quotas

Cause: test_shares_that_have_no_issuer_yet_are_asked_again granted after a timer of 10 ms, which could run before the first reply under load; the case lost was then granted. Change: the shares grant from the second question on, the clock stands still, and the questions are counted: two, or one for lost. Result: the module's 20 tests pass.

--- a/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
+++ b/packages/azurefield-entry/tests/gateway/test_workspace_quotas.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass
 from functools import partial
+from math import inf
 from typing import TYPE_CHECKING
 
 import pytest
@@ -190,14 +191,30 @@
         assert await instances["i1"].admit() is FailureKind.NOT_READY
 
 
-class AnsweringQuotas(WorkspaceQuotas):
-    """Takes the replies of the shares from a table, each after a time in seconds."""
+class CountingQuotas(WorkspaceQuotas):
+    """Counts how often the shares are asked."""
 
-    replies: dict[int, tuple[float, TokenDecision]]
     rounds: int = 0
 
+    def share_requests(
+        self, workspace: str, quota: RequestQuota, version: int
+    ) -> list[ShareRequest]:
+        self.rounds += 1
+        return WorkspaceQuotas.share_requests(self, workspace, quota, version)
+
+
+class AnsweringQuotas(CountingQuotas):
+    """Takes the replies of the shares from a table, each after a time in seconds.
+
+    :param granted_from: when the shares are asked for this time, and later, they grant at once
+    """
+
+    replies: dict[int, tuple[float, TokenDecision]]
+    granted_from: float = inf
+
     async def ask(self, request: ShareRequest) -> TokenDecision:
-        self.rounds += request.slot == SLOTS[0]
+        if self.rounds >= self.granted_from:
+            return QuotaGranted(key=None)
         delay_s, decision = self.replies[request.slot]
         await asyncio.sleep(delay_s)
         return decision
@@ -254,27 +271,20 @@
     ids=["taking-over", "starting", "lost"],
 )
 async def test_shares_that_have_no_issuer_yet_are_asked_again(
-    replied: bool, known_s: float, kind: FailureKind | None
+    monkeypatch: pytest.MonkeyPatch, replied: bool, known_s: float, kind: FailureKind | None
 ) -> None:
-    """Guards against 503 while restarted instances take their slots over, and idle waits."""
+    """Guards against 503 while restarted instances take their slots over, and idle waits.
+
+    The clock stands still, so the first reply is never too late to ask again.
+    """
+    at = now()
+    monkeypatch.setattr(workspace_quotas, "now", lambda: at)
     quotas = answering(*((0.0, QuotaNotIssued(replied=replied)) for _ in SLOTS))
-    quotas.holders_since = now() - known_s
-    granted = dict.fromkeys(SLOTS, (0.0, QuotaGranted(key=None)))
-    asyncio.get_running_loop().call_later(0.01, quotas.replies.update, granted)
+    quotas.holders_since = at - known_s
+    quotas.granted_from = 2
     failure = await quotas.admit(make_request(workspace=WORKSPACE), 1, 0.2)
     assert (None if failure is None else failure.kind) is kind
-
-
-class CountingQuotas(WorkspaceQuotas):
-    """Counts how often the shares are asked."""
-
-    rounds: int = 0
-
-    def share_requests(
-        self, workspace: str, quota: RequestQuota, version: int
-    ) -> list[ShareRequest]:
-        self.rounds += 1
-        return WorkspaceQuotas.share_requests(self, workspace, quota, version)
+    assert quotas.rounds == (2 if kind is None else 1)
 
 
 async def test_holders_that_issue_nothing_for_long_are_not_asked_again(
