--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
@@ -18,7 +18,7 @@
 from logbook import Logger
 from result import Err, Ok, Result
 
-from azurefield.store_position import StorePosition
+from azurefield.store_position import HistoryRelation, StorePosition
 from azurefield_entry.addresses import split_address
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.messages import StoreReplyReceived, StoreWatchEnded, Tick
@@ -38,6 +38,10 @@
 HISTORY_FRAMES_MAX = 64
 # A follower with more unsent bytes than this is disconnected.
 UNSENT_BYTES_MAX = 4 * 1024 * 1024
+# A follower disconnects from a relay whose last reply from the store is older than this, since the
+# relay may be unable to reach the store. A change of the configuration must be in force within 3 s,
+# and the follower must have read the store itself by then.
+RELAYED_AGE_MAX_S = 2.0
 log = Logger("relay")
 
 
@@ -239,3 +243,14 @@
         return Err(RelayLost(detail="closed at once"))
     writer.write(encode(FollowRequest(after=position.revision, era=position.era)))
     return Ok(RelayLink(reader=reader, writer=writer))
+
+
+def check_frame(frame: RelayFrame, position: StorePosition) -> RelayLost | None:
+    """Return why a frame can't be used after a position; None if it can."""
+    relation = position.relation_of(frame.era)
+    if relation is not HistoryRelation.CONTINUES:
+        restored = relation is HistoryRelation.RESTORED
+        return RelayLost(detail=f"frame of era {frame.era}", store_restored=restored)
+    if frame.age_s > RELAYED_AGE_MAX_S or frame.after > position.revision:
+        return RelayLost(detail=f"frame is {frame.age_s:.1f} s old or skips changes")
+    return None
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -28,7 +28,12 @@
 )
 from azurefield_entry.gateway.metadata.issuer_slots import IssuerSlots
 from azurefield_entry.gateway.metadata.own_entries import OwnEntries
-from azurefield_entry.gateway.metadata.relay import RelayFrame, RelayLost, open_relay
+from azurefield_entry.gateway.metadata.relay import (
+    RelayFrame,
+    RelayLost,
+    check_frame,
+    open_relay,
+)
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.gateway.ports import (
     Changes,
@@ -65,10 +70,6 @@
 # An instance that follows others is not needed by any other, so it may take longer to find out that
 # the store answers again.
 FOLLOWER_BACKOFF_MAX_S = 2.0
-# A follower disconnects from a relay whose last reply from the store is older than this, since the
-# relay may be unable to reach the store. A change of the configuration must be in force within 3 s,
-# and the follower must have read the store itself by then.
-RELAYED_AGE_MAX_S = 2.0
 # A relay that was lost is not used again for this time.
 RELAY_RETRY_DELAY_S = 5.0
 log = Logger("metadata")
@@ -392,14 +393,3 @@
         await asyncio.sleep(self.backoff_s * (0.5 + self.random.random()))
         longest_s = FOLLOWER_BACKOFF_MAX_S if self.tree.upstreams() else RETRY_BACKOFF_MAX_S
         self.backoff_s = min(longest_s, 2 * self.backoff_s)
-
-
-def check_frame(frame: RelayFrame, position: StorePosition) -> RelayLost | None:
-    """Return why a frame can't be used after a position; None if it can."""
-    relation = position.relation_of(frame.era)
-    if relation is not HistoryRelation.CONTINUES:
-        restored = relation is HistoryRelation.RESTORED
-        return RelayLost(detail=f"frame of era {frame.era}", store_restored=restored)
-    if frame.age_s > RELAYED_AGE_MAX_S or frame.after > position.revision:
-        return RelayLost(detail=f"frame is {frame.age_s:.1f} s old or skips changes")
-    return None
