Claim no slot after a restart that a forgotten holder may hold

Cause: a process that starts after a restore of the store can't see it. Its claim of a free slot, or of its own key in an old copy, may overlap with a holder that the store has forgotten and that goes on until its lease ends. Change: keys name the era in which they were written and how long that has lasted at least; a process that starts claims slots without a key of its own in this era only once the era is older than a lease. A mark without a lease tells a new store from one that has lost its keys. A lease of an era that was not listed is not used. The simulation restores the store; the property test draws restores, and a process that claims at once is found with own keys and without keys. SlotLease and the simulation's part for slots have modules of their own.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -14,12 +14,13 @@
 from azurefield.issuer_slots import (
     RENEW_INTERVAL_S,
     RETRY_DELAY_S,
-    SLOT_LEASE_S,
+    USED_MARK,
     SlotClaim,
     SlotClaims,
     SlotKey,
-    SlotLease,
 )
+from azurefield.slot_lease import SLOT_LEASE_S, SlotLease
+from azurefield.store_position import eras_differ
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.messages import IssuerSlotsChanged
 from azurefield_entry.gateway.metrics import GatewayMetrics
@@ -79,10 +80,19 @@
             self.wake.set()
         self.used = used
 
-    def on_listing(self, items: tuple[Item, ...]) -> None:
-        """Apply a complete listing of the store."""
+    def on_listing(self, items: tuple[Item, ...], era: int | None) -> None:
+        """Apply a complete listing of the store.
+
+        :param era: the era of the store
+        """
         self.issuers.clear()
-        self.claims.on_listing(now(), [item for item in items if isinstance(item, SlotKey)])
+        keys = [item for item in items if isinstance(item, SlotKey)]
+        starts = self.slot_lease.era_since is None
+        self.slot_lease.on_listing(lease_now(), era, keys)
+        wait_s = self.slot_lease.claims_from - lease_now()
+        if starts and wait_s > 0:
+            log.info("The store may have been restored; slots are claimed in {:.0f} s.", wait_s)
+        self.claims.on_listing(now(), keys)
         self.on_changes(items)
         self.wake.set()
 
@@ -140,7 +150,10 @@
         if lease is None:
             return True
         # A restore of the store while the lease was asked for may have changed what is due.
-        for claim in self.due_claims():
+        claims = self.due_claims()
+        if claims and not self.claims.marked and not await self.mark_used():
+            return False
+        for claim in claims:
             if not await self.claim(claim, lease):
                 return False
         for key in self.slot_lease.due_confirmations(lease_now(), self.claims.usable_keys()):
@@ -157,15 +170,17 @@
         if not self.used and not self.claims.keys:
             return []
         claims = self.claims.claims_of(sorted(self.slot_lease.reclaims))
-        if lease_now() >= self.slot_lease.claims_from:
-            known = self.slot_lease.held.keys() | self.slot_lease.reclaims
-            claims += self.claims.wanted(now(), frozenset(self.issuers), known)
-        return claims
+        known = self.slot_lease.held.keys() | self.slot_lease.reclaims
+        wanted = self.claims.wanted(now(), frozenset(self.issuers), known)
+        return claims + [one for one in wanted if self.slot_lease.may_claim(lease_now(), one)]
 
     async def new_lease(self) -> bool:
         """Get a lease; return whether that succeeded."""
         asked_at = lease_now()
         match await self.store.new_lease(SLOT_LEASE_S):
+            case Ok(lease) if eras_differ(lease.era, self.slot_lease.listed_era):
+                log.info("A lease is of era {}; no slot is claimed until it is listed.", lease.era)
+                return False
             case Ok(lease):
                 self.lease = lease
                 length_s = SLOT_LEASE_S if lease.length_s is None else lease.length_s
@@ -193,10 +208,26 @@
         self.publish_slots()
         return True
 
+    async def mark_used(self) -> bool:
+        """Write that slots have been held; return whether that succeeded."""
+        era = self.slot_lease.listed_era
+        key = SlotKey(slot=USED_MARK, instance="", lease=0, revision=0, era=era)
+        match await self.store.put(key, Lease(number=0, era=era), 0):
+            case Ok(_) | Err(KeyChanged()):
+                self.claims.marked = True
+                return True
+            case Err(failure):
+                return self.record_failure(failure)
+
     async def claim(self, claim: SlotClaim, lease: Lease) -> bool:
         """Claim a slot; return whether further calls may follow."""
         key = SlotKey(
-            slot=claim.slot, instance=self.own, lease=lease.number, revision=0, era=lease.era
+            slot=claim.slot,
+            instance=self.own,
+            lease=lease.number,
+            revision=0,
+            era=self.slot_lease.key_era,
+            era_s=self.slot_lease.era_s(lease_now()),
         )
         written = await self.store.put(key, lease, claim.revision)
         if self.lease is not lease:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/service.py
@@ -181,7 +181,7 @@
                 )
                 self.tree.clear()
                 self.relay_addresses.clear()
-                self.issuer_slots.on_listing(listing.items)
+                self.issuer_slots.on_listing(listing.items, listing.era)
                 self.update_tree(listing.items)
                 revision = listing.revision
                 reply = StoreReplyReceived(after=revision, revision=revision, era=listing.era)
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -10,7 +10,7 @@
 import pytest
 from result import Err, Ok, Result
 
-from azurefield.issuer_slots import SETTLE_S, SlotKey
+from azurefield.issuer_slots import SETTLE_S, USED_MARK, SlotKey
 from azurefield.quota_shares import ISSUER_SLOTS
 from azurefield_entry.clock import lease_now, now
 from azurefield_entry.gateway.metadata import issuer_slots
@@ -52,6 +52,7 @@
     era: int | None = None
     ended: bool = False
     calls: int = 0
+    marks: int = 0
     before_reply: Callable[[], None] | None = None
 
     async def new_lease(self, ttl_s: float) -> Result[Lease, InvalidCall]:  # noqa: ARG002
@@ -71,6 +72,9 @@
         self, entry: SlotKey, lease: Lease, revision: int | None  # noqa: ARG002
     ) -> Result[None, InvalidCall]:
         self.calls += 1
+        if entry.slot == USED_MARK:
+            self.marks += 1
+            return Ok(None)
         known = self.keys.get(entry.slot)
         if (0 if known is None else known.revision) != revision:
             return Err(KeyChanged(detail="status 412"))
@@ -104,6 +108,7 @@
     *,
     used: bool = True,
     reached: bool = True,
+    era: int | None = None,
 ) -> IssuerSlots:
     """Build the slots of i1, which has listed the store long enough ago to claim."""
     slots = IssuerSlots(
@@ -115,13 +120,13 @@
         publish=published.append,
     )
     slots.set_used(used)
-    list_again(slots, *store.keys.values())
+    list_again(slots, *store.keys.values(), era=era)
     return slots
 
 
-def list_again(slots: IssuerSlots, *keys: SlotKey) -> None:
+def list_again(slots: IssuerSlots, *keys: SlotKey, era: int | None = None) -> None:
     """List the store with some keys, long enough ago to claim."""
-    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *keys))
+    slots.on_listing((InstanceEntry(instance="i1", coordinator_address="h:1"), *keys), era)
     slots.claims.listed_at = slots.claims.used_since = now() - SETTLE_S
     slots.claims.free_since = dict.fromkeys(slots.claims.free_since, now() - SETTLE_S)
 
@@ -336,3 +341,63 @@
     assert await slots.send_due_calls()
     assert store.keys.keys() == ALL - {3}
     assert published[-1].held.keys() == ALL - {3}
+
+
+MARK = SlotKey(slot=USED_MARK, instance="", lease=0, revision=1, era=1)
+
+
+@pytest.mark.parametrize(
+    ("keys", "claimed"),
+    [
+        ((), ALL),
+        ((MARK,), frozenset()),
+        ((replace(EARLIER, era=1),), frozenset()),
+        ((replace(EARLIER, era=2), MARK), {4}),
+        ((replace(OTHER, era=2, era_s=44.0),), frozenset()),
+        ((replace(OTHER, era=2, era_s=46.0),), ALL - {3}),
+        ((replace(EARLIER, era=None), MARK), {4}),
+    ],
+    ids=["new-store", "keys-lost", "older", "own", "too-new", "lasting", "earlier-version"],
+)
+async def test_a_process_claims_only_what_no_forgotten_holder_can_hold(
+    keys: tuple[SlotKey, ...], claimed: set[int]
+) -> None:
+    """Guards against two issuers after a restore of the store, and idle waits without one."""
+    store = SlotStore(keys={key.slot: key for key in keys}, era=2)
+    slots = build(store, [], era=2)
+    await slots.send_due_calls()
+    assert slots.slot_lease.held.keys() == claimed
+
+
+async def test_no_slot_is_claimed_under_a_lease_of_an_era_that_was_not_listed() -> None:
+    """Guards against claims of slots that the store has forgotten since the last listing."""
+    store = SlotStore(era=3)
+    slots = build(store, [], era=2)
+    assert not await slots.send_due_calls()
+    assert not store.keys
+
+
+async def test_the_mark_is_written_before_the_first_slot_and_once() -> None:
+    """Guards against a store that looks new after a restore."""
+    store = SlotStore()
+    slots = build(store, [])
+    await slots.send_due_calls()
+    await slots.send_due_calls()
+    assert store.marks == 1
+
+
+@pytest.mark.parametrize(
+    ("listed", "granted", "named"),
+    [(2, 2, 2), (None, 2, 2), (2, None, 2), (None, None, None)],
+)
+async def test_keys_name_the_era_of_the_lease_or_else_the_listed_one(
+    listed: int | None, granted: int | None, named: int | None
+) -> None:
+    """Guards against keys that seem to be of a later history, and an age of another era."""
+    store = SlotStore(era=granted)
+    slots = build(store, [], era=listed)
+    slots.slot_lease.era_since = lease_now() - 100.0
+    await slots.send_due_calls()
+    assert {key.era for key in store.keys.values()} == {named}
+    lasts = {key.era_s >= 100.0 for key in store.keys.values()}
+    assert lasts == {listed == named}
--- a/packages/azurefield-testkit/src/azurefield_testkit/quota_faults.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/quota_faults.py
@@ -36,6 +36,20 @@
     length_s: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Restore:
+    """The store is restored from a copy; each instance notices it within ``lag_s``.
+
+    :param age_s: age of the copy
+    :param keeps_leases: whether the leases of the copy run on, or have ended
+    """
+
+    at: float
+    age_s: float
+    keeps_leases: bool = True
+    lag_s: float = 3.0
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LimitChange:
     """A version of the configuration; each instance learns it within ``lag_s``."""
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -6,27 +6,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from azurefield.quota import issuer_order
-from azurefield.quota_shares import CLOCK_RATE_ERROR, ISSUER_SLOTS
+from azurefield.quota_shares import ISSUER_SLOTS
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+# A key beside those of the slots, without an instance or a lease: slots have been held. It tells a
+# new store from one that was restored from a copy and has lost their keys.
+USED_MARK = 9999
 # Instances that start together should know of each other before the first one claims a slot.
 SETTLE_S = 2.0
 # The next instance in the order claims a slot that stays free for this time longer.
 CLAIM_STEP_S = 2.0
-# Outlasts an outage of the store of 30 s that begins just before a renewal, with the time until the
-# next attempt after it. A holder that was lost for good keeps its slots so long.
-SLOT_LEASE_S = 45.0
 RENEW_INTERVAL_S = 5.0
 # After a call that failed, nothing more is sent to the store for this time.
 RETRY_DELAY_S = 2.0
-# Part of a lease's length that its holder does not use, as its clock may be slow.
-LEASE_MARGIN_FRACTION = 0.01
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -38,6 +36,7 @@
     :param revision: the store's revision of the write
     :param held_s: how long its writer had held the slot; 0 in a claim
     :param era: the store's era in which it was written
+    :param era_s: how long that era had lasted at least
     """
 
     slot: int
@@ -46,6 +45,7 @@
     revision: int
     held_s: float = 0.0
     era: int | None = None
+    era_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -90,6 +90,7 @@
     :param free_since: when each slot without a key was first seen free
     :param listed_at: when the keys were first listed
     :param used_since: since when a workspace has a quota
+    :param marked: whether the store has the mark that slots have been held
     :param ranks: for each slot, the instances for which the rank of this one was computed, and it
     """
 
@@ -99,13 +100,15 @@
     free_since: dict[int, float] = field(default_factory=dict)
     listed_at: float | None = None
     used_since: float = float("-inf")
+    marked: bool = False
     ranks: dict[int, tuple[frozenset[str], int]] = field(default_factory=dict)
 
     def on_listing(self, now: float, keys: Collection[SlotKey]) -> None:
         """Apply a complete listing of the keys."""
         if self.listed_at is None:
             self.listed_at = now
-        listed = {key.slot: key for key in keys if 0 <= key.slot < ISSUER_SLOTS}
+        self.marked = any(key.slot == USED_MARK for key in keys)
+        listed = {key.slot: key for key in keys}
         for slot in range(ISSUER_SLOTS):
             if slot in listed:
                 self.on_key(listed[slot])
@@ -114,12 +117,18 @@
 
     def on_key(self, key: SlotKey) -> None:
         """Record that a key was written."""
+        if key.slot == USED_MARK:
+            self.marked = True
+        if not 0 <= key.slot < ISSUER_SLOTS:
+            return
         self.keys[key.slot] = key
         self.refused.discard(key.slot)
         self.free_since.pop(key.slot, None)
 
     def on_removed(self, now: float, slot: int) -> None:
         """Record that a key does not exist."""
+        if not 0 <= slot < ISSUER_SLOTS:
+            return
         self.keys.pop(slot, None)
         self.refused.discard(slot)
         self.free_since.setdefault(slot, now)
@@ -177,164 +186,3 @@
             order = issuer_order(f"issuer-slot/{slot}", instances | {self.own})
             known = self.ranks[slot] = (instances, order.index(self.own))
         return known[1]
-
-
-@dataclass(slots=True, kw_only=True)
-class SlotLease:
-    """The lease of one instance and the slots that it holds under it.
-
-    All times are of a clock that also counts while the machine is suspended.
-
-    :param own: the name of this instance
-    :param lease_s: length of the lease, which the store may change when it grants one
-    :param lease: the number of the lease; None if there is none
-    :param lease_until: when the slots count as no longer held unless the lease is renewed
-    :param renewed_until: the same for the present lease; differs only while slots are reclaimed
-    :param claims_from: before this time only slots of ``reclaims`` are claimed
-    :param held: the slots that are held
-    :param reclaims: the slots that were held when the store was restored, and not claimed since
-    :param held_before: the slots that this process has held at any time
-    :param reachable_since: since when no earlier process of this instance runs
-    :param window_s: length of the windows in which requests are counted
-    :param era: the store's era in which the lease was granted
-    """
-
-    own: str
-    lease_s: float = SLOT_LEASE_S
-    lease: int | None = None
-    lease_until: float = float("-inf")
-    renewed_until: float = float("-inf")
-    claims_from: float = float("-inf")
-    held: dict[int, SlotHold] = field(default_factory=dict)
-    reclaims: set[int] = field(default_factory=set)
-    held_before: set[int] = field(default_factory=set)
-    reachable_since: float | None = None
-    window_s: float = 5.0
-    era: int | None = None
-
-    @property
-    def window_passed_s(self) -> float:
-        """A time on any instance's clock in which a whole window passes."""
-        return self.window_s * (1 + 2 * CLOCK_RATE_ERROR)
-
-    def on_granted(
-        self, lease: int, asked_at: float, lease_s: float, era: int | None = None
-    ) -> None:
-        """Record a new lease, which was asked for at a time.
-
-        Slots that are reclaimed stay held until the end of the earlier lease.
-        """
-        self.era = era
-        self.held = {slot: hold for slot, hold in self.held.items() if slot in self.reclaims}
-        self.lease = lease
-        self.lease_s = lease_s
-        self.renewed_until = float("-inf")
-        if not self.reclaims:
-            self.lease_until = float("-inf")
-        self.on_renewed(asked_at)
-
-    def on_renewed(self, asked_at: float) -> None:
-        """Record that the store has renewed the lease, at some time after it was asked to."""
-        until = asked_at + self.lease_s * (1 - LEASE_MARGIN_FRACTION)
-        self.renewed_until = max(self.renewed_until, until)
-        self.use_lease()
-
-    def use_lease(self) -> None:
-        """Count with the present lease once no slot is held under an earlier one."""
-        if self.lease is not None and not self.reclaims:
-            self.lease_until = self.renewed_until
-
-    def on_ended(self, now: float) -> None:
-        """Record that the store does not know the lease.
-
-        If it should not have ended yet, the store was restored from a copy.
-        """
-        if now < max(self.lease_until, self.renewed_until):
-            self.on_restored(now)
-        self.lease = None
-        self.lease_until = self.renewed_until = float("-inf")
-        self.held.clear()
-
-    def on_claimed(self, now: float, claim: SlotClaim, lease: int) -> None:
-        """Record that the store has written a slot's key under a lease."""
-        if lease == self.lease:
-            self.hold(claim.slot, self.new_hold(now, claim))
-
-    def hold(self, slot: int, hold: SlotHold) -> None:
-        """Record that a slot is held; one that is held already stays as it is."""
-        self.held.setdefault(slot, hold)
-        self.held_before.add(slot)
-        self.end_reclaim(slot)
-
-    def new_hold(self, now: float, claim: SlotClaim) -> SlotHold:
-        """Decide how full the buckets of a slot begin.
-
-        The key that a claim replaces shows that no other instance has held the slot since it was
-        written. If an earlier process of this instance has written it, nobody has issued since the
-        end of that one. Only one issuer in a window begins with start tokens, so the key must show
-        that the last one began more than a window ago.
-        """
-        key = claim.replaced
-        taken_over = (
-            key is not None
-            and key.instance == self.own
-            and key.era == self.era
-            and claim.slot not in self.held_before
-        )
-        if key is None or not taken_over or self.reachable_since is None:
-            return SlotHold(taken_at=now, filled_from=now)
-        return SlotHold(
-            taken_at=now,
-            filled_from=min(now, self.reachable_since),
-            start_tokens=key.held_s >= self.window_passed_s,
-        )
-
-    def due_confirmations(self, now: float, keys: Collection[SlotKey]) -> list[SlotKey]:
-        """List the keys to write, under their revision, as their slots were held for a window."""
-        if now >= self.lease_until:
-            return []
-        return [
-            replace(key, held_s=now - self.held[key.slot].taken_at)
-            for key in keys
-            if key.slot in self.held
-            and (key.instance, key.lease) == (self.own, self.lease)
-            and key.held_s < self.window_passed_s
-            and now - self.held[key.slot].taken_at >= self.window_passed_s
-        ]
-
-    def end_reclaim(self, slot: int) -> None:
-        """Record that a slot needs no claim because of a restore any more."""
-        self.reclaims.discard(slot)
-        self.use_lease()
-
-    def on_refused(self, slot: int) -> None:
-        """Record that the store has refused a claim, since the key is not as it was known."""
-        self.held.pop(slot, None)
-        self.end_reclaim(slot)
-
-    def on_key(self, now: float, key: SlotKey) -> None:
-        """Apply a key that was read; a claim may be confirmed only by it.
-
-        After a restore, a key of another instance may be new, so its slot is not reclaimed; this
-        instance's key under an earlier lease says nothing.
-        """
-        if key.instance == self.own and key.lease == self.lease:
-            self.hold(key.slot, SlotHold(taken_at=now, filled_from=now))
-        elif key.instance != self.own or key.slot not in self.reclaims:
-            self.on_refused(key.slot)
-
-    def on_removed(self, slot: int) -> None:
-        """Record that a key no longer exists."""
-        if slot not in self.reclaims:
-            self.held.pop(slot, None)
-
-    def on_restored(self, now: float) -> None:
-        """Record that the store was restored from a copy, which may lack the keys of held slots.
-
-        A holder goes on until its lease ends by its own clock, and claims its slots again. Other
-        instances claim none until then.
-        """
-        if now < self.lease_until:
-            self.reclaims |= self.held.keys()
-        self.lease = None
-        self.claims_from = now + self.lease_s
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -10,16 +10,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from azurefield.issuer_slots import SlotClaim, SlotHold, SlotLease
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
+from azurefield.slot_lease import SlotLease
 from azurefield.workspace_quota import ShareBucket, ShareChoice, ShareIssuer, ShareRequest
 from azurefield.workspaces import RequestQuota
-from azurefield_testkit.quota_faults import Fault, FaultKind, LimitChange
+from azurefield_testkit.quota_faults import Fault, FaultKind, LimitChange, Restore
 from azurefield_testkit.quota_fleet import QuotaFleet
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from azurefield.issuer_slots import SlotClaim, SlotHold
+
 BOUNDS = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
 QUOTA = RequestQuota(rate_per_s=23.0, burst=23.0)
 LOWER = RequestQuota(rate_per_s=6.0, burst=8.0)
@@ -31,6 +33,8 @@
 SHORT_S = (0.2, 1.0)
 # A process that is ended again and again takes its slots over ten times in a window.
 REPEATS = 10
+# Part of the restores that keep the leases of the copy.
+KEEPS_LEASES = 0.5
 REPEAT_S = 0.5
 
 
@@ -73,6 +77,7 @@
 
     :param hit_together: how many issuers are hit by the same fault at once
     :param repeats: how often each fault comes, ``REPEAT_S`` apart
+    :param restores: how often the store is restored from an older copy
     :param lowered_at: when a lower limit is accepted; None if it is not
     """
 
@@ -87,6 +92,7 @@
     kinds: tuple[FaultKind, ...] = KINDS
     lengths_s: tuple[float, ...] = LENGTHS_S
     repeats: int = 1
+    restores: int = 0
     lowered_at: float | None = None
 
     def faults(self, random: Random, issuers: list[int]) -> list[Fault]:
@@ -117,12 +123,21 @@
         changes = []
         if self.lowered_at is not None:
             changes.append(LimitChange(at=self.lowered_at, version=1, quota=LOWER))
+        restores = [
+            Restore(
+                at=random.uniform(2 * BEGIN_S, END_S),
+                age_s=random.uniform(0.5, BEGIN_S),
+                keeps_leases=random.random() < KEEPS_LEASES,
+            )
+            for _ in range(self.restores)
+        ]
         fleet = QuotaFleet(
             random=random,
             instances=self.instances,
             bounds=BOUNDS,
             quota=QUOTA,
             faults=faults,
+            restores=restores,
             changes=changes,
             loss=self.loss,
             views_differ=self.views_differ,
@@ -158,6 +173,7 @@
     kinds=st.sampled_from([KINDS, *((kind,) for kind in KINDS)]),
     lengths_s=st.sampled_from([LENGTHS_S, SHORT_S]),
     repeats=st.sampled_from([1, 1, REPEATS]),
+    restores=st.sampled_from([0, 1, 3]),
     hit_together=st.integers(1, 3),
     loss=st.sampled_from([0.0, 0.02, 0.1]),
     views_differ=st.booleans(),
@@ -226,6 +242,13 @@
         return replace(SlotLease.new_hold(self, now, claim), start_tokens=True)
 
 
+class ClaimsAfterRestart(SlotLease):
+    """Claims at once although the store may have forgotten a holder."""
+
+    def may_claim(self, now: float, claim: SlotClaim) -> bool:  # noqa: ARG002 - the fault
+        return True
+
+
 class FilledWhileAnotherIssued(SlotLease):
     """Fills buckets for a window in which the process before may have issued."""
 
@@ -366,3 +389,48 @@
     choice = ShareChoice(bounds=BOUNDS)
     deny_all(choice, QUOTA, wait_s=0.1)
     assert choice.retry_after_s(0.0999, "w", QUOTA) >= 1 / QUOTA.rate_per_s
+
+
+@pytest.mark.parametrize(
+    ("make_lease", "holds"),
+    [(SlotLease, True), (ClaimsAfterRestart, False)],
+    ids=["as-built", "claims-at-once"],
+)
+@pytest.mark.parametrize("keeps_leases", [True, False], ids=["own-keys", "no-keys"])
+def test_a_process_that_starts_after_a_restore_waits_for_forgotten_holders(
+    keeps_leases: bool, make_lease: type[SlotLease], holds: bool
+) -> None:
+    """Guards against two issuers of a slot that was given away between the copy and the restore.
+
+    The slots of some issuers go to others, which then can't reach the store; it forgets them, and
+    the first ones start again.
+    """
+    lease_s, end_s = 20.0, 60.0
+    simulation = Simulation(
+        seed=3, instances=7, receivers=7, factor=6.0, fault_count=0, hit_together=3, loss=0.0
+    )
+    issuers = simulation.issuers()
+    kills = [
+        Fault(kind=FaultKind.KILL, instance=issuer, begin_s=10.0, length_s=25.0)
+        for issuer in issuers
+    ]
+    cuts = [
+        Fault(kind=FaultKind.CUT_STORE, instance=instance, begin_s=32.0, length_s=30.0)
+        for instance in range(7)
+        if instance not in issuers
+    ]
+    random = Random(3)
+    fleet = QuotaFleet(
+        random=random,
+        instances=7,
+        bounds=BOUNDS,
+        quota=QUOTA,
+        faults=kills + cuts,
+        restores=[Restore(at=33.0, age_s=5.0, keeps_leases=keeps_leases)],
+        lease_s=lease_s,
+        make_lease=make_lease,
+    )
+    fleet.send_requests(arrivals(random, 140.0, 36.0, end_s), [*range(7)])
+    fleet.run(end_s)
+    most = most_in_window(fleet.runs, BOUNDS.window_s)
+    assert (most <= BOUNDS.requests_max(QUOTA)) is holds
