--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/issuer_slots.py
@@ -234,8 +234,10 @@
             return False  # It was given up meanwhile, since the store was restored.
         match written:
             case Ok(_):
+                reclaimed = claim.slot in self.slot_lease.held
                 self.slot_lease.on_claimed(lease_now(), claim, lease.number)
-                self.record_claim(claim.slot)
+                if not reclaimed:
+                    self.record_claim(claim.slot)
                 if not self.slot_lease.reclaims:
                     self.publish_slots()
                 return True
--- a/packages/azurefield/src/azurefield/slot_lease.py
+++ b/packages/azurefield/src/azurefield/slot_lease.py
@@ -32,7 +32,7 @@
     :param renewed_until: the same for the present lease; differs only while slots are reclaimed
     :param claims_from: before this time only slots of ``reclaims`` are claimed, and those whose key
         was written by an earlier process since the store was restored
-    :param held: the slots that are held
+    :param held: the slots that are held, and since when
     :param reclaims: the slots that were held when the store was restored, and not claimed since
     :param held_before: the slots that this process has held at any time
     :param reachable_since: since when no earlier process of this instance runs
@@ -187,7 +187,8 @@
                 continue
             held_s = now - hold.taken_at
             held_due = key.held_s < self.window_passed_s <= held_s
-            if held_due or key.era_s < self.lease_s <= era_s:
+            era_due = self.era is not None and key.era_s < self.lease_s <= era_s
+            if held_due or era_due:
                 confirmations.append(replace(key, held_s=held_s, era_s=era_s))
         return confirmations
 
