--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -41,6 +41,7 @@
     region_refusals: Counter = field(init=False)
     quota_requests: Counter = field(init=False)
     workspace_quota_requests: Counter = field(init=False)
+    workspace_quota_repeats: Counter = field(init=False)
     issuer_slots: Gauge = field(init=False)
     known_issuer_slots: Gauge = field(init=False)
     issuer_slot_claims: Counter = field(init=False)
@@ -202,6 +203,11 @@
             ("result",),
             registry=registry,
         )
+        self.workspace_quota_repeats = Counter(
+            "azurefield_gateway_workspace_quota_repeats",
+            "Times that shares were asked again since they had no issuer yet.",
+            registry=registry,
+        )
         self.issuer_slots = Gauge(
             "azurefield_gateway_issuer_slots",
             "Issuer slots of workspaces' quotas that this instance holds.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -195,6 +195,12 @@
             decision = await self.ask_in_turn(requests, max(WAIT_MIN_S, left_s))
             if now() + ASK_AGAIN_INTERVAL_S > again_until or not self.may_change(decision):
                 break
+            self.metrics.workspace_quota_repeats.inc()
+            log.debug(
+                "Request id={} asks again: a share of workspace {} has no issuer yet.",
+                request.request_id,
+                workspace.name,
+            )
             await asyncio.sleep(ASK_AGAIN_INTERVAL_S)
         if isinstance(decision, QuotaGranted):
             self.metrics.workspace_quota_requests.labels("granted").inc()
