Write the age of the era whenever the keys name one

Cause: with a lease whose reply names no era, keys name the listed one, but their age was not written again. Change: the condition asks for the era that the keys name.

--- a/packages/azurefield/src/azurefield/slot_lease.py
+++ b/packages/azurefield/src/azurefield/slot_lease.py
@@ -187,7 +187,7 @@
                 continue
             held_s = now - hold.taken_at
             held_due = key.held_s < self.window_passed_s <= held_s
-            era_due = self.era is not None and key.era_s < self.lease_s <= era_s
+            era_due = self.key_era is not None and key.era_s < self.lease_s <= era_s
             if held_due or era_due:
                 confirmations.append(replace(key, held_s=held_s, era_s=era_s))
         return confirmations
