--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
@@ -42,6 +42,10 @@
 HISTORY_FRAMES_MAX = 64
 # A follower with more unsent bytes than this is disconnected.
 UNSENT_BYTES_MAX = 4 * 1024 * 1024
+# A follower disconnects from a relay whose last reply from the store is older than this, since the
+# relay may be unable to reach the store. A change of the configuration must be in force within 3 s,
+# and the follower must have read the store itself by then.
+RELAYED_AGE_MAX_S = 2.0
 log = Logger("relay")
 
 
