Show the regions of a route also for a request that is refused early

Cause: a request without a known workspace was explained with allowed regions of None, which means anywhere. Change: the route is described with its own regions from the start; the log line of a repeated question for quota is one line.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -268,6 +268,7 @@
         goal_ms=None if route.goal_s is None else milliseconds(route.goal_s),
         attempts_max=route.attempts_max,
         priority=route.priority,
+        allowed_regions=sorted_regions(route),
     )
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -196,11 +196,7 @@
             if now() + ASK_AGAIN_INTERVAL_S > ask_again_until or not self.may_change(decision):
                 break
             self.metrics.workspace_quota_repeats.inc()
-            log.debug(
-                "Request id={} asks again: a share of workspace {} has no issuer yet.",
-                request.request_id,
-                workspace.name,
-            )
+            log.debug("Request id={} asks again: a share has no issuer yet.", request.request_id)
             await asyncio.sleep(ASK_AGAIN_INTERVAL_S)
         if isinstance(decision, QuotaGranted):
             self.metrics.workspace_quota_requests.labels("granted").inc()
--- a/packages/azurefield-entry/tests/gateway/test_explain.py
+++ b/packages/azurefield-entry/tests/gateway/test_explain.py
@@ -342,6 +342,14 @@
     assert [one.server for one in service.servers if not one.may_be_chosen] == ["desk-0"]
 
 
+async def test_a_refused_request_is_shown_with_the_regions_of_its_route() -> None:
+    """Guards against a bound route that is shown as one that may run anywhere."""
+    explanation = await parts().explain("/eu/1", workspace="nobody")
+    assert explanation.refusal is not None
+    assert explanation.route is not None
+    assert explanation.route.allowed_regions == ("eu",)
+
+
 async def test_a_server_without_a_free_connection_is_named_as_such() -> None:
     """Guards against a call whose wait for a connection can't be seen in advance."""
     made = parts()
