--- a/packages/azurefield-entry/src/azurefield_entry/admin/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/admin/service.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from aiohttp import web
 from logbook import Logger
+from msgspec import Struct
 from prometheus_client import generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
@@ -28,8 +28,7 @@
 log = Logger("admin")
 
 
-@dataclass(slots=True, kw_only=True)
-class AdminService:
+class AdminService(Struct, kw_only=True):
     """Serves the health, metrics and status of the instance; ``address`` is ``host:port``."""
 
     address: str
--- a/packages/azurefield-entry/src/azurefield_entry/admin/status.py
+++ b/packages/azurefield-entry/src/azurefield_entry/admin/status.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from azurefield_entry.messages import PeerInfo
 
 FRONT_PART = "front"
 
 
-@dataclass(slots=True, kw_only=True)
-class InstanceStatus:
+class InstanceStatus(Struct, kw_only=True):
     """State of the instance; ``parts`` holds readiness per part and the reason if it is not ready.
 
     The instance is ready when a configuration is in force, every part is ready and no planned stop
--- a/packages/azurefield-entry/src/azurefield_entry/backends/dialect.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/dialect.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.failures import LeafFailure, LeafFailureReason
@@ -29,8 +29,7 @@
 Version = Annotated[int, msgspec.Meta(ge=0)]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WireAnswer:
+class WireAnswer(Struct, kw_only=True, frozen=True):
     """Body of a 200 answer to a leaf call."""
 
     request_id: str
@@ -41,8 +40,7 @@
     records: tuple[Record, ...]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WireRefusal:
+class WireRefusal(Struct, kw_only=True, frozen=True):
     """Body of a 503 answer that says that the call was not run.
 
     ``request_id`` is checked if the server sends it.
@@ -54,8 +52,7 @@
     incarnation: str | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WireHolding:
+class WireHolding(Struct, kw_only=True, frozen=True):
     """A leaf that a server holds at one snapshot."""
 
     leaf: str
@@ -63,8 +60,7 @@
     map_version: Version
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WireRange:
+class WireRange(Struct, kw_only=True, frozen=True):
     """Hash slots of one leaf, both ends included."""
 
     leaf: str
@@ -72,16 +68,14 @@
     last_slot: Slot
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WireMap:
+class WireMap(Struct, kw_only=True, frozen=True):
     """One shard map."""
 
     version: Version
     ranges: Annotated[tuple[WireRange, ...], msgspec.Meta(min_length=1)]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WireStatus:
+class WireStatus(Struct, kw_only=True, frozen=True):
     """Body of ``GET /status``."""
 
     server: str
@@ -92,8 +86,7 @@
     maps: tuple[WireMap, ...]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class FailedExchange:
+class FailedExchange(Struct, kw_only=True, frozen=True):
     """A failed exchange, with the server's incarnation if a refusal contained it.
 
     :param names_call: whether the answer names its call; behind one that does not, a late copy of
--- a/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeVar
 
 from aiohttp import (
@@ -15,6 +14,7 @@
     ConnectionTimeoutError,
     InvalidURL,
 )
+from msgspec import Struct, field
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -38,8 +38,7 @@
 DEADLINE_SLACK_S = 0.005
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HttpRequest:
+class HttpRequest(Struct, kw_only=True, frozen=True):
     """An HTTP request to a backend server.
 
     ``path`` is percent-encoded, ``deadline`` is a time of the event loop's clock and ``priority``
@@ -54,8 +53,7 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HttpAnswer:
+class HttpAnswer(Struct, kw_only=True, frozen=True):
     """A complete answer with any status."""
 
     status: int
--- a/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/pool.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.failures import LeafFailure, LeafFailureReason
@@ -33,8 +33,7 @@
 C = TypeVar("C", bound=PooledConnection)
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class Waiter(Generic[C]):
+class Waiter(Struct, Generic[C], kw_only=True, eq=False):
     """A call that waits for a connection.
 
     :param avoid: connections that the call must not use
@@ -45,8 +44,7 @@
     avoid: Collection[C] = ()
 
 
-@dataclass(slots=True, kw_only=True)
-class ConnectionPool(Generic[C]):
+class ConnectionPool(Struct, Generic[C], kw_only=True):
     """Keeps the number of open connections to one backend server within a ceiling.
 
     A connection counts as open from before it is connected until after it is closed. ``connect``
--- a/packages/azurefield-entry/src/azurefield_entry/backends/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/backends/service.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.failures import LeafFailure, LeafFailureReason
@@ -44,8 +44,7 @@
 log = Logger("backends")
 
 
-@dataclass(slots=True, kw_only=True)
-class Target:
+class Target(Struct, kw_only=True):
     """A backend server of the configuration with its connection pool and its probe task.
 
     ``probe_state`` is the result of the last probe, None before the first one.
@@ -58,8 +57,7 @@
     probe_state: str | None = None
 
 
-@dataclass(slots=True, kw_only=True)
-class BackendsService:
+class BackendsService(Struct, kw_only=True):
     """Makes leaf calls and status probes, each in a task of its own."""
 
     metrics: Metrics
--- a/packages/azurefield-entry/src/azurefield_entry/background.py
+++ b/packages/azurefield-entry/src/azurefield_entry/background.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterator
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
 from logbook import Logger
+from msgspec import Struct, field
 
 from azurefield_entry.logs import describe_error
 
@@ -20,8 +20,7 @@
 Work = Callable[[], Coroutine[Any, Any, object]]
 
 
-@dataclass(slots=True, kw_only=True)
-class BackgroundTasks:
+class BackgroundTasks(Struct, kw_only=True):
     """The running tasks of one owner; an unexpected error of one is logged and counted."""
 
     running: set[asyncio.Task[Any]] = field(default_factory=set)
--- a/packages/azurefield-entry/src/azurefield_entry/bookings/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/bookings/forwarding.py
@@ -4,10 +4,10 @@
 
 import json
 from asyncio import Future
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.booking import outcome_unknown
@@ -26,24 +26,21 @@
 BookingResult = Result[BookingAnswer, RequestFailure]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BookingBody:
+class BookingBody(Struct, kw_only=True, frozen=True):
     """The booking's key and payload as the caller sent them; the JSON body of a frame."""
 
     key: str
     payload: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True)
-class ForwardedCall:
+class ForwardedCall(Struct, kw_only=True):
     """A booking that was forwarded to another instance and has no answer yet."""
 
     instance: str
     reply: Future[BookingResult]
 
 
-@dataclass(slots=True, kw_only=True)
-class ForwardedCalls:
+class ForwardedCalls(Struct, kw_only=True):
     """The forwarded bookings without an answer yet, by call identifier.
 
     ``prefix`` makes the identifiers unique among all instances and incarnations.
--- a/packages/azurefield-entry/src/azurefield_entry/bookings/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/bookings/service.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+from msgspec import Struct
 from result import Err, Ok
 
 from azurefield.booking import (
@@ -63,16 +64,14 @@
 FORWARDED_ANSWER_GRACE_S = 0.3
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class DispatchEnded:
+class DispatchEnded(Struct, kw_only=True, frozen=True):
     """To this service: ``query`` replied to a dispatched booking."""
 
     dispatch: Dispatch
     result: BookingResult
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestAnswered:
+class RequestAnswered(Struct, kw_only=True, frozen=True):
     """To this service: a request was answered or cancelled.
 
     ``call`` and ``instance`` are set if another instance forwarded the request.
--- a/packages/azurefield-entry/src/azurefield_entry/configuration/head_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/configuration/head_watch.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from azurefield.configuration import (
     HeadMissing,
     HeadSeen,
@@ -30,8 +31,7 @@
 RETRY_DELAY_MAX_S = 5.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreAnswered:
+class StoreAnswered(Struct, kw_only=True, frozen=True):
     """To ``configuration``: the store answered; ``event`` is None if a watch saw no change."""
 
     event: StoreEvent | None
--- a/packages/azurefield-entry/src/azurefield_entry/configuration/offers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/configuration/offers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.configuration import ChangeRecord, PeerOffered
 from azurefield_entry.peers.frames import ConfigOffer
 
@@ -33,8 +34,7 @@
         yield ConfigOffer(change=None, documents=part, more=False)
 
 
-@dataclass(slots=True, kw_only=True)
-class OfferAssembly:
+class OfferAssembly(Struct, kw_only=True):
     """The parts of one peer's offer that were received so far."""
 
     record: ChangeRecord | None = None
--- a/packages/azurefield-entry/src/azurefield_entry/configuration/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/configuration/service.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+from msgspec import Struct
 from result import Ok
 
 from azurefield.configuration import (
@@ -57,8 +58,7 @@
 CONFIGURATION_RECEIVERS = ("front", "query", "backends", "membership", "admin")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Tick:
+class Tick(Struct, kw_only=True, frozen=True):
     """To this service: a periodic timer event."""
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/front/activity.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/activity.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 
+from msgspec import Struct, field
 
-@dataclass(slots=True, kw_only=True)
-class Activity:
+
+class Activity(Struct, kw_only=True):
     """Set of running requests and bookings by identity.
 
     A booking has an identity of its own, since it continues after its caller has disconnected.
--- a/packages/azurefield-entry/src/azurefield_entry/front/admission.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/admission.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import Struct
+
 from azurefield.model import RequestKind, ServiceConfig
 
 if TYPE_CHECKING:
@@ -19,8 +20,7 @@
 UseByService = dict[str, dict[str, float]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PendingRequest:
+class PendingRequest(Struct, kw_only=True, frozen=True):
     """A valid request that waits for admission; its times are of the event loop's clock."""
 
     request_id: str
--- a/packages/azurefield-entry/src/azurefield_entry/front/api.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/api.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.model import RequestKind
@@ -36,8 +36,7 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
-class CallersApi:
+class CallersApi(Struct, kw_only=True):
     """Answers requests to ``/v1/services/{service}/{path}``."""
 
     state: FrontState
--- a/packages/azurefield-entry/src/azurefield_entry/front/arrival.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/arrival.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.failures import RequestFailure
@@ -18,8 +18,7 @@
     from aiohttp import web
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Arrival:
+class Arrival(Struct, kw_only=True, frozen=True):
     """A request that arrived at the time ``at`` of the event loop's clock.
 
     ``caller_id`` is echoed to the caller. ``request_id`` is unique among all instances even if two
@@ -33,8 +32,7 @@
     failure: RequestFailure | None
 
 
-@dataclass(slots=True, kw_only=True)
-class ArrivalRegistry:
+class ArrivalRegistry(Struct, kw_only=True):
     """Assigns an identity to each request."""
 
     incarnation: str
--- a/packages/azurefield-entry/src/azurefield_entry/front/queued_admission.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/queued_admission.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield_entry.front.service_queue import AdmissionResult, ServiceQueue
 from azurefield_entry.metrics import Metrics
 
@@ -20,8 +21,7 @@
 REPORTED_NAME_CHARS_MAX = 128
 
 
-@dataclass(slots=True, kw_only=True)
-class QueuedAdmission:
+class QueuedAdmission(Struct, kw_only=True):
     """Limits the running requests, queues the rest and refuses early what would be too late."""
 
     metrics: Metrics
--- a/packages/azurefield-entry/src/azurefield_entry/front/run.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/run.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeVar
 
 from aiohttp import web
 from logbook import Logger
+from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -51,8 +52,7 @@
 log = Logger("front")
 
 
-@dataclass(slots=True, kw_only=True)
-class FrontContext:
+class FrontContext(Struct, kw_only=True):
     """Objects that all requests share."""
 
     kernel: Kernel
@@ -61,8 +61,7 @@
     activity: Activity
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestRun:
+class RequestRun(Struct, kw_only=True, frozen=True):
     """One request whose path and headers are valid."""
 
     context: FrontContext
--- a/packages/azurefield-entry/src/azurefield_entry/front/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/service.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 from logbook import Logger
+from msgspec import Struct
 from result import Ok
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -45,8 +46,7 @@
 log = Logger("front")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ExchangeShares:
+class ExchangeShares(Struct, kw_only=True, frozen=True):
     """To ``front`` itself: adjust the members' weights."""
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/front/state.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/state.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -12,8 +11,7 @@
 NOT_READY_RETRY_AFTER_S = 1.0
 
 
-@dataclass(slots=True, kw_only=True)
-class FrontState:
+class FrontState(Struct, kw_only=True):
     """Decides whether the instance accepts requests.
 
     ``not_ready`` maps each part of the instance that is not ready to the reason.
--- a/packages/azurefield-entry/src/azurefield_entry/front/validation.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/validation.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -23,8 +23,7 @@
 DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestParameters:
+class RequestParameters(Struct, kw_only=True, frozen=True):
     """Parameters from the path and headers of a valid request."""
 
     config: ServiceConfig
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/admin.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/admin.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
 from logbook import Logger
+from msgspec import Struct
 from prometheus_client import generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from result import Err, Ok
@@ -26,8 +26,7 @@
 log = Logger("admin")
 
 
-@dataclass(slots=True, kw_only=True)
-class GatewayAdmin:
+class GatewayAdmin(Struct, kw_only=True):
     """Serves the Prometheus metrics of the process, and explains where a request would go.
 
     :param address: ``host:port``
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from aiohttp import HttpVersion11, web
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -20,8 +20,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(slots=True, kw_only=True)
-class PartialBody:
+class PartialBody(Struct, kw_only=True):
     """What has arrived of a body, in blocks of one size.
 
     Many bodies that grow in one piece each leave holes between them, which the process keeps.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 from logbook import Logger
+from msgspec import Struct, field
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -37,8 +38,7 @@
 log = Logger("front")
 
 
-@dataclass(slots=True, kw_only=True)
-class GatewayFront:
+class GatewayFront(Struct, kw_only=True):
     """Receives callers' requests and answers the platform's readiness check.
 
     :param address: ``host:port`` for callers
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct, field
 
 from azurefield.connection_limit import ConnectionLimit
 from azurefield.held_memory import LIMIT_BYTES, HeldMemory
@@ -30,8 +30,7 @@
 log = Logger("callers")
 
 
-@dataclass(slots=True, kw_only=True)
-class CallerLoad:
+class CallerLoad(Struct, kw_only=True):
     """Bounds what all callers together hold, and the work for them in a turn of the event loop.
 
     :param memory_bytes: what the settings allow for bodies and unread answers
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/pending_bytes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/pending_bytes.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 # Blocks of one size leave no holes of other sizes in the memory of the process when they end.
 BLOCK_BYTES = 64 * 1024
 
 
-@dataclass(slots=True, kw_only=True)
-class PendingBytes:
+class PendingBytes(Struct, kw_only=True):
     """A queue of bytes, in blocks of one size.
 
     >>> pending = PendingBytes(block_bytes=4)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/broadcast.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/broadcast.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
 from result import Ok
 
 from azurefield.dissemination import broadcast_groups
@@ -24,8 +24,7 @@
 BROADCASTS_MAX = 100
 
 
-@dataclass(slots=True, kw_only=True)
-class CrashBroadcast:
+class CrashBroadcast(Struct, kw_only=True):
     """Sends reports over the links to other instances.
 
     :param instances: returns the names of the running instances
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/report_writer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/report_writer.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.crash_evidence import EVIDENCE_LIFETIME_S, CrashReport
@@ -27,8 +27,7 @@
 log = Logger("metadata")
 
 
-@dataclass(slots=True, kw_only=True)
-class CrashReportWriter:
+class CrashReportWriter(Struct, kw_only=True):
     """Keeps trying to write each report while it holds.
 
     :param holds_until: until when the reports of this instance hold
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/crashes/watch.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct, field
 
 from azurefield.crash_evidence import (
     CrashEvidence,
@@ -30,8 +30,7 @@
 log = Logger("crashes")
 
 
-@dataclass(slots=True, kw_only=True)
-class CrashWatch:
+class CrashWatch(Struct, kw_only=True):
     """Watches the calls of running requests and decides how a request may run.
 
     :param publish: sends a report of this instance to all others
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from math import isfinite
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.crash_evidence import Standing
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/instances.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/instances.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from azurefield.explanation import InstanceCandidate, Obstacle, ObstacleReason
 from azurefield.peer_selection import PeerSelection
 from azurefield_entry.clock import now
@@ -22,8 +23,7 @@
     from azurefield.routes import Route
 
 
-@dataclass(slots=True, kw_only=True)
-class InstanceExplainer:
+class InstanceExplainer(Struct, kw_only=True):
     """Describes coordinators and other instances by the state that the choice of them uses."""
 
     forwarding: Forwarding
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/servers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/servers.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from math import inf
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
+
 from azurefield.directory import Directory, RegisteredState
 from azurefield.explanation import (
     ConnectionCounts,
@@ -54,8 +55,7 @@
     return against
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Comparison:
+class Comparison(Struct, kw_only=True, frozen=True):
     """How the servers of one service compare for the first call of a request.
 
     :param usable: the servers that may get calls
@@ -73,8 +73,7 @@
     possible: frozenset[str]
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerExplainer:
+class ServerExplainer(Struct, kw_only=True):
     """Describes the servers of services by the same state as the choice of servers uses.
 
     :param own_zone: availability zone of this instance
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from azurefield.crash_evidence import CrashReport
 from azurefield.issuer_slots import SlotHold
@@ -11,8 +11,7 @@
 from azurefield_entry.gateway.settings import GatewaySettings
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MetadataListed:
+class MetadataListed(Struct, kw_only=True, frozen=True):
     """From ``metadata``: a complete listing of the store.
 
     :param after_outage: whether this is the first answer after an outage of the store, or after it
@@ -23,8 +22,7 @@
     after_outage: bool
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MetadataChanged:
+class MetadataChanged(Struct, kw_only=True, frozen=True):
     """From ``metadata``: changes in the store.
 
     :param age_s: time since the store sent them
@@ -36,8 +34,7 @@
     age_s: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreReplyReceived:
+class StoreReplyReceived(Struct, kw_only=True, frozen=True):
     """From ``metadata`` to ``relay``: the changes in a watch's reply, or a listing's revision.
 
     :param after: the revision that was known before
@@ -53,39 +50,33 @@
     era: int | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreWatchEnded:
+class StoreWatchEnded(Struct, kw_only=True, frozen=True):
     """From ``metadata`` to ``relay``: this instance no longer watches the store."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RouteTableChanged:
+class RouteTableChanged(Struct, kw_only=True, frozen=True):
     """From ``gateway``: a newer version of the route table is in force."""
 
     table: RouteTable
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WriteCrashReport:
+class WriteCrashReport(Struct, kw_only=True, frozen=True):
     """From ``gateway``: write a crash report to the store."""
 
     report: CrashReport
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Tick:
+class Tick(Struct, kw_only=True, frozen=True):
     """To a service itself: run its periodic work."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SettingsChanged:
+class SettingsChanged(Struct, kw_only=True, frozen=True):
     """From ``settings``: the settings have changed."""
 
     settings: GatewaySettings
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class IssuerSlotsChanged:
+class IssuerSlotsChanged(Struct, kw_only=True, frozen=True):
     """From ``metadata``: who holds the issuer slots of workspaces' quotas.
 
     :param holders: the instance of each slot that has a key in the store
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/own_records.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/own_records.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
+from msgspec import Struct
+from msgspec.structs import replace
 
 from azurefield.crash_evidence import CrashReport, RequestAnswered, ServerEnded, digest_of
 from azurefield.issuer_slots import SlotKey
@@ -28,8 +29,7 @@
 REPORT_KINDS: dict[str, type[CrashReport]] = {"ended": ServerEnded, "answered": RequestAnswered}
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceValue:
+class InstanceValue(Struct, kw_only=True, frozen=True):
     """The entry that an instance writes about itself."""
 
     zone: str = ""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metadata/relay.py
@@ -11,11 +11,11 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
 from logbook import Logger
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.store_position import HistoryRelation, StorePosition
@@ -49,16 +49,14 @@
 log = Logger("relay")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class FollowRequest:
+class FollowRequest(Struct, kw_only=True, frozen=True):
     """First frame of a follower: it has all changes up to the revision ``after`` of an era."""
 
     after: int
     era: int | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RelayFrame:
+class RelayFrame(Struct, kw_only=True, frozen=True):
     """The changes of the store between two revisions; a heartbeat if these are equal.
 
     :param encoded: the changes, with digests in place of the keys of workspaces
@@ -77,8 +75,7 @@
 RELAY_FRAME = msgspec.msgpack.Decoder(RelayFrame)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RelayLost:
+class RelayLost(Struct, kw_only=True, frozen=True):
     """The relay can't be reached, is silent, does not watch the store or sent a bad frame.
 
     :param store_restored: whether the relay knows of a restore of the store that is new here
@@ -88,8 +85,7 @@
     store_restored: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class RelayService:
+class RelayService(Struct, kw_only=True):
     """Sends the store's changes to followers while this instance receives them itself.
 
     :param address: ``host:port`` on which followers connect
@@ -215,8 +211,7 @@
         return True
 
 
-@dataclass(slots=True, kw_only=True)
-class RelayLink:
+class RelayLink(Struct, kw_only=True):
     """A follower's connection to a relay."""
 
     reader: asyncio.StreamReader
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
 from logbook import Logger
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.failures import RequestFailure
@@ -60,8 +60,7 @@
 log = Logger("coordinator")
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class AcceptedLink:
+class AcceptedLink(Struct, kw_only=True, eq=False):
     """The connection of another instance, with its running requests and those for quota."""
 
     writer: asyncio.StreamWriter
@@ -74,8 +73,7 @@
             self.writer.write(encode(frame))
 
 
-@dataclass(slots=True, kw_only=True)
-class CoordinatorService:
+class CoordinatorService(Struct, kw_only=True):
     """Accepts the requests of other instances, runs them and returns their results.
 
     A request is refused, which guarantees that it does not run, while another version of the route
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/counted_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/counted_frames.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 import msgspec
+from msgspec import Struct
 
 from azurefield_entry.gateway.callers.load import CallerLoad
 from azurefield_entry.gateway.peers.frames import TO_PEER, ToPeer
@@ -23,15 +23,13 @@
 INTEGER_BYTES = {0xCC: 2, 0xCD: 3, 0xCE: 5, 0xCF: 9}
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SkippedRequest:
+class SkippedRequest(Struct, kw_only=True, frozen=True):
     """A request that there is no memory for; it was dropped while it was read."""
 
     number: int
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class CountedFrames:
+class CountedFrames(Struct, kw_only=True, eq=False):
     """Reads the frames of one link.
 
     :param load: counts the large frame that is being read
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from logbook import Logger
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.call_result import CallResult
@@ -64,8 +65,7 @@
     LOST = "lost"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class NotForwarded:
+class NotForwarded(Struct, kw_only=True, frozen=True):
     """There is no result of a forwarded request.
 
     :param retry_after_s: when the instance that refused it expects to accept requests again
@@ -80,8 +80,7 @@
     no_room: bool = False
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ForwardTarget:
+class ForwardTarget(Struct, kw_only=True, frozen=True):
     """The instance that a request is forwarded to.
 
     :param accepts_until_deadline: whether its acceptance may come until the request's deadline
@@ -93,8 +92,7 @@
     last_choice: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class ForwardedCall:
+class ForwardedCall(Struct, kw_only=True):
     """A request that was sent to a coordinator."""
 
     accepted: asyncio.Future[Result[None, NotForwarded]]
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/links.py
@@ -5,13 +5,13 @@
 import asyncio
 import socket
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from logbook import Logger
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.coordinators import CoordinatorView
@@ -47,15 +47,13 @@
         """Record that the link has ended."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerUnreachable:
+class PeerUnreachable(Struct, kw_only=True, frozen=True):
     """No link to another instance could be opened, so nothing was sent."""
 
     detail: str
 
 
-@dataclass(slots=True, kw_only=True)
-class PeerLink:
+class PeerLink(Struct, kw_only=True):
     """A connection to another instance, with the replies that it owes.
 
     :param on_heard: called when a frame of the other instance has arrived
@@ -126,8 +124,7 @@
                 self.close(f"silent for {SILENCE_TIMEOUT_S} s")
 
 
-@dataclass(slots=True, kw_only=True)
-class PeerLinks:
+class PeerLinks(Struct, kw_only=True):
     """Opens the links of one instance and keeps them.
 
     :param view: knows the addresses of the other instances
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/ports.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import Struct
+
 from azurefield.coordinators import InstanceProfile
 from azurefield.crash_evidence import CrashReport, digest_of
 from azurefield.directory import RegisteredServer
@@ -45,8 +47,7 @@
     headers: Headers = field(default=(), repr=False)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class GatewayRequest:
+class GatewayRequest(Struct, kw_only=True, frozen=True):
     """A caller's whole request; times are those of the event loop's clock.
 
     :param target: path and query as received
@@ -90,8 +91,7 @@
         return deadline if self.deadline is None else min(deadline, self.deadline)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class OpaqueAnswer:
+class OpaqueAnswer(Struct, kw_only=True, frozen=True):
     """A backend server's whole answer; the gateway does not interpret its body.
 
     :param proof: proves to the caller which server answered which request; None if missing
@@ -113,8 +113,7 @@
         return 200 <= self.status < 300
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeafCall:
+class LeafCall(Struct, kw_only=True, frozen=True):
     """One call to a backend server; no other server may run it."""
 
     request: GatewayRequest
@@ -184,8 +183,7 @@
         """Build the answer to a caller."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceEntry:
+class InstanceEntry(Struct, kw_only=True, frozen=True):
     """The store entry of a running instance.
 
     :param relay_address: ``host:port`` where it relays changes of the store; None if it does not
@@ -211,15 +209,13 @@
         )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CrashReportEntry:
+class CrashReportEntry(Struct, kw_only=True, frozen=True):
     """A crash report of any instance."""
 
     report: CrashReport
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class EvacuatedZone:
+class EvacuatedZone(Struct, kw_only=True, frozen=True):
     """The operator's request to use no server of an availability zone until it is removed."""
 
     zone: str
@@ -228,36 +224,31 @@
 Item = RouteTable | RegisteredServer | InstanceEntry | CrashReportEntry | SlotKey | EvacuatedZone
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Removed:
+class Removed(Struct, kw_only=True, frozen=True):
     """A removed key of the store; ``key`` is None if it does not concern the gateway."""
 
     key: ItemKey | None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServerKey:
+class ServerKey(Struct, kw_only=True, frozen=True):
     """Key of a backend server's entry."""
 
     server: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceKey:
+class InstanceKey(Struct, kw_only=True, frozen=True):
     """Key of an instance's entry."""
 
     instance: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SlotName:
+class SlotName(Struct, kw_only=True, frozen=True):
     """Key of an issuer slot."""
 
     slot: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class EvacuationKey:
+class EvacuationKey(Struct, kw_only=True, frozen=True):
     """Key of the request to evacuate an availability zone."""
 
     zone: str
@@ -266,8 +257,7 @@
 ItemKey = ServerKey | InstanceKey | SlotName | EvacuationKey
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Listing:
+class Listing(Struct, kw_only=True, frozen=True):
     """All items of the store that concern the gateway, as of ``revision`` or later.
 
     :param era: rises when the store is restored from a copy; None if the store names none
@@ -278,8 +268,7 @@
     era: int | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Changes:
+class Changes(Struct, kw_only=True, frozen=True):
     """What changed in the store, in order, up to ``revision``.
 
     :param encoded: the changes without keys of workspaces, for ``decode_changes`` of instances that
@@ -293,13 +282,11 @@
     era: int | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HistoryLost:
+class HistoryLost(Struct, kw_only=True, frozen=True):
     """The store no longer has all changes after the requested revision."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Lease:
+class Lease(Struct, kw_only=True, frozen=True):
     """A lease of the store; its number means another lease in another era.
 
     :param era: the store's era when it was granted; None if the store names none
@@ -311,13 +298,11 @@
     length_s: float | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeaseEnded:
+class LeaseEnded(Struct, kw_only=True, frozen=True):
     """The lease of an entry has ended, or the store has lost it."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KeyChanged(InvalidCall):
+class KeyChanged(InvalidCall, kw_only=True, frozen=True):
     """A conditional write was not applied, as the key has another revision."""
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/asking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/asking.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.quota import QuotaDenied, QuotaGranted
@@ -31,8 +31,7 @@
     return asyncio.get_running_loop().create_future()
 
 
-@dataclass(slots=True, kw_only=True)
-class QuotaReply:
+class QuotaReply(Struct, kw_only=True):
     """The reply to one request; None in place of a decision if the link was lost."""
 
     decision: asyncio.Future[TokenDecision | None] = field(default_factory=new_decision)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/issuer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/issuer.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from collections.abc import Callable, Hashable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.quota import QuotaDecision, QuotaQueue, QuotaRequest
 from azurefield.server_limits import NO_LIMIT, NamedLimit
 from azurefield_entry.clock import now
@@ -17,8 +18,7 @@
 Reply = Callable[[QuotaDecision], None]
 
 
-@dataclass(slots=True, kw_only=True)
-class QuotaIssuer:
+class QuotaIssuer(Struct, kw_only=True):
     """Runs the queue of quota requests; each request gets one reply unless it is withdrawn.
 
     :param fraction: returns the part of a limit that this instance issues for a service's servers
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/quotas/workspace_quotas.py
@@ -9,6 +9,7 @@
 from zlib import crc32
 
 from logbook import Logger
+from msgspec import Struct
 
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
@@ -76,8 +77,7 @@
 log = Logger("quotas")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SharePreview:
+class SharePreview(Struct, kw_only=True, frozen=True):
     """What is known of one share before it is asked.
 
     :param holder: the instance that issues it; None if none is known
@@ -100,8 +100,7 @@
         return self.tokens is not None and self.tokens >= TOKENS_TO_GRANT
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class NotIssuing:
+class NotIssuing(Struct, kw_only=True, frozen=True):
     """The time in which the holder of a slot was found not to issue."""
 
     since: float
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/reload.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/reload.py
@@ -6,9 +6,9 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from logbook import Logger
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield_entry.gateway.messages import SettingsChanged, Tick
@@ -40,8 +40,7 @@
         time.sleep(START_RETRY_INTERVAL_S)
 
 
-@dataclass(slots=True, kw_only=True)
-class ReloadService:
+class ReloadService(Struct, kw_only=True):
     """Loads the settings on SIGHUP and at intervals; settings that can't be used change nothing.
 
     The addresses on which the process listens are read only at its start.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/access.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -44,8 +46,7 @@
     STALE = "stale"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KeyLookup:
+class KeyLookup(Struct, kw_only=True, frozen=True):
     """The look-up of a request's key.
 
     :param workspace: set only if the key was found
@@ -60,8 +61,7 @@
         return self.result in (LookupResult.FOUND, LookupResult.PUBLIC)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AdmittedRequest:
+class AdmittedRequest(Struct, kw_only=True, frozen=True):
     """A request with its route and its workspace, all of one version.
 
     :param route: with the priority of the workspace's requests
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/answers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/answers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.failures import LeafFailure, LeafFailureReason, RequestFailure
@@ -18,8 +18,7 @@
 SERVER_ERROR_MIN = 500
 
 
-@dataclass(slots=True, kw_only=True)
-class PassThrough:
+class PassThrough(Struct, kw_only=True):
     """Returns the answer of one server unchanged.
 
     An answer with a 5xx status counts as a failed call, so that a request that may be repeated is
@@ -66,8 +65,7 @@
         return result
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ShardMerge:
+class ShardMerge(Struct, kw_only=True, frozen=True):
     """Merges the successful answers that carry a proof; other answers count as failures."""
 
     top_records: TopRecordsMerge
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/dispatch.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from itertools import chain
 from random import Random
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.crash_evidence import Standing
@@ -48,8 +49,7 @@
 log = Logger("gateway")
 
 
-@dataclass(slots=True, kw_only=True)
-class RequestDispatcher:
+class RequestDispatcher(Struct, kw_only=True):
     """Dispatches the requests of callers; requests of other instances always run here.
 
     :param found_no_instance: whether no instance accepted the last request that was passed on
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/edge.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/edge.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from time import process_time
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct, field
 
 from azurefield.edge_admission import (
     TICK_INTERVAL_S,
@@ -38,8 +38,7 @@
 log = Logger("edge")
 
 
-@dataclass(slots=True, kw_only=True)
-class EdgeService:
+class EdgeService(Struct, kw_only=True):
     """Decides on the requests of callers that have a workspace, before anything of them runs.
 
     It follows the event loop only while the configuration has workspaces.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/planning.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct, field
+
 from azurefield.directory import Directory
 from azurefield.hedging import HedgePolicy, LeafLatencies, NoHedging, SharedDelayHedging
 from azurefield.merge import TopRecordsMerge
@@ -24,8 +25,7 @@
     from azurefield_entry.gateway.ports import GatewayRequest
 
 
-@dataclass(slots=True, kw_only=True)
-class RequestPlanner:
+class RequestPlanner(Struct, kw_only=True):
     """Builds the fan-out of each request from the policies that all requests share."""
 
     directory: Directory
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from logbook import Logger
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.crash_evidence import Standing
@@ -49,8 +49,7 @@
 log = Logger("gateway")
 
 
-@dataclass(slots=True, kw_only=True)
-class RequestRunner:
+class RequestRunner(Struct, kw_only=True):
     """Owns the running requests and their calls.
 
     :param running: the running requests, by their digest
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/running.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.crash_evidence import Standing
@@ -28,8 +28,7 @@
 RequestResult = Result[OpaqueAnswer | MergedParts, RequestFailure]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CompletedRun:
+class CompletedRun(Struct, kw_only=True, frozen=True):
     """A run that has ended.
 
     :param attempts: the largest number of its calls to one service that may have run
@@ -43,8 +42,7 @@
 LOGGED_CALLS_MAX = 40
 
 
-@dataclass(slots=True, kw_only=True)
-class ActiveCall:
+class ActiveCall(Struct, kw_only=True):
     """A running call.
 
     :param sent_at: when it was sent; None while it waits or connects
@@ -64,8 +62,7 @@
             self.silence_timer = None
 
 
-@dataclass(slots=True, kw_only=True)
-class SentCall:
+class SentCall(Struct, kw_only=True):
     """A call that was sent and may have run without an answer.
 
     :param lost: whether the server broke the connection off
@@ -79,8 +76,7 @@
     checked: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class RunningRequest:
+class RunningRequest(Struct, kw_only=True):
     """A running request.
 
     :param digest: identifies the content of the request, whatever its request id
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/workspace_results.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/workspace_results.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -33,8 +33,7 @@
     FAILED = "failed"
 
 
-@dataclass(slots=True, kw_only=True)
-class WorkspaceResults:
+class WorkspaceResults(Struct, kw_only=True):
     """Counts requests by workspace and result, with a bounded number of label values."""
 
     metrics: GatewayMetrics
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/answer_end.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/answer_end.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -23,8 +24,7 @@
 LAST_BYTES = len(CHUNKS_END) - 1
 
 
-@dataclass(slots=True, kw_only=True)
-class ReceivedBytes:
+class ReceivedBytes(Struct, kw_only=True):
     """Counts the bytes that arrive for a call, to find bytes behind its answer.
 
     The HTTP parser keeps the bytes of a head that has begun, without showing them.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/checker.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/checker.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.directory import Directory
 from azurefield.reachability import ServerContacts
 from azurefield.server_check import (
@@ -28,16 +29,14 @@
 DOWN_VALID_S = 0.5
 
 
-@dataclass(slots=True, kw_only=True)
-class Check:
+class Check(Struct, kw_only=True):
     """A check of one server."""
 
     began_at: float
     task: asyncio.Task[ServerState]
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerChecker:
+class ServerChecker(Struct, kw_only=True):
     """Opens connections to a server in question, and to others for comparison."""
 
     directory: Directory
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct, field
 
 from azurefield.directory import Directory
 from azurefield.held_memory import HeldMemory
@@ -27,8 +27,7 @@
 log = Logger("connections")
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerConnections:
+class ServerConnections(Struct, kw_only=True):
     """One connection pool per server, bounded by this instance's share of the server's limit.
 
     :param limits: the limits of each service
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/exchange.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/exchange.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
+from msgspec import Struct, field
 from result import Result
 
 from azurefield.failures import LeafFailure
@@ -20,8 +20,7 @@
 FRAMING_FRACTION_MAX = 1 / 16
 
 
-@dataclass(slots=True, kw_only=True)
-class Exchange:
+class Exchange(Struct, kw_only=True):
     """The call whose answer a connection waits for, with the answers that have begun to arrive.
 
     :param reused: whether an earlier call used the connection
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/partition_watch.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/partition_watch.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from logbook import Logger
+from msgspec import Struct, field
 
 from azurefield.partition import (
     PROBE_INTERVAL_S,
@@ -22,8 +22,7 @@
 log = Logger("partition")
 
 
-@dataclass(slots=True, kw_only=True)
-class PartitionWatch:
+class PartitionWatch(Struct, kw_only=True):
     """Verifies suspicions and probes servers during a partition.
 
     :param on_begin: called when a partition was detected
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/registry.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/registry.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct
 
 from azurefield.directory import Directory, DirectoryChange, DirectoryChangeKind
 from azurefield.routing import OwnObservationRouter
@@ -27,8 +27,7 @@
 )
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerRegistry:
+class ServerRegistry(Struct, kw_only=True):
     """Keeps what is known of each server in line with the directory.
 
     :param own_zone: availability zone of this instance
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -5,7 +5,8 @@
 import os
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from azurefield.held_memory import LIMIT_BYTES
 from azurefield.quota_shares import QuotaBounds
@@ -26,8 +27,7 @@
 BYTES_PER_MB = 1_000_000
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class GatewaySettings:
+class GatewaySettings(Struct, kw_only=True, frozen=True):
     """The settings of a gateway process.
 
     Further calls are the calls to a service after the first one: retries and hedges.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from azurefield.residency import Residency
 from azurefield.retry import WindowedBudget
 from azurefield.routing import OwnObservationRouter
@@ -46,8 +47,7 @@
 STOP_MARGIN_S = 0.6
 
 
-@dataclass(slots=True, kw_only=True)
-class PlatformAdapters:
+class PlatformAdapters(Struct, kw_only=True):
     """The platform's implementations of the gateway's interfaces."""
 
     callers: CallerDialect
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/zone_traffic.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/zone_traffic.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
 from prometheus_client import Counter
 
 from azurefield_entry.gateway.crashes.frames import RequestAnsweredFrame, ServerEndedFrame
@@ -31,8 +31,7 @@
     RELAY = "relay"
 
 
-@dataclass(slots=True, kw_only=True)
-class ZoneTraffic:
+class ZoneTraffic(Struct, kw_only=True):
     """Counts the bytes sent and received in exchanges that this instance begins.
 
     :param counter: counts bytes, with the kind as its label
--- a/packages/azurefield-entry/src/azurefield_entry/kernel.py
+++ b/packages/azurefield-entry/src/azurefield_entry/kernel.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import Protocol
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 
-@dataclass(slots=True, kw_only=True)
-class Mailbox:
+class Mailbox(Struct, kw_only=True):
     """Unbounded queue of the messages to one service.
 
     Work is bounded where it is admitted. Bounded mailboxes could deadlock services that send to
@@ -41,26 +40,22 @@
         """Handle messages until ``Stop`` arrives or an unexpected error ends the process."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BeginDrain:
+class BeginDrain(Struct, kw_only=True, frozen=True):
     """To all services: a planned stop has begun; keep serving until ``Stop``."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Stop:
+class Stop(Struct, kw_only=True, frozen=True):
     """To one service: release all resources and return."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceCrashed:
+class ServiceCrashed(Struct, kw_only=True, frozen=True):
     """A service ended with an unexpected error; the process must stop."""
 
     name: str
     error: BaseException
 
 
-@dataclass(slots=True, kw_only=True)
-class Kernel:
+class Kernel(Struct, kw_only=True):
     """Registers, starts and stops the services of a process."""
 
     mailboxes: dict[str, Mailbox] = field(default_factory=dict)
--- a/packages/azurefield-entry/src/azurefield_entry/log_limit.py
+++ b/packages/azurefield-entry/src/azurefield_entry/log_limit.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True, kw_only=True)
-class LineLimit:
+class LineLimit(Struct, kw_only=True):
     """Allows a number of lines in each second; the rest is left to the metrics.
 
     :param lines_per_s: the refill rate, and the largest number of lines at once
--- a/packages/azurefield-entry/src/azurefield_entry/logs.py
+++ b/packages/azurefield-entry/src/azurefield_entry/logs.py
@@ -6,12 +6,12 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from traceback import extract_tb
 from typing import TYPE_CHECKING
 
 from logbook import StreamHandler
 from logbook.compat import redirect_logging
+from msgspec import Struct, field
 
 if TYPE_CHECKING:
     from logbook import Handler, LogRecord
@@ -25,8 +25,7 @@
 STDOUT = 1
 
 
-@dataclass(slots=True, kw_only=True)
-class BoundedOutput:
+class BoundedOutput(Struct, kw_only=True):
     """Writes lines without blocking; drops lines above the rate limit or without a reader.
 
     After dropped lines, a notice with their number precedes the next line that is written.
@@ -79,8 +78,7 @@
         """Do nothing: every line is written at once."""
 
 
-@dataclass(slots=True, kw_only=True)
-class DroppedLines:
+class DroppedLines(Struct, kw_only=True):
     """Reports each dropped line to listeners, such as a counter of the metrics."""
 
     listeners: list[Callable[[], None]] = field(default_factory=list)
--- a/packages/azurefield-entry/src/azurefield_entry/membership/heartbeats.py
+++ b/packages/azurefield-entry/src/azurefield_entry/membership/heartbeats.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct, field
+
 from azurefield.membership import Heartbeat, InstanceState, KnownInstance
 from azurefield_entry.peers.frames import HeartbeatFields, fields_dict
 from azurefield_entry.peers.identity import Identity
@@ -13,8 +14,7 @@
     from azurefield_entry.messages import ConfigurationChanged
 
 
-@dataclass(slots=True, kw_only=True)
-class OwnReport:
+class OwnReport(Struct, kw_only=True):
     """The state of this instance as its heartbeats report it, except for its ceilings."""
 
     identity: Identity
--- a/packages/azurefield-entry/src/azurefield_entry/membership/instance_list.py
+++ b/packages/azurefield-entry/src/azurefield_entry/membership/instance_list.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 import logbook
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.membership import InstanceState, ListedInstance
@@ -32,8 +32,7 @@
         """Read all live and leaving instances."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceListRead:
+class InstanceListRead(Struct, kw_only=True, frozen=True):
     """To ``membership``: the instance list was read."""
 
     entries: tuple[ListedInstance, ...]
--- a/packages/azurefield-entry/src/azurefield_entry/membership/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/membership/service.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 import logbook
+from msgspec import Struct
+from msgspec import field as struct_field
 from result import Err, Ok
 
 from azurefield.limits import ConnectionShares
@@ -59,20 +61,18 @@
 HEARTBEAT_INTERVAL_S = 1.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Tick:
+class Tick(Struct, kw_only=True, frozen=True):
     """To this service: a periodic timer event."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Published:
+class Published(Struct, kw_only=True):
     """What was last published to the other services; only changes are published."""
 
-    addresses: dict[str, str] = field(default_factory=dict)
+    addresses: dict[str, str] = struct_field(default_factory=dict)
     peers: tuple[PeerInfo, ...] | None = None
     leaving: frozenset[str] = frozenset()
     revision: int = 0
-    readiness: dict[str, bool] = field(default_factory=dict)
+    readiness: dict[str, bool] = struct_field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/azurefield-entry/src/azurefield_entry/messages.py
+++ b/packages/azurefield-entry/src/azurefield_entry/messages.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from asyncio import Future
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
 from result import Result
 
 from azurefield.failures import LeafFailure, RequestFailure
@@ -17,8 +17,7 @@
 from azurefield.snapshot import LeafAnswer, MergedAnswer, StatusReport
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QueryRequest:
+class QueryRequest(Struct, kw_only=True, frozen=True):
     """A checked listing, urgent look-up or single look-up.
 
     ``deadline`` is a time of the event loop's clock; ``key`` is set for single look-ups only.
@@ -34,8 +33,7 @@
     query: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BookingRequest:
+class BookingRequest(Struct, kw_only=True, frozen=True):
     """A checked booking with its ticket."""
 
     request_id: str
@@ -47,8 +45,7 @@
     deadline: float
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BookingAnswer:
+class BookingAnswer(Struct, kw_only=True, frozen=True):
     """What the backend server answered to a booking that ran."""
 
     leaf: str
@@ -56,8 +53,7 @@
     result: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True)
-class QueryCost:
+class QueryCost(Struct, kw_only=True):
     """What a query cost; a value is None if no leaf was called or no call ended.
 
     ``leaf_latency_s`` is the median over the leafs, from the first call of each to its end.
@@ -67,8 +63,7 @@
     leaf_latency_s: float | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RunQuery:
+class RunQuery(Struct, kw_only=True, frozen=True):
     """To ``query``: run a query and reply with its answer.
 
     ``query`` fills in ``query_cost`` before it replies, also with a failure. Admission uses it for
@@ -80,31 +75,27 @@
     query_cost: QueryCost = field(default_factory=QueryCost)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CancelQuery:
+class CancelQuery(Struct, kw_only=True, frozen=True):
     """To ``query``: the caller disconnected; cancel the query."""
 
     request_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class IssueTicket:
+class IssueTicket(Struct, kw_only=True, frozen=True):
     """To ``bookings``: issue a ticket for one booking."""
 
     service: str
     reply: Future[Result[str, RequestFailure]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RunBooking:
+class RunBooking(Struct, kw_only=True, frozen=True):
     """To ``bookings``: run a booking, wait for a running one, replay its result or forward it."""
 
     request: BookingRequest
     reply: Future[Result[BookingAnswer, RequestFailure]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CorrectRefusalOutcome:
+class CorrectRefusalOutcome(Struct, kw_only=True, frozen=True):
     """To ``bookings``: correct the outcome of a booking that was refused before ``RunBooking``."""
 
     ticket: str
@@ -112,8 +103,7 @@
     reply: Future[RequestFailure]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class DispatchBooking:
+class DispatchBooking(Struct, kw_only=True, frozen=True):
     """To ``query``: send a booking, which this instance may run, to the leaf that owns its key.
 
     The reply claims ``NOT_RUN`` only if no byte reached a backend server or the server refused it.
@@ -123,8 +113,7 @@
     reply: Future[Result[BookingAnswer, RequestFailure]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CallLeaf:
+class CallLeaf(Struct, kw_only=True, frozen=True):
     """To ``backends``: make one leaf call; it ends in one ``LeafCallEnded`` unless cancelled.
 
     ``body`` is the JSON body; ``priority`` orders the wait for a connection, 0 first.
@@ -141,15 +130,13 @@
     body: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CancelCall:
+class CancelCall(Struct, kw_only=True, frozen=True):
     """To ``backends``: cancel a call and close its connection; no ``LeafCallEnded`` may follow."""
 
     call_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeafCallEnded:
+class LeafCallEnded(Struct, kw_only=True, frozen=True):
     """To ``query``: a call ended. The answer to a booking has one record, the booking's result.
 
     ``incarnation`` is the incarnation that a refusal of the backend server named, if any.
@@ -160,16 +147,14 @@
     incarnation: str | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StatusReceived:
+class StatusReceived(Struct, kw_only=True, frozen=True):
     """To ``query`` and ``membership``: a backend server answered a status probe."""
 
     service: str
     report: StatusReport
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StatusProbeMissed:
+class StatusProbeMissed(Struct, kw_only=True, frozen=True):
     """To ``query``: a backend server did not answer its status probe.
 
     ``unreachable`` says that no connection could be opened, so calls to it fail as well.
@@ -180,16 +165,14 @@
     unreachable: bool = False
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ConfigurationChanged:
+class ConfigurationChanged(Struct, kw_only=True, frozen=True):
     """To all services that handle requests: a higher configuration version is in force."""
 
     configuration: Configuration
     digest: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServerLeaving:
+class ServerLeaving(Struct, kw_only=True, frozen=True):
     """To ``membership``: a source reports that a backend server is leaving.
 
     ``incarnation`` is None if the source does not know it.
@@ -200,15 +183,13 @@
     source: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeavingServersChanged:
+class LeavingServersChanged(Struct, kw_only=True, frozen=True):
     """To ``query``: the complete set of leaving backend servers, which get no new work."""
 
     servers: frozenset[str]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerInfo:
+class PeerInfo(Struct, kw_only=True, frozen=True):
     """A known entry instance; ``linked`` is whether the link to it is up."""
 
     instance: str
@@ -219,15 +200,13 @@
     leaving: bool
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeersChanged:
+class PeersChanged(Struct, kw_only=True, frozen=True):
     """To ``backends``, ``bookings``, ``configuration``, ``front``, ``admin``: known instances."""
 
     peers: tuple[PeerInfo, ...]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerFrame:
+class PeerFrame(Struct, kw_only=True, frozen=True):
     """From ``peers`` to the service that handles the frame's type."""
 
     instance: str
@@ -235,8 +214,7 @@
     fields: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SendToPeer:
+class SendToPeer(Struct, kw_only=True, frozen=True):
     """To ``peers``: send a frame to one instance, or to all linked ones if it is None.
 
     A frame to an instance without a link is dropped; the sender has its own timeout.
@@ -247,8 +225,7 @@
     fields: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReadinessChanged:
+class ReadinessChanged(Struct, kw_only=True, frozen=True):
     """To ``admin`` and ``front``: whether a part is ready for requests, and if not, why."""
 
     part: str
@@ -256,8 +233,7 @@
     reason: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CeilingsChanged:
+class CeilingsChanged(Struct, kw_only=True, frozen=True):
     """To ``backends``: how many connections may be open to each backend server.
 
     ``backends`` applies it at once and answers with ``ConnectionsOpen``. A server that is not in
@@ -268,8 +244,7 @@
     ceilings: dict[str, int]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ConnectionsOpen:
+class ConnectionsOpen(Struct, kw_only=True, frozen=True):
     """To ``membership``: open connections by backend server, after they or the ceilings changed.
 
     ``revision`` is that of the last applied ``CeilingsChanged``. Connections freed by a lower
@@ -280,27 +255,23 @@
     connections: dict[str, int]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreContacted:
+class StoreContacted(Struct, kw_only=True, frozen=True):
     """To ``membership``: the key-value service answered."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MemberUse:
+class MemberUse(Struct, kw_only=True, frozen=True):
     """To ``membership``: the use by service and member, which heartbeats carry to the peers."""
 
     use: dict[str, dict[str, float]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerAddressesChanged:
+class PeerAddressesChanged(Struct, kw_only=True, frozen=True):
     """To ``peers``: the addresses, by name, of all other instances to connect to."""
 
     addresses: dict[str, str]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LinkChanged:
+class LinkChanged(Struct, kw_only=True, frozen=True):
     """To ``membership``: the link to an instance came up or went down."""
 
     instance: str
--- a/packages/azurefield-entry/src/azurefield_entry/peers/dialing.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/dialing.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
+
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
 
 
-@dataclass(slots=True, kw_only=True)
-class ConnectionAttempts:
+class ConnectionAttempts(Struct, kw_only=True):
     """The attempts to connect to one address; ``failures`` counts those since a stable link."""
 
     running: bool = False
@@ -18,8 +18,7 @@
     next_at: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True)
-class DialScheduler:
+class DialScheduler(Struct, kw_only=True):
     """Connection attempts per address, with exponential backoff and jitter.
 
     Without jitter, instances that lost each other at the same moment would always dial each other
--- a/packages/azurefield-entry/src/azurefield_entry/peers/frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/frames.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.configuration import ChangeRecord
@@ -34,16 +34,14 @@
     UNEXPECTED = "unexpected"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class FrameError:
+class FrameError(Struct, kw_only=True, frozen=True):
     """A frame that can't be used; a link that receives one is closed."""
 
     problem: FrameProblem
     detail: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Hello:
+class Hello(Struct, kw_only=True, frozen=True):
     """The first frame that each side sends, with its identity and protocol version."""
 
     instance: Name
@@ -53,8 +51,7 @@
     protocol: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HeartbeatFields:
+class HeartbeatFields(Struct, kw_only=True, frozen=True):
     """The state that an instance sends once a second; see ``azurefield.membership.Heartbeat``.
 
     ``version`` is 0 and ``digest`` empty before a configuration is in force; ``store_age_ms`` is
@@ -74,8 +71,7 @@
     member_use: dict[Name, dict[Name, Amount]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeavingServerFields:
+class LeavingServerFields(Struct, kw_only=True, frozen=True):
     """A backend server is leaving; ``incarnation`` is None if the source doesn't know it."""
 
     backend_server: Name
@@ -85,15 +81,13 @@
     at_age_ms: Count
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ConfigFetch:
+class ConfigFetch(Struct, kw_only=True, frozen=True):
     """Requests the configuration in force if it has at least this version."""
 
     version: Count
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ConfigOffer:
+class ConfigOffer(Struct, kw_only=True, frozen=True):
     """One part of a configuration.
 
     ``change`` is set in the first part only; ``more`` says that further parts follow.
@@ -104,8 +98,7 @@
     more: bool
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ForwardFields:
+class ForwardFields(Struct, kw_only=True, frozen=True):
     """A booking for the instance that issued its ticket; ``body`` is JSON of key and payload."""
 
     call: Name
@@ -117,8 +110,7 @@
     deadline_ms: Milliseconds
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ForwardResultFields:
+class ForwardResultFields(Struct, kw_only=True, frozen=True):
     """The result of a forwarded booking; ``body`` is JSON of the answer or of the failure."""
 
     call: Name
@@ -126,8 +118,7 @@
     body: bytes
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Conviction:
+class Conviction(Struct, kw_only=True, frozen=True):
     """Requests with this fingerprint crash backend servers and are refused for ``ttl_ms``."""
 
     fingerprint: Name
@@ -161,8 +152,7 @@
 Fields = TypeVar("Fields", bound=FrameFields)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Frame:
+class Frame(Struct, kw_only=True, frozen=True):
     """A received frame whose fields were validated."""
 
     type: str
@@ -209,8 +199,7 @@
         return Err(FrameError(problem=FrameProblem.MALFORMED, detail=str(error)[:200]))
 
 
-@dataclass(slots=True, kw_only=True)
-class FrameBuffer:
+class FrameBuffer(Struct, kw_only=True):
     """Splits a stream of bytes into frames; the first one must be a short hello."""
 
     data: bytearray = field(default_factory=bytearray)
--- a/packages/azurefield-entry/src/azurefield_entry/peers/identity.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/identity.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import secrets
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
     from azurefield_entry.settings import Settings
 
 INCARNATION_BYTES = 8
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Identity:
+class Identity(Struct, kw_only=True, frozen=True):
     """The name, incarnation, availability zone and peer address of an instance.
 
     Each start of the process gets a new incarnation.
--- a/packages/azurefield-entry/src/azurefield_entry/peers/link.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/link.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield_entry.peers.frames import (
@@ -31,15 +31,13 @@
 SEND_QUEUE_BYTES_MAX = 16 << 20
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LinkEnded:
+class LinkEnded(Struct, kw_only=True, frozen=True):
     """The connection was closed, or the peer did not send or read in time."""
 
     detail: str
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class Link:
+class Link(Struct, kw_only=True, eq=False):
     """A connection to another instance; ``run`` exchanges the hellos and then the frames.
 
     :param dialed_address: the address that this side dialed, None if the peer dialed
--- a/packages/azurefield-entry/src/azurefield_entry/peers/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/peers/service.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
 import logbook
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield_entry.kernel import Stop, send_every
@@ -44,13 +44,11 @@
 }
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Tick:
+class Tick(Struct, kw_only=True, frozen=True):
     """To this service: dial the instances whose next attempt is due."""
 
 
-@dataclass(slots=True, kw_only=True)
-class PeersService:
+class PeersService(Struct, kw_only=True):
     """Keeps one link to each known instance.
 
     Two instances may dial each other at the same time. Both then keep the connection that the
--- a/packages/azurefield-entry/src/azurefield_entry/query/admission.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/admission.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield_entry.query.failures import unknown_service
@@ -19,16 +19,14 @@
     from azurefield.model import RequestKind
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AdmittedRequest:
+class AdmittedRequest(Struct, kw_only=True, frozen=True):
     """The routing state and the fingerprint of a request that may run."""
 
     state: ServiceState
     fingerprint: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Admission:
+class Admission(Struct, kw_only=True, frozen=True):
     """Decides whether a query or booking may be started."""
 
     table: StateTable
--- a/packages/azurefield-entry/src/azurefield_entry/query/booking.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/booking.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.call_result import CallResult
@@ -24,8 +23,7 @@
 BookingResult = Result[BookingAnswer, RequestFailure]
 
 
-@dataclass(slots=True, kw_only=True)
-class BookingDispatch:
+class BookingDispatch(Struct, kw_only=True):
     """Sends a booking to one backend server at a time.
 
     Another server is called only if the previous call ended with ``NOT_RUN``, so that the booking
--- a/packages/azurefield-entry/src/azurefield_entry/query/booking_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/booking_runner.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
 from result import Err, Ok
 
 from azurefield.model import RequestKind
@@ -23,8 +23,7 @@
     from azurefield_entry.query.admission import AdmittedRequest
 
 
-@dataclass(slots=True, kw_only=True)
-class BookingRunner:
+class BookingRunner(Struct, kw_only=True):
     """Starts bookings and sends their calls, one at a time."""
 
     metrics: Metrics
--- a/packages/azurefield-entry/src/azurefield_entry/query/conviction_handler.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/conviction_handler.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from logbook import Logger
+from msgspec import Struct
 from result import Ok
 
 from azurefield_entry.metrics import Metrics
@@ -23,8 +23,7 @@
 log = Logger("query")
 
 
-@dataclass(slots=True, kw_only=True)
-class ConvictionHandler:
+class ConvictionHandler(Struct, kw_only=True):
     """Ends the queries of convicted requests and notifies the peers of own convictions."""
 
     metrics: Metrics
--- a/packages/azurefield-entry/src/azurefield_entry/query/quarantine.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/quarantine.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.quarantine import (
@@ -45,8 +45,7 @@
 PROVISIONAL_CONVICTION_S = 5.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SuspectedCrash:
+class SuspectedCrash(Struct, kw_only=True, frozen=True):
     """A lost connection that counts as a crash of the server until a status probe decides.
 
     ``lost_calls`` were in flight on the server at the time ``at``.
@@ -58,8 +57,7 @@
     convictions: tuple[Conviction, ...]
 
 
-@dataclass(slots=True, kw_only=True)
-class Quarantine:
+class Quarantine(Struct, kw_only=True):
     """Suspects and convictions of this instance.
 
     A lost connection counts as a crash of the server at once, since the request may be sent again
@@ -193,8 +191,7 @@
         return server in self.suspected_crashes, not self.has_isolated_call(server), calls
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AllowedHolders:
+class AllowedHolders(Struct, kw_only=True, frozen=True):
     """The servers of each leaf that the quarantine allows to one request."""
 
     all_holders: Holders
--- a/packages/azurefield-entry/src/azurefield_entry/query/query_runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/query_runner.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.hedging import NoHedging
@@ -30,8 +30,7 @@
     from azurefield_entry.query.running import SentCall
 
 
-@dataclass(slots=True, kw_only=True)
-class QueryRunner:
+class QueryRunner(Struct, kw_only=True):
     """Owns every running query, by request id, and executes the actions of its fan-out."""
 
     metrics: Metrics
--- a/packages/azurefield-entry/src/azurefield_entry/query/running.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/running.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from asyncio import Future, TimerHandle, get_running_loop
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar
 
+from msgspec import Struct
 from result import Result
 
 from azurefield.failures import RequestFailure
@@ -23,20 +23,17 @@
 T = TypeVar("T")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WakeQuery:
+class WakeQuery(Struct, kw_only=True, frozen=True):
     """To ``query`` itself: the wake-up timer of a query has fired."""
 
     request_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WakeSuspects:
+class WakeSuspects(Struct, kw_only=True, frozen=True):
     """To ``query`` itself: the deadline of a queued suspect has passed."""
 
 
-@dataclass(slots=True, kw_only=True)
-class RunningQuery:
+class RunningQuery(Struct, kw_only=True):
     """A running fan-out and the future of its caller.
 
     ``wake_at`` is the time for which the wake-up timer is set, None after it has fired. It is kept
@@ -81,8 +78,7 @@
         return query_body(self.request)
 
 
-@dataclass(slots=True, kw_only=True)
-class RunningBooking:
+class RunningBooking(Struct, kw_only=True):
     """A running booking and the future of ``bookings``, which dispatched it."""
 
     dispatch: BookingDispatch
@@ -109,8 +105,7 @@
         return booking_body(self.request)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SentCall:
+class SentCall(Struct, kw_only=True, frozen=True):
     """A leaf call in flight and the query or booking that sent it."""
 
     owner: RunningQuery | RunningBooking
--- a/packages/azurefield-entry/src/azurefield_entry/query/silent_servers.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/silent_servers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.snapshot import ServerState, choose_snapshot
 
 if TYPE_CHECKING:
@@ -15,8 +16,7 @@
 MISSED_PROBES_UNTIL_SILENT = 3
 
 
-@dataclass(slots=True, kw_only=True)
-class SilentServers:
+class SilentServers(Struct, kw_only=True):
     """Counts the probes missed in a row by each server of one service."""
 
     missed: dict[str, int] = field(default_factory=dict)
--- a/packages/azurefield-entry/src/azurefield_entry/query/state.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/state.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.hedging import BudgetedHedging
 from azurefield.model import RequestKind, ServiceConfig
 from azurefield.retry import RetryBudget
@@ -20,8 +21,7 @@
     from azurefield.snapshot import StatusReport
 
 
-@dataclass(slots=True, kw_only=True)
-class ServiceState:
+class ServiceState(Struct, kw_only=True):
     """Routing state of one service; it is kept when the configuration changes."""
 
     config: ServiceConfig
--- a/packages/azurefield-entry/src/azurefield_entry/query/state_table.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/state_table.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield_entry.messages import (
     ConfigurationChanged,
     LeavingServersChanged,
@@ -19,8 +20,7 @@
     from azurefield.model import Configuration
 
 
-@dataclass(slots=True, kw_only=True)
-class StateTable:
+class StateTable(Struct, kw_only=True):
     """The state of each service by name."""
 
     metrics: Metrics
--- a/packages/azurefield-entry/src/azurefield_entry/query/suspect_queue.py
+++ b/packages/azurefield-entry/src/azurefield_entry/query/suspect_queue.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 # Given the time, a request's fingerprint and the servers of a leaf, returns the servers on which a
 # call of the request may run now.
 EligibleServers = Callable[[float, str, tuple[str, ...]], tuple[str, ...]]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WaitingSuspect:
+class WaitingSuspect(Struct, kw_only=True, frozen=True):
     """A suspect that waits for one free server of each leaf before it sends its calls.
 
     ``servers`` holds the usable servers of each leaf; those in ``tried`` are not called again.
@@ -36,8 +36,7 @@
         )
 
 
-@dataclass(slots=True, kw_only=True)
-class SuspectQueue:
+class SuspectQueue(Struct, kw_only=True):
     """Resumes suspects one after the other, in order of arrival.
 
     For the suspect at the head of the queue a server of each leaf is reserved. Without that, a busy
--- a/packages/azurefield-entry/src/azurefield_entry/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/settings.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield_entry.addresses import PORT_MAX
@@ -41,8 +42,7 @@
     log_level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SettingsFailure:
+class SettingsFailure(Struct, kw_only=True, frozen=True):
     """Why the settings can't be used; ``problem`` names the field and what is allowed."""
 
     path: str
--- a/packages/azurefield-entry/tests/front/test_queued_admission.py
+++ b/packages/azurefield-entry/tests/front/test_queued_admission.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.failures import FailureKind
 from azurefield.membership import InstanceState
--- a/packages/azurefield-entry/tests/gateway/test_access.py
+++ b/packages/azurefield-entry/tests/gateway/test_access.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any
 
 import msgspec
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.failures import FailureKind, RequestFailure
--- a/packages/azurefield-entry/tests/gateway/test_allowed_regions.py
+++ b/packages/azurefield-entry/tests/gateway/test_allowed_regions.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import replace as replace_entry
 from typing import TYPE_CHECKING, Any
 
 import pytest
+from msgspec.structs import replace
 from result import Err
 
 from azurefield.coordinators import InstanceProfile
@@ -59,7 +60,7 @@
     for service in ("desk", *SHARDS):
         for zone in (*REGIONS, "unknown"):
             entry = make_server("192.0.2.1:80", f"{service}-{zone}")
-            entries.append(replace(entry, service=service, availability_zone=zone, slots=4))
+            entries.append(replace_entry(entry, service=service, availability_zone=zone, slots=4))
     return entries
 
 
@@ -236,7 +237,7 @@
 
     async def move(*_: object) -> bool:
         entry = service.directory.servers["desk-one"]
-        service.apply_change(now(), replace(entry, availability_zone="two"))
+        service.apply_change(now(), replace_entry(entry, availability_zone="two"))
         return True
 
     async def exchange(_: object, call: object) -> Err[LeafFailure]:
@@ -261,7 +262,7 @@
 
     async def move(*_: object) -> bool:
         entry = service.directory.servers["desk-one"]
-        service.apply_change(now(), replace(entry, address="192.0.2.2:80"))
+        service.apply_change(now(), replace_entry(entry, address="192.0.2.2:80"))
         return True
 
     async def refuse(connection: HttpLeafConnection) -> bool:
--- a/packages/azurefield-entry/tests/gateway/test_busy_coordinators.py
+++ b/packages/azurefield-entry/tests/gateway/test_busy_coordinators.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.sharing import RequestClass, SharedAdmission
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -5,11 +5,12 @@
 import asyncio
 import os
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import pytest
 from aiohttp import web
+from msgspec.structs import replace
 from result import Err
 
 from azurefield.parsing_turns import SHORT_LINES
--- a/packages/azurefield-entry/tests/gateway/test_dispatch.py
+++ b/packages/azurefield-entry/tests/gateway/test_dispatch.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 from typing import Any, cast
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.directory import Directory
 from azurefield.model import Outcome
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.coordinators import InstanceProfile
--- a/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
+++ b/packages/azurefield-entry/tests/gateway/test_issuer_slots.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.issuer_slots import SETTLE_S, USED_MARK, SlotKey
--- a/packages/azurefield-entry/tests/gateway/test_pass_on.py
+++ b/packages/azurefield-entry/tests/gateway/test_pass_on.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any, cast
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.coordinators import CoordinatorView, InstanceProfile
--- a/packages/azurefield-entry/tests/gateway/test_service.py
+++ b/packages/azurefield-entry/tests/gateway/test_service.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from dataclasses import replace as replace_entry
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.crash_evidence import ServerEnded
@@ -166,7 +168,7 @@
 async def other_server(service: GatewayService) -> AsyncIterator[None]:
     """Run a server of another service, which is up."""
     async with listening(ScriptedServer(script=[])) as address:
-        entry = replace(make_server(address, "other"), service="other")
+        entry = replace_entry(make_server(address, "other"), service="other")
         service.apply_change(0.0, entry)
         yield
 
--- a/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
+++ b/packages/azurefield-entry/tests/gateway/test_unsent_calls.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, cast
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.failures import LeafFailure, LeafFailureReason
--- a/packages/azurefield-entry/tests/gateway/test_zone_traffic.py
+++ b/packages/azurefield-entry/tests/gateway/test_zone_traffic.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.failures import LeafFailureReason
 from azurefield.leaf_progress import LeafProgress, PendingCall
--- a/packages/azurefield-entry/tests/membership/test_service.py
+++ b/packages/azurefield-entry/tests/membership/test_service.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 from typing import TypeVar
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Result
 
 from azurefield.limits import JOIN_WAIT_S
--- a/packages/azurefield-operator/tests/test_explaining.py
+++ b/packages/azurefield-operator/tests/test_explaining.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
 import msgspec
 import pytest
+from msgspec.structs import replace
 
 from azurefield.explanation import (
     ConnectionCounts,
--- a/packages/azurefield-operator/tests/test_generation.py
+++ b/packages/azurefield-operator/tests/test_generation.py
@@ -1,8 +1,9 @@
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import replace as replace_answer
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.configuration import decode_document, encode
 from azurefield.model import RequestKind
@@ -35,12 +36,12 @@
     """Guards against a new digest for a questionnaire whose answers were only reordered."""
     answers = example(ExampleName.MINIMAL)
     (service,) = answers.services
-    reversed_service = replace(
+    reversed_service = replace_answer(
         service,
         backend_servers=service.backend_servers[::-1],
         requests=service.requests[::-1],
     )
-    assert generate(replace(answers, services=(reversed_service,))) == generate(answers)
+    assert generate(replace_answer(answers, services=(reversed_service,))) == generate(answers)
 
 
 @pytest.mark.parametrize(
--- a/packages/azurefield-platform/src/azurefield_platform/configuration_store.py
+++ b/packages/azurefield-platform/src/azurefield_platform/configuration_store.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from msgspec import Struct
 from result import Err, Ok
 
 from azurefield.configuration import (
@@ -43,8 +42,7 @@
 HeadEvent = HeadSeen | HeadMissing | StoreFailed
 
 
-@dataclass(slots=True, kw_only=True)
-class ConfigurationStore:
+class ConfigurationStore(Struct, kw_only=True):
     """Access to the configuration keys of the key-value service."""
 
     client: KeyValueStore
--- a/packages/azurefield-platform/src/azurefield_platform/failures.py
+++ b/packages/azurefield-platform/src/azurefield_platform/failures.py
@@ -2,47 +2,41 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KeyNotFound:
+class KeyNotFound(Struct, kw_only=True, frozen=True):
     """The key-value service answered that the key does not exist."""
 
     key: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RevisionConflict:
+class RevisionConflict(Struct, kw_only=True, frozen=True):
     """A conditional write was refused; ``revision`` is the current one, None for a missing key."""
 
     key: str
     revision: int | None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PlatformUnavailable:
+class PlatformUnavailable(Struct, kw_only=True, frozen=True):
     """The platform did not serve the call; a write was certainly not applied."""
 
     detail: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReplyLost:
+class ReplyLost(Struct, kw_only=True, frozen=True):
     """A write was sent but no reply arrived; it may be applied, even after this failure."""
 
     detail: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MalformedReply:
+class MalformedReply(Struct, kw_only=True, frozen=True):
     """The platform answered a read with a body that its API does not allow."""
 
     detail: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InvalidCall:
+class InvalidCall(Struct, kw_only=True, frozen=True):
     """The call is invalid or exceeds a limit; a write was not applied."""
 
     detail: str
--- a/packages/azurefield-platform/src/azurefield_platform/http.py
+++ b/packages/azurefield-platform/src/azurefield_platform/http.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 import msgspec
+from msgspec import Struct
+from msgspec import field as struct_field
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -32,13 +34,12 @@
 T = TypeVar("T")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Reply:
+class Reply(Struct, kw_only=True, frozen=True):
     """A complete reply of the platform."""
 
     status: int
     body: bytes
-    headers: Mapping[str, str] = field(default_factory=dict)
+    headers: Mapping[str, str] = struct_field(default_factory=dict)
 
 
 class InvalidStatusError(aiohttp.ClientError):
--- a/packages/azurefield-platform/src/azurefield_platform/instances.py
+++ b/packages/azurefield-platform/src/azurefield_platform/instances.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield_platform.failures import InvalidCall, ListFailure
@@ -29,8 +29,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ListedInstance:
+class ListedInstance(Struct, kw_only=True, frozen=True):
     """One entry of the list; addresses are ``host:port``, or None if the role has none."""
 
     name: str
@@ -42,15 +41,13 @@
     admin_address: str | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceListReply:
+class InstanceListReply(Struct, kw_only=True, frozen=True):
     """Body of the reply to a read of the list."""
 
     instances: tuple[ListedInstance, ...]
 
 
-@dataclass(slots=True, kw_only=True)
-class InstanceListClient:
+class InstanceListClient(Struct, kw_only=True):
     """Reads the list of instances, which lags behind the processes that really run."""
 
     http: PlatformHttp
--- a/packages/azurefield-platform/src/azurefield_platform/keyvalue.py
+++ b/packages/azurefield-platform/src/azurefield_platform/keyvalue.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 from urllib.parse import quote
 
 import msgspec
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.configuration import VALUE_BYTES_MAX
@@ -24,16 +24,14 @@
     import aiohttp
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoredValue:
+class StoredValue(Struct, kw_only=True, frozen=True):
     """A value and its revision; a later write may require that the revision is unchanged."""
 
     value: str
     revision: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RevisionReply:
+class RevisionReply(Struct, kw_only=True, frozen=True):
     """Body of the reply to a write; it has no revision for a conflict on a missing key."""
 
     revision: int | None = None
@@ -56,8 +54,7 @@
         """Write a key if it has the expected revision, or create it if that is None."""
 
 
-@dataclass(slots=True, kw_only=True)
-class KeyValueClient:
+class KeyValueClient(Struct, kw_only=True):
     """Reads, writes and watches single keys; each call has a timeout."""
 
     http: PlatformHttp
--- a/packages/azurefield-testkit/src/azurefield_testkit/backend_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/backend_server.py
@@ -7,7 +7,7 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -238,7 +238,7 @@
             {
                 "request_id": request_id,
                 "leaf": call.holding.leaf,
-                **asdict(call.holding.snapshot),
+                **msgspec.to_builtins(call.holding.snapshot),
                 "record_count": len(records),
                 "records": sent_records,
             }
@@ -266,10 +266,10 @@
             "state": self.state.value,
             "load": min(1.0, busy),
             "holdings": [
-                {"leaf": holding.leaf, **asdict(holding.snapshot)}
+                {"leaf": holding.leaf, **msgspec.to_builtins(holding.snapshot)}
                 for holding in self.holdings.all()
             ],
-            "maps": [asdict(entry) for entry in self.holdings.maps.values()],
+            "maps": [msgspec.to_builtins(entry) for entry in self.holdings.maps.values()],
         }
         return web.json_response(body)
 
--- a/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/bench/variants.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import StrEnum
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec.structs import replace
+
 from azurefield.admission import (
     QUEUE_WAIT_FRACTION_MAX,
     AdmissionQueue,
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/wire_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/wire_server.py
@@ -6,11 +6,13 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 from urllib.parse import unquote
 
+from msgspec import to_builtins
+
 from azurefield.model import RequestKind, ShardMap, Snapshot
 from azurefield_entry.backends.connection import Connection
 from azurefield_entry.backends.pool import ConnectionPool
@@ -137,7 +139,7 @@
             "holdings": [
                 {"leaf": leaf, "index_version": 7, "map_version": version} for leaf in self.leafs
             ],
-            "maps": [asdict(self.shard_map)] if self.shard_map else [],
+            "maps": [to_builtins(self.shard_map)] if self.shard_map else [],
         }
 
     async def stop(self) -> None:
--- a/packages/azurefield-testkit/src/azurefield_testkit/slot_store.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/slot_store.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from dataclasses import replace as replace_store
+
+from msgspec.structs import replace
 
 from azurefield.issuer_slots import USED_MARK, SlotClaim, SlotKey
 
@@ -19,7 +22,7 @@
 
     def copy(self) -> SlotStoreModel:
         """Copy what the store holds."""
-        return replace(self, keys={**self.keys}, lease_ends={**self.lease_ends})
+        return replace_store(self, keys={**self.keys}, lease_ends={**self.lease_ends})
 
     def restore(self, copy: SlotStoreModel, runs_on_s: float | None) -> None:
         """Replace what the store holds by a copy, which begins a new era.
--- a/packages/azurefield-testkit/tests/test_configuration_model.py
+++ b/packages/azurefield-testkit/tests/test_configuration_model.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.configuration import (
     AcceptanceAction,
--- a/packages/azurefield-testkit/tests/test_history.py
+++ b/packages/azurefield-testkit/tests/test_history.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 import pytest
+from msgspec.structs import replace as replace_record
 
 from azurefield.model import Outcome, RequestKind, Snapshot, even_shard_map
 from azurefield_testkit.backend_state import BookingRun, CallWhileLeaving
@@ -90,7 +91,7 @@
 NOT_RUN = {"status": 503, "outcome": Outcome.NOT_RUN, "problem": "queue-full"}
 UNKNOWN = {"status": 409, "outcome": Outcome.MAY_HAVE_RUN}
 OTHER_VERSION = tuple(
-    replace(record, fields={**record.fields, "index_version": 2}) if number == 3 else record
+    replace_record(record, fields={**record.fields, "index_version": 2}) if number == 3 else record
     for number, record in enumerate(DATASET.records(1))
 )
 
--- a/packages/azurefield/src/azurefield/admission.py
+++ b/packages/azurefield/src/azurefield/admission.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from azurefield.concurrency_limit import ConcurrencyLimit
 from azurefield.failures import FailureKind, RequestFailure
@@ -38,8 +39,7 @@
 OVERLOAD_MEMORY_S = 1.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AdmissionRequest:
+class AdmissionRequest(Struct, kw_only=True, frozen=True):
     """A request to be admitted; ``cost`` is the number of leaf calls it needs."""
 
     request_id: str
@@ -55,22 +55,19 @@
         return self.arrived_at + QUEUE_WAIT_FRACTION_MAX * (self.deadline - self.arrived_at)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Admitted:
+class Admitted(Struct, kw_only=True, frozen=True):
     """The request may run now; ``release`` must be called when it ends."""
 
     request_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Queued:
+class Queued(Struct, kw_only=True, frozen=True):
     """The request is waiting; a later ``Admitted`` or ``Refused`` decides on it."""
 
     request_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Refused:
+class Refused(Struct, kw_only=True, frozen=True):
     """The request was not run and will not be run."""
 
     request_id: str
@@ -80,8 +77,7 @@
 Decision = Admitted | Refused
 
 
-@dataclass(slots=True, kw_only=True)
-class AdmissionQueue:
+class AdmissionQueue(Struct, kw_only=True):
     """Decides which requests of one service run now, wait or are refused.
 
     ``submit`` decides on a new request and ``release`` records the end of an admitted one. Both can
--- a/packages/azurefield/src/azurefield/booking.py
+++ b/packages/azurefield/src/azurefield/booking.py
@@ -12,11 +12,12 @@
 import hmac
 import json
 import re
-from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from heapq import heappop, heappush
 from typing import Any, Generic, TypeVar
 
+from msgspec import Struct, field
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, RequestFailure
@@ -33,8 +34,7 @@
 Answer = TypeVar("Answer")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Ticket:
+class Ticket(Struct, kw_only=True, frozen=True):
     """The claims of a ticket; ``expiry_ms`` is a time of the issuer's monotonic clock."""
 
     incarnation: str
@@ -64,8 +64,7 @@
     return hashlib.sha256(content.encode()).hexdigest()
 
 
-@dataclass(slots=True, kw_only=True)
-class TicketIssuer:
+class TicketIssuer(Struct, kw_only=True):
     """Issues and verifies the tickets of one incarnation.
 
     :param incarnation: lower-case hex digits, random for each start of the process
@@ -108,38 +107,33 @@
         return hmac.new(self.key, claims.encode(), hashlib.sha256).hexdigest()[:MAC_HEX_DIGITS]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Dispatch:
+class Dispatch(Struct, kw_only=True, frozen=True):
     """Send the booking once, now, and pass this decision with the result to ``on_finished``."""
 
     sequence: int
     attempt: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Join:
+class Join(Struct, kw_only=True, frozen=True):
     """Wait for the result of the attempt that is already running."""
 
     sequence: int
     attempt: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Replay(Generic[Answer]):
+class Replay(Struct, Generic[Answer], kw_only=True, frozen=True):
     """Answer with the stored result of the finished run."""
 
     result: Result[Answer, RequestFailure]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Forward:
+class Forward(Struct, kw_only=True, frozen=True):
     """Forward the request to the instance whose current incarnation is this one."""
 
     incarnation: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Refuse:
+class Refuse(Struct, kw_only=True, frozen=True):
     """Answer with a failure."""
 
     failure: RequestFailure
@@ -157,8 +151,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True, kw_only=True)
-class LedgerEntry(Generic[Answer]):
+class LedgerEntry(Struct, Generic[Answer], kw_only=True):
     """The booking of one ticket; ``result`` is set in the state ``DONE``."""
 
     ticket: Ticket
@@ -168,8 +161,7 @@
     result: Result[Answer, RequestFailure] | None = None
 
 
-@dataclass(slots=True, kw_only=True)
-class BookingLedger(Generic[Answer]):
+class BookingLedger(Struct, Generic[Answer], kw_only=True):
     """Decides for each use of a ticket whether the booking is dispatched.
 
     A ticket is dispatched again only after its last attempt ended with ``NOT_RUN``. An entry stays
--- a/packages/azurefield/src/azurefield/concurrency_limit.py
+++ b/packages/azurefield/src/azurefield/concurrency_limit.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from statistics import median
 
+from msgspec import Struct, field
+
 # The recent latency is the median of this many requests; a mean would follow one slow leaf.
 LATENCY_WINDOW_REQUESTS = 31
 # The limit changes only after this many requests, so that the latency reflects the last change.
@@ -20,8 +21,7 @@
 LIMIT_MAX = 10_000.0
 
 
-@dataclass(slots=True, kw_only=True)
-class ConcurrencyLimit:
+class ConcurrencyLimit(Struct, kw_only=True):
     """Adaptive limit on the cost in flight that keeps the latency of leaf calls near a target.
 
     ``target_s`` is the same on all instances, so that their limits converge to similar values. If
--- a/packages/azurefield/src/azurefield/configuration/acceptance.py
+++ b/packages/azurefield/src/azurefield/configuration/acceptance.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
 from result import Err, Ok, Result
 
 from azurefield.configuration.records import ChangeRecord, ConfigHead, digest_of
@@ -47,23 +47,20 @@
 LOST_REPLY_EXTRA_S = 5.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Accepted:
+class Accepted(Struct, kw_only=True, frozen=True):
     """The change is accepted; a later change may have replaced it since."""
 
     version: int
     change_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AcceptanceEnded:
+class AcceptanceEnded(Struct, kw_only=True, frozen=True):
     """The result of the acceptance; the machine ignores all later events."""
 
     result: Result[Accepted, ChangeFailure]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RetryAt:
+class RetryAt(Struct, kw_only=True, frozen=True):
     """Retry a failed action, not before ``at``."""
 
     at: float
@@ -84,8 +81,7 @@
     ENDED = "ended"
 
 
-@dataclass(slots=True, kw_only=True)
-class AcceptChange:
+class AcceptChange(Struct, kw_only=True):
     """Acceptance of one change.
 
     :param change_id: unique identity, never used for another change
--- a/packages/azurefield/src/azurefield/configuration/adoption.py
+++ b/packages/azurefield/src/azurefield/configuration/adoption.py
@@ -8,9 +8,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
 from result import Err, Ok
 
 from azurefield.configuration.adoption_messages import (
@@ -60,8 +60,7 @@
 RECORDS_KEPT_MAX = 64
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InForce:
+class InForce(Struct, kw_only=True, frozen=True):
     """The change in force and the texts of its documents by digest, for peers and write-back."""
 
     head: ConfigHead
@@ -69,8 +68,7 @@
     documents: dict[str, str]
 
 
-@dataclass(slots=True, kw_only=True)
-class StoreFetch:
+class StoreFetch(Struct, kw_only=True):
     """A higher version that is being fetched from the store."""
 
     head: ConfigHead
@@ -80,8 +78,7 @@
     missing: set[str] = field(default_factory=set)
 
 
-@dataclass(slots=True, kw_only=True)
-class PeerFetch:
+class PeerFetch(Struct, kw_only=True):
     """A higher version that was requested from a peer."""
 
     instance: str
@@ -89,8 +86,7 @@
     started_at: float
 
 
-@dataclass(slots=True, kw_only=True)
-class WriteBack:
+class WriteBack(Struct, kw_only=True):
     """A write-back of the version in force to a store that has an older version or none.
 
     ``expected_revision`` is the revision of the store's head, None if it has no head.
@@ -103,8 +99,7 @@
     started_at: float
 
 
-@dataclass(slots=True, kw_only=True)
-class ConfigAdoption:
+class ConfigAdoption(Struct, kw_only=True):
     """Decides which configuration one instance has in force.
 
     The owner passes every event in order of time and calls ``on_tick`` about once a second. It also
--- a/packages/azurefield/src/azurefield/configuration/adoption_messages.py
+++ b/packages/azurefield/src/azurefield/configuration/adoption_messages.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from azurefield.configuration.records import ChangeRecord
 from azurefield.configuration.store import StoreAction, StoreEvent
 from azurefield.model import Configuration
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerVersionSeen:
+class PeerVersionSeen(Struct, kw_only=True, frozen=True):
     """A peer's heartbeat names the version that it has in force."""
 
     instance: str
@@ -18,8 +17,7 @@
     digest: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerOffered:
+class PeerOffered(Struct, kw_only=True, frozen=True):
     """A peer's answer to ``FetchFromPeer``; documents by digest."""
 
     instance: str
@@ -27,15 +25,13 @@
     documents: dict[str, str]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerLost:
+class PeerLost(Struct, kw_only=True, frozen=True):
     """The link to a peer is down, so its version can't be fetched from it."""
 
     instance: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreUnavailable:
+class StoreUnavailable(Struct, kw_only=True, frozen=True):
     """A watch of the head failed; a failed action is reported by ``StoreFailed`` instead."""
 
     detail: str
@@ -44,24 +40,21 @@
 AdoptionEvent = StoreEvent | PeerVersionSeen | PeerOffered | PeerLost | StoreUnavailable
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class FetchFromPeer:
+class FetchFromPeer(Struct, kw_only=True, frozen=True):
     """Request a version from a peer; it answers with ``PeerOffered`` or not at all."""
 
     instance: str
     version: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Adopt:
+class Adopt(Struct, kw_only=True, frozen=True):
     """Put a configuration in force; ``digest`` is that of its change record."""
 
     configuration: Configuration
     digest: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Rejected:
+class Rejected(Struct, kw_only=True, frozen=True):
     """A fetched version was not adopted because its content is missing, invalid or altered."""
 
     version: int
@@ -69,8 +62,7 @@
     problem: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class VersionConflict:
+class VersionConflict(Struct, kw_only=True, frozen=True):
     """The store or a peer has another digest for the version in force, which is kept."""
 
     version: int
--- a/packages/azurefield/src/azurefield/configuration/records.py
+++ b/packages/azurefield/src/azurefield/configuration/records.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from hashlib import sha256
 from typing import TypeVar
 
 import msgspec
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.model import Configuration, ServiceConfig
@@ -20,8 +20,7 @@
 T = TypeVar("T")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ConfigHead:
+class ConfigHead(Struct, kw_only=True, frozen=True):
     """Points to the last accepted change; the only stored value that is ever replaced.
 
     ``digest`` is that of the change record.
@@ -32,8 +31,7 @@
     change_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ChangeRecord:
+class ChangeRecord(Struct, kw_only=True, frozen=True):
     """One change, immutable; ``services`` maps service names to document digests.
 
     ``at`` is the time on the operator's machine in RFC 3339; no decision depends on it.
@@ -55,8 +53,7 @@
         )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class EncodingFailure:
+class EncodingFailure(Struct, kw_only=True, frozen=True):
     """A stored value that can't be decoded or fails a check."""
 
     what: str
--- a/packages/azurefield/src/azurefield/configuration/store.py
+++ b/packages/azurefield/src/azurefield/configuration/store.py
@@ -5,49 +5,43 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from azurefield.configuration.records import ChangeRecord, ConfigHead
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReadHead:
+class ReadHead(Struct, kw_only=True, frozen=True):
     """Read the head, not before ``at``; answered by ``HeadSeen`` or ``HeadMissing``."""
 
     at: float
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReadRecord:
+class ReadRecord(Struct, kw_only=True, frozen=True):
     """Read a change record; answered by ``RecordFetched``."""
 
     change_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReadDocument:
+class ReadDocument(Struct, kw_only=True, frozen=True):
     """Read a service document; answered by ``DocumentFetched``."""
 
     digest: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PutDocument:
+class PutDocument(Struct, kw_only=True, frozen=True):
     """Create a document unless its key exists; answered by ``DocumentWritten`` in both cases."""
 
     digest: str
     text: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PutRecord:
+class PutRecord(Struct, kw_only=True, frozen=True):
     """Create a change record unless its key exists; answered by ``RecordWritten`` in both cases."""
 
     record: ChangeRecord
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CompareAndSwapHead:
+class CompareAndSwapHead(Struct, kw_only=True, frozen=True):
     """Replace the head if its revision is the expected one, or create it if that is None.
 
     Answered by ``HeadWritten`` or ``HeadConflict``.
@@ -60,8 +54,7 @@
 StoreAction = ReadHead | ReadRecord | ReadDocument | PutDocument | PutRecord | CompareAndSwapHead
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HeadSeen:
+class HeadSeen(Struct, kw_only=True, frozen=True):
     """The head as the store holds it."""
 
     version: int
@@ -75,55 +68,47 @@
         return ConfigHead(version=self.version, digest=self.digest, change_id=self.change_id)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HeadMissing:
+class HeadMissing(Struct, kw_only=True, frozen=True):
     """The store answered that it has no head."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RecordFetched:
+class RecordFetched(Struct, kw_only=True, frozen=True):
     """A change record, or None if the store has none or it can't be decoded."""
 
     change_id: str
     record: ChangeRecord | None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class DocumentFetched:
+class DocumentFetched(Struct, kw_only=True, frozen=True):
     """The text of a document, or None if the store has none."""
 
     digest: str
     text: str | None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class DocumentWritten:
+class DocumentWritten(Struct, kw_only=True, frozen=True):
     """The document is in the store."""
 
     digest: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RecordWritten:
+class RecordWritten(Struct, kw_only=True, frozen=True):
     """The change record is in the store."""
 
     change_id: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HeadWritten:
+class HeadWritten(Struct, kw_only=True, frozen=True):
     """The head was replaced or created, and has this revision now."""
 
     revision: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class HeadConflict:
+class HeadConflict(Struct, kw_only=True, frozen=True):
     """The head was not replaced because it has another revision than the expected one."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreFailed:
+class StoreFailed(Struct, kw_only=True, frozen=True):
     """An action failed; ``may_be_applied`` is False only if it is certain that it had no effect."""
 
     action: StoreAction
--- a/packages/azurefield/src/azurefield/connection_limit.py
+++ b/packages/azurefield/src/azurefield/connection_limit.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+from msgspec import Struct, field
+
 C = TypeVar("C")
 
 
-@dataclass(slots=True, kw_only=True)
-class ConnectionLimit(Generic[C]):
+class ConnectionLimit(Struct, Generic[C], kw_only=True):
     """Keeps the number of connections within a limit.
 
     A connection waits for its peer, or is being served. The one that has waited longest without
--- a/packages/azurefield/src/azurefield/coordinator_choice.py
+++ b/packages/azurefield/src/azurefield/coordinator_choice.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.coordinators import CoordinatorView
 from azurefield.routing import OwnObservationRouter
 
@@ -20,8 +21,7 @@
 SILENT_AVOIDED_S = 4.0
 
 
-@dataclass(slots=True, kw_only=True)
-class CoordinatorChoice:
+class CoordinatorChoice(Struct, kw_only=True):
     """Chooses the coordinator with the shortest expected time to a result.
 
     Those of the nearest zones are preferred as long as one of them was not silent; one that refuses
--- a/packages/azurefield/src/azurefield/coordinators.py
+++ b/packages/azurefield/src/azurefield/coordinators.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
@@ -28,8 +29,7 @@
 NEAR_ZONE_FRACTION = 0.5
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceProfile:
+class InstanceProfile(Struct, kw_only=True, frozen=True):
     """What an instance announces of itself.
 
     :param capacity: its processor capacity in cores of a common speed
@@ -104,8 +104,7 @@
     return connections_max // (instances + 1) < slots
 
 
-@dataclass(slots=True, kw_only=True)
-class CoordinatorView:
+class CoordinatorView(Struct, kw_only=True):
     """The coordinators as one instance knows them.
 
     :param own: the name of this instance
--- a/packages/azurefield/src/azurefield/crash_evidence.py
+++ b/packages/azurefield/src/azurefield/crash_evidence.py
@@ -13,10 +13,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from hashlib import sha256
 
+from msgspec import Struct, field
+
 # Servers that have to end under a request before it is refused.
 SERVERS_ENDED_MIN = 3
 # Of these, as many have to end while the request is already a suspect.
@@ -56,8 +57,7 @@
     REFUSED = "refused"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServerEnded:
+class ServerEnded(Struct, kw_only=True, frozen=True):
     """Report that a server ended while it ran a request.
 
     :param request: the digest of the request
@@ -74,8 +74,7 @@
     suspect: bool
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestAnswered:
+class RequestAnswered(Struct, kw_only=True, frozen=True):
     """Report that a server of a service has run a request and did not end."""
 
     request: str
@@ -85,8 +84,7 @@
 CrashReport = ServerEnded | RequestAnswered
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class ServerEnd:
+class ServerEnd(Struct, kw_only=True, eq=False):
     """One end of a server.
 
     :param reported_at: when it was first reported
@@ -100,8 +98,7 @@
     requests: dict[str, bool] = field(default_factory=dict)
 
 
-@dataclass(slots=True, kw_only=True)
-class RequestEvidence:
+class RequestEvidence(Struct, kw_only=True):
     """What is known of one request.
 
     :param reports: the reports that are known
@@ -116,8 +113,7 @@
     changed_at: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True)
-class CrashEvidence:
+class CrashEvidence(Struct, kw_only=True):
     """Decides from the reports of all instances which requests are suspects and which are refused.
 
     It does not matter which instance a report is from: an instance counts its own earlier reports,
--- a/packages/azurefield/src/azurefield/directory.py
+++ b/packages/azurefield/src/azurefield/directory.py
@@ -6,6 +6,9 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+from msgspec import field as struct_field
+
 from azurefield.evacuations import Evacuations
 
 if TYPE_CHECKING:
@@ -63,16 +66,14 @@
         return self.started_ms is None or other.started_ms is None or other.is_older_than(self)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RemovedEntry:
+class RemovedEntry(Struct, kw_only=True, frozen=True):
     """The last known entry of a server that was removed, and when."""
 
     entry: RegisteredServer
     at: float
 
 
-@dataclass(slots=True, kw_only=True)
-class HeldEntry:
+class HeldEntry(Struct, kw_only=True):
     """An entry that is back after its removal but is not newer than the removed one.
 
     :param since: when it was first seen by ``Directory.expire``; None before
@@ -97,16 +98,14 @@
     GONE = "gone"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class DirectoryChange:
+class DirectoryChange(Struct, kw_only=True, frozen=True):
     """A change of one server, for the log and for routing."""
 
     server: str
     change: DirectoryChangeKind
 
 
-@dataclass(slots=True, kw_only=True)
-class Directory:
+class Directory(Struct, kw_only=True):
     """The registered servers, and those of each service that may get new work (``usable``).
 
     A server whose entry is removed is dropped at once, except shortly after an outage of the store.
@@ -118,13 +117,13 @@
     unusable.
     """
 
-    servers: dict[str, RegisteredServer] = field(default_factory=dict)
-    usable: dict[str, tuple[str, ...]] = field(default_factory=dict)
-    unconfirmed: set[str] = field(default_factory=set)
-    misdirected: set[str] = field(default_factory=set)
-    removed: dict[str, RemovedEntry] = field(default_factory=dict)
-    held: dict[str, HeldEntry] = field(default_factory=dict)
-    evacuations: Evacuations = field(default_factory=Evacuations)
+    servers: dict[str, RegisteredServer] = struct_field(default_factory=dict)
+    usable: dict[str, tuple[str, ...]] = struct_field(default_factory=dict)
+    unconfirmed: set[str] = struct_field(default_factory=set)
+    misdirected: set[str] = struct_field(default_factory=set)
+    removed: dict[str, RemovedEntry] = struct_field(default_factory=dict)
+    held: dict[str, HeldEntry] = struct_field(default_factory=dict)
+    evacuations: Evacuations = struct_field(default_factory=Evacuations)
     confirmation_deadline: float = float("-inf")
 
     def holders(self, now: float, holding: Holding) -> tuple[str, ...]:  # noqa: ARG002
--- a/packages/azurefield/src/azurefield/edge_admission.py
+++ b/packages/azurefield/src/azurefield/edge_admission.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from azurefield.overload import DELAYED_STEPS, LoopLag
 from azurefield.sharing import RequestClass, SharedAdmission
 
@@ -29,8 +30,7 @@
     LATE = "late"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class EdgeRefusal:
+class EdgeRefusal(Struct, kw_only=True, frozen=True):
     """A request is refused, and nothing of it has run.
 
     :param retry_after_s: when its caller should return
@@ -42,8 +42,7 @@
     late_s: float
 
 
-@dataclass(slots=True, kw_only=True)
-class EdgeAdmission:
+class EdgeAdmission(Struct, kw_only=True):
     """Accepts or refuses the requests of callers, by how late the event loop is.
 
     Protects against more requests of callers than the process handles in time, also of one
--- a/packages/azurefield/src/azurefield/evacuations.py
+++ b/packages/azurefield/src/azurefield/evacuations.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import inf
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -13,8 +14,7 @@
 LOST_REQUEST_HOLD_S = 6.0
 
 
-@dataclass(slots=True, kw_only=True)
-class Evacuations:
+class Evacuations(Struct, kw_only=True):
     """The evacuated zones.
 
     Each method that changes them returns the zones that are no longer evacuated, or that now are.
--- a/packages/azurefield/src/azurefield/explanation.py
+++ b/packages/azurefield/src/azurefield/explanation.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
 from enum import StrEnum
 from typing import TYPE_CHECKING, Annotated
 
 import msgspec
+from msgspec import Struct
+from msgspec.structs import fields
 from result import Err, Ok, Result
 
 from azurefield.crash_evidence import Standing
@@ -23,8 +24,7 @@
 HTTP_METHOD = r"^[A-Za-z]{1,32}$"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ExplainQuery:
+class ExplainQuery(Struct, kw_only=True, frozen=True):
     """The request that is asked about.
 
     :param path: path and query
@@ -69,8 +69,7 @@
     NOWHERE = "nowhere"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ExpectedRefusal:
+class ExpectedRefusal(Struct, kw_only=True, frozen=True):
     """Why a request would be refused now.
 
     :param retry_after_ms: when it may be sent again; None if that is useless, or not known
@@ -81,8 +80,7 @@
     retry_after_ms: float | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MatchedRoute:
+class MatchedRoute(Struct, kw_only=True, frozen=True):
     """The route of a request.
 
     :param needs_key: whether requests need the key of a workspace; not on public routes, nor while
@@ -104,8 +102,7 @@
     allowed_regions: tuple[str, ...] | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QuotaShare:
+class QuotaShare(Struct, kw_only=True, frozen=True):
     """One share of a workspace's quota.
 
     :param issuer: the instance that issues it; None if none is known
@@ -123,8 +120,7 @@
     tokens: float | None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MatchedWorkspace:
+class MatchedWorkspace(Struct, kw_only=True, frozen=True):
     """The workspace of a request.
 
     :param priority: decides before the priority of the route; None to keep that one
@@ -157,8 +153,7 @@
     FARTHER = "nearer-coordinators-first"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Obstacle:
+class Obstacle(Struct, kw_only=True, frozen=True):
     """One reason against a candidate.
 
     :param for_ms: how long it lasts; None if that is not known
@@ -168,8 +163,7 @@
     for_ms: float | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class InstanceCandidate:
+class InstanceCandidate(Struct, kw_only=True, frozen=True):
     """An instance that could run the request.
 
     :param may_be_chosen: whether the first attempt may go there
@@ -186,8 +180,7 @@
     expected_ms: float
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ConnectionCounts:
+class ConnectionCounts(Struct, kw_only=True, frozen=True):
     """The connections of this instance to one server.
 
     :param idle: those that are free
@@ -201,8 +194,7 @@
     waiting: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServerCandidate:
+class ServerCandidate(Struct, kw_only=True, frozen=True):
     """A backend server that could run a call of the request.
 
     :param may_be_chosen: whether the first call may go there
@@ -232,8 +224,7 @@
     connections: ConnectionCounts
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceCandidates:
+class ServiceCandidates(Struct, kw_only=True, frozen=True):
     """The servers of one service, or of one shard, the best first.
 
     :param called: whether the request would call it; of weighted services, it calls the next one
@@ -248,8 +239,7 @@
     left_out: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ForwardedRequests:
+class ForwardedRequests(Struct, kw_only=True, frozen=True):
     """What this instance would reply if another one forwarded the request to it.
 
     :param refusal: None if it would accept
@@ -258,8 +248,7 @@
     refusal: str | None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Explanation:
+class Explanation(Struct, kw_only=True, frozen=True):
     """Where a request would go, as one instance decides now.
 
     :param version: the version of the configuration in which route, workspace and rank were found;
--- a/packages/azurefield/src/azurefield/failures.py
+++ b/packages/azurefield/src/azurefield/failures.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from azurefield.model import Outcome
 from azurefield.server_load import ServerLoad
 
@@ -49,8 +50,7 @@
 )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeafFailure:
+class LeafFailure(Struct, kw_only=True, frozen=True):
     """A leaf call that failed.
 
     ``outcome`` is ``NOT_RUN`` only if no byte of the request can have reached the backend server,
@@ -93,8 +93,7 @@
     INTERNAL = "internal"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestFailure:
+class RequestFailure(Struct, kw_only=True, frozen=True):
     """Why a request failed, and whether it may have been executed.
 
     ``field`` and ``allowed`` name the invalid input and what is allowed there. ``retry_after_s`` is
@@ -109,8 +108,7 @@
     retry_after_s: float | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ChangeConflict:
+class ChangeConflict(Struct, kw_only=True, frozen=True):
     """Another change was accepted first, so this change is not and never will be in force.
 
     The fields describe the other change; ``operator`` is None if its record can't be read.
@@ -121,23 +119,20 @@
     version: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoreBehind:
+class StoreBehind(Struct, kw_only=True, frozen=True):
     """The store holds an older version than an instance has in force, so no change is accepted."""
 
     store_version: int
     version_in_force: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ChangeNotAccepted:
+class ChangeNotAccepted(Struct, kw_only=True, frozen=True):
     """The store could not be used before the deadline; the change is certainly not accepted."""
 
     detail: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ChangeOutcomeUnknown:
+class ChangeOutcomeUnknown(Struct, kw_only=True, frozen=True):
     """It is unknown whether the change is accepted.
 
     The reply to the compare-and-swap of the head was lost, and reading the store did not show in
--- a/packages/azurefield/src/azurefield/fairness.py
+++ b/packages/azurefield/src/azurefield/fairness.py
@@ -4,10 +4,11 @@
 
 from collections import deque
 from collections.abc import Collection, Iterator, Mapping
-from dataclasses import dataclass, field
 from math import exp
 from typing import Generic, TypeVar
 
+from msgspec import Struct, field
+
 from azurefield.model import MemberShare
 
 USE_WINDOW_S = 1.0
@@ -19,8 +20,7 @@
 ItemT = TypeVar("ItemT")
 
 
-@dataclass(slots=True, kw_only=True)
-class UseMeter:
+class UseMeter(Struct, kw_only=True):
     """Exponential moving average of the cost per second of each key, over ``window_s``."""
 
     window_s: float = USE_WINDOW_S
@@ -50,8 +50,7 @@
         return {key: rate / total for key, rate in self.rates.items()} if total else {}
 
 
-@dataclass(slots=True, kw_only=True)
-class Flow(Generic[ItemT]):
+class Flow(Struct, Generic[ItemT], kw_only=True):
     """The queued items of one member with their costs.
 
     ``start_tag`` is the start tag of the first item, and ``backlog`` the cost of all items.
@@ -62,8 +61,7 @@
     items: deque[tuple[float, ItemT]] = field(default_factory=deque)
 
 
-@dataclass(slots=True, kw_only=True)
-class FairQueue(Generic[ItemT]):
+class FairQueue(Struct, Generic[ItemT], kw_only=True):
     """Start-time fair queueing (SFQ) over members.
 
     ``push`` queues an item, ``pop`` serves the member with the smallest start tag, and ``remove``
@@ -205,8 +203,7 @@
         return flow.start_tag + flow.backlog / self.weight(member)
 
 
-@dataclass(slots=True, kw_only=True)
-class ShareExchange:
+class ShareExchange(Struct, kw_only=True):
     """Adjusts local weights to the use that members have on all instances.
 
     Each instance sends ``UseMeter.rates`` in its heartbeat. ``on_report`` records the use on a
--- a/packages/azurefield/src/azurefield/floor_credits.py
+++ b/packages/azurefield/src/azurefield/floor_credits.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import exp
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,16 +18,14 @@
 CREDIT_MAX = 4.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ClassKey:
+class ClassKey(Struct, kw_only=True, frozen=True):
     """Identifies a class of queued items, whatever its weight."""
 
     priority: int
     workspace: str
 
 
-@dataclass(slots=True, kw_only=True)
-class ClassUse:
+class ClassUse(Struct, kw_only=True):
     """What a class asks and is owed.
 
     :param asked: its items that had to wait lately, each counting less with time
@@ -37,8 +36,7 @@
     credit: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True)
-class FloorCredits:
+class FloorCredits(Struct, kw_only=True):
     """Keeps a fraction of an equal service for each class.
 
     Protects the classes that an overload of others would leave unserved for as long as it lasts.
--- a/packages/azurefield/src/azurefield/hedging.py
+++ b/packages/azurefield/src/azurefield/hedging.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from msgspec import Struct
+from msgspec import field as struct_field
+
 from azurefield.retry import WindowedBudget
 
 HEDGE_QUANTILE = 0.95
@@ -103,8 +106,7 @@
         return len(recent) == self.recent_calls and slow
 
 
-@dataclass(slots=True, kw_only=True)
-class BudgetedHedging:
+class BudgetedHedging(Struct, kw_only=True):
     """Hedges after the observed p95 latency of the leaf, under a budget of extra load.
 
     ``budget`` is the number of hedges allowed per first call over time. The token bucket starts
@@ -115,7 +117,7 @@
     budget: float
     tokens_max: float = HEDGE_TOKENS_MAX
     tokens: float = 0.0
-    leafs: dict[str, LeafLatencies] = field(default_factory=dict)
+    leafs: dict[str, LeafLatencies] = struct_field(default_factory=dict)
 
     def on_first_call(self, leaf: str) -> None:  # noqa: ARG002
         """Credit one first call."""
@@ -144,8 +146,7 @@
         return True
 
 
-@dataclass(slots=True, kw_only=True)
-class SharedDelayHedging:
+class SharedDelayHedging(Struct, kw_only=True):
     """Hedges after one observed quantile for all leafs, under a budget shared with retries.
 
     It suits leafs with similar latencies: their observations are pooled, so that few requests are
--- a/packages/azurefield/src/azurefield/held_memory.py
+++ b/packages/azurefield/src/azurefield/held_memory.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Hashable
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+from msgspec import Struct, field
+
 C = TypeVar("C")
 
 LIMIT_BYTES = 48 * 1024 * 1024
 
 
-@dataclass(slots=True, kw_only=True)
-class HeldMemory(Generic[C]):
+class HeldMemory(Struct, Generic[C], kw_only=True):
     """Counts the bytes that connections hold, and chooses which gives up if there are too many.
 
     It is the one that holds most: bytes without an end outgrow the others, which go on. Bytes in
--- a/packages/azurefield/src/azurefield/instances.py
+++ b/packages/azurefield/src/azurefield/instances.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
 
-@dataclass(slots=True, kw_only=True)
-class RunningInstances:
+class RunningInstances(Struct, kw_only=True):
     """The instances that are listed in the store, or were until ``grace_s`` ago.
 
     The entry of a running instance may be missing: the instance may have failed to renew it, or the
--- a/packages/azurefield/src/azurefield/issuer_slots.py
+++ b/packages/azurefield/src/azurefield/issuer_slots.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.quota import issuer_order
 from azurefield.quota_shares import ISSUER_SLOTS
 
@@ -27,8 +28,7 @@
 RETRY_DELAY_S = 2.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SlotKey:
+class SlotKey(Struct, kw_only=True, frozen=True):
     """The key of a slot as the store holds it.
 
     :param instance: the instance that wrote it
@@ -48,8 +48,7 @@
     era_s: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SlotClaim:
+class SlotClaim(Struct, kw_only=True, frozen=True):
     """A slot to claim, by a write under the condition that its key is unchanged.
 
     :param replaced: the key that the claim replaces; None if it must not exist
@@ -64,8 +63,7 @@
         return 0 if self.replaced is None else self.replaced.revision
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SlotHold:
+class SlotHold(Struct, kw_only=True, frozen=True):
     """How an instance came to hold a slot; times are those of the clock of its lease.
 
     :param taken_at: when the store had written its claim
@@ -78,8 +76,7 @@
     start_tokens: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class SlotClaims:
+class SlotClaims(Struct, kw_only=True):
     """What one instance knows of the slots, and which ones it claims.
 
     All times are those of the event loop's clock.
--- a/packages/azurefield/src/azurefield/leaf_progress.py
+++ b/packages/azurefield/src/azurefield/leaf_progress.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Generic, TypeVar
 
+from msgspec import Struct, field
+
 from azurefield.failures import LeafFailureReason
 
 # The calls of a leaf wait for quota at most this fraction of its time; its server has the rest.
@@ -25,8 +26,7 @@
     SENT = "sent"
 
 
-@dataclass(slots=True, kw_only=True)
-class PendingCall:
+class PendingCall(Struct, kw_only=True):
     """A call that has not ended.
 
     :param sent_at: when it was sent, or began to wait
@@ -37,8 +37,7 @@
     stage: CallStage = CallStage.SENT
 
 
-@dataclass(slots=True, kw_only=True)
-class LeafProgress(Generic[A]):
+class LeafProgress(Struct, Generic[A], kw_only=True):
     """The state of one leaf of the query.
 
     ``position`` is the leaf's index in the shard map, ``ended_attempts`` the number of ended calls
--- a/packages/azurefield/src/azurefield/limits.py
+++ b/packages/azurefield/src/azurefield/limits.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.membership import HEARTBEAT_MAX_AGE_S, Heartbeat, KnownInstance
 
 if TYPE_CHECKING:
@@ -20,8 +21,7 @@
 GRANTS_KEPT_MAX = 16
 
 
-@dataclass(slots=True, kw_only=True)
-class Share:
+class Share(Struct, kw_only=True):
     """The connections of this instance to one backend server.
 
     ``claim`` is the number that the other instances must leave to this one, and ``ceiling`` the
@@ -36,16 +36,14 @@
     raise_sequence: int | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Grant:
+class Grant(Struct, kw_only=True, frozen=True):
     """The ceilings that were given to the owner of the connections, with their revision."""
 
     revision: int
     ceilings: dict[str, int]
 
 
-@dataclass(slots=True, kw_only=True)
-class OtherInstance:
+class OtherInstance(Struct, kw_only=True):
     """What this instance knows about another one.
 
     ``last_heartbeat`` is the last heartbeat received from it, ``acknowledged_sequence`` the number
@@ -59,8 +57,7 @@
     acknowledged_sequence: int = 0
 
 
-@dataclass(slots=True, kw_only=True)
-class ConnectionShares:
+class ConnectionShares(Struct, kw_only=True):
     """The connection ceilings of one instance, for all backend servers.
 
     Invariant: the ceilings of all instances for a backend server, and therefore their open
--- a/packages/azurefield/src/azurefield/loss_containment.py
+++ b/packages/azurefield/src/azurefield/loss_containment.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 # Servers that have to break off the calls of a query before its retries wait for a trial.
 LOST_SERVERS_MIN = 3
 # Trials that may be lost before the other retries are given up.
@@ -24,8 +25,7 @@
     GIVE_UP = "give_up"
 
 
-@dataclass(slots=True, kw_only=True)
-class LossContainment:
+class LossContainment(Struct, kw_only=True):
     """The lost calls of one query.
 
     :param trial: the leaf whose retry is sent first
--- a/packages/azurefield/src/azurefield/membership.py
+++ b/packages/azurefield/src/azurefield/membership.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from azurefield.snapshot import ServerState
 
 if TYPE_CHECKING:
@@ -30,8 +32,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ListedInstance:
+class ListedInstance(Struct, kw_only=True, frozen=True):
     """An entry instance in the platform's list."""
 
     name: str
@@ -40,8 +41,7 @@
     state: InstanceState
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KnownInstance:
+class KnownInstance(Struct, kw_only=True, frozen=True):
     """What one instance knows directly about another: from its heartbeats or from the list.
 
     ``incarnation`` and ``sequence`` are those of the last heartbeat received from it; they are
@@ -59,8 +59,7 @@
     ceilings: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Heartbeat:
+class Heartbeat(Struct, kw_only=True, frozen=True):
     """State that an entry instance sends to all others once a second.
 
     ``ceilings`` are the connections to each backend server that others must leave to the sender.
@@ -85,8 +84,7 @@
         return self.sequence > last.sequence
 
 
-@dataclass(slots=True, kw_only=True)
-class InstanceView:
+class InstanceView(Struct, kw_only=True):
     """The other entry instances, merged from the platform's list and from heartbeats.
 
     An instance counts while it is listed, and for ``INSTANCE_RETENTION_S`` after it was last listed
@@ -205,8 +203,7 @@
     PEER = "peer"
 
 
-@dataclass(slots=True, kw_only=True)
-class LeavingServer:
+class LeavingServer(Struct, kw_only=True):
     """The incarnations of a backend server that are leaving.
 
     ``incarnation_unknown`` is set while no source has named one; the list never does.
@@ -216,8 +213,7 @@
     incarnation_unknown: bool = True
 
 
-@dataclass(slots=True, kw_only=True)
-class LeavingServerTracker:
+class LeavingServerTracker(Struct, kw_only=True):
     """Tracks the backend servers that get no new work because a source says that they are leaving.
 
     Such a server is marked in ``leaving``. The mark is cleared when the server's status reports it
@@ -313,8 +309,7 @@
         }
 
 
-@dataclass(slots=True, kw_only=True)
-class IsolationMonitor:
+class IsolationMonitor(Struct, kw_only=True):
     """Detects that this instance can't know whether its configuration is current.
 
     This is so after ``ISOLATION_TIMEOUT_S`` without an answer of the store or a heartbeat of a
--- a/packages/azurefield/src/azurefield/merge.py
+++ b/packages/azurefield/src/azurefield/merge.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from azurefield.failures import FailureKind, LeafFailure, LeafFailureReason, RequestFailure
@@ -53,8 +53,7 @@
         """
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SnapshotMerge:
+class SnapshotMerge(Struct, kw_only=True, frozen=True):
     """Merges ranked records of one snapshot; kinds with partial answers need one leaf, others all.
 
     ``limit`` is the maximum number of records in the answer.
@@ -99,16 +98,14 @@
         )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Part:
+class Part(Struct, kw_only=True, frozen=True):
     """The opaque answer of one leaf; ``proof`` shows the caller which server it is from."""
 
     proof: str
     body: bytes
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MergedParts:
+class MergedParts(Struct, kw_only=True, frozen=True):
     """The top records of the leafs that answered, in descending order.
 
     ``proofs`` are those of the merged parts, and ``missing`` is the number of leafs without one.
@@ -119,8 +116,7 @@
     body: bytes
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class TopRecordsMerge:
+class TopRecordsMerge(Struct, kw_only=True, frozen=True):
     """Keeps the top records of parts that consist of records of a fixed size.
 
     :param top: the maximum number of records in the answer
@@ -169,8 +165,7 @@
         )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SingleAnswer(Generic[A]):
+class SingleAnswer(Struct, Generic[A], kw_only=True, frozen=True):
     """Returns the answer of the only leaf unchanged."""
 
     def check(
--- a/packages/azurefield/src/azurefield/model.py
+++ b/packages/azurefield/src/azurefield/model.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from zlib import crc32
 
+from msgspec import Struct, field
+
 HASH_SLOTS = 65_536
 
 
@@ -36,16 +37,14 @@
     RAN = "ran"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True, order=True)
-class Snapshot:
+class Snapshot(Struct, kw_only=True, frozen=True, order=True):
     """One version of the index under one version of the shard map."""
 
     index_version: int
     map_version: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeafRange:
+class LeafRange(Struct, kw_only=True, frozen=True):
     """The hash slots, both ends included, whose records a leaf holds."""
 
     leaf: str
@@ -53,8 +52,7 @@
     last_slot: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ShardMap:
+class ShardMap(Struct, kw_only=True, frozen=True):
     """Assignment of the hash slots to leafs.
 
     >>> shard_map = even_shard_map(version=1, leafs=("a", "b"))
@@ -99,8 +97,7 @@
     return ShardMap(version=version, ranges=ranges)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BackendServer:
+class BackendServer(Struct, kw_only=True, frozen=True):
     """One replica process that holds one or more leafs of a service.
 
     ``address`` is ``host:port``. ``connection_limit`` and ``slots`` limit its connections and its
@@ -116,8 +113,7 @@
     connect_cost_ms: float
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MemberShare:
+class MemberShare(Struct, kw_only=True, frozen=True):
     """A member's weight in fair queueing and its cap as a fraction of the capacity."""
 
     member: str
@@ -125,8 +121,7 @@
     cap: float = 1.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KindPolicy:
+class KindPolicy(Struct, kw_only=True, frozen=True):
     """Deadlines, priority (0 is served first) and weight of one request kind."""
 
     kind: RequestKind
@@ -136,8 +131,7 @@
     weight: float = 1.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceConfig:
+class ServiceConfig(Struct, kw_only=True, frozen=True):
     """Configuration of one service, as stored in its service document.
 
     ``hedge_budget`` and ``retry_budget`` are the numbers of hedges and retries allowed per first
@@ -161,8 +155,7 @@
         return next((share for share in self.members if share.member == name), None)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Configuration:
+class Configuration(Struct, kw_only=True, frozen=True):
     """The services of one accepted configuration version."""
 
     version: int
--- a/packages/azurefield/src/azurefield/overload.py
+++ b/packages/azurefield/src/azurefield/overload.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import ceil, log
 
+from msgspec import Struct
+
 # A process whose event loop is later than this adds more to a request than another attempt costs.
 LAG_MAX_S = 0.1
 # Steps of a request that a late event loop delays: sending its call, and reading the answer.
@@ -15,8 +16,7 @@
 LAG_DECAY = 0.5
 
 
-@dataclass(slots=True, kw_only=True)
-class LoopLag:
+class LoopLag(Struct, kw_only=True):
     """How late the event loop runs what is due, from ticks at an interval.
 
     Protects against more work than the processor time allows, a machine that is slowed by
--- a/packages/azurefield/src/azurefield/parsing_turns.py
+++ b/packages/azurefield/src/azurefield/parsing_turns.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+from msgspec import Struct, field
+
 C = TypeVar("C")
 
 # A line is at least the cost of a chunk's size or its end, some microseconds on a slow core.
@@ -20,8 +21,7 @@
     return len(data) <= SHORT_BYTES and data.count(b"\n") <= SHORT_LINES
 
 
-@dataclass(slots=True, kw_only=True)
-class ParsingTurns(Generic[C]):
+class ParsingTurns(Struct, Generic[C], kw_only=True):
     r"""Limits what is parsed in one turn, and decides whose bytes are next.
 
     Protects against a crowd that sends bodies in chunks of a few bytes: one read may
--- a/packages/azurefield/src/azurefield/partition.py
+++ b/packages/azurefield/src/azurefield/partition.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.directory import RegisteredState
 
 if TYPE_CHECKING:
@@ -33,8 +34,7 @@
 PROBES_TO_RETURN_MAX = 4
 
 
-@dataclass(slots=True, kw_only=True)
-class PartitionDetector:
+class PartitionDetector(Struct, kw_only=True):
     """What an instance knows of its partition from all servers.
 
     :param failing: the servers that accepted no connection since the last success, and when
--- a/packages/azurefield/src/azurefield/peer_selection.py
+++ b/packages/azurefield/src/azurefield/peer_selection.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.routing import OwnObservationRouter
 
 if TYPE_CHECKING:
@@ -16,8 +17,7 @@
 AVOID_S = 1.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class PeerChoice:
+class PeerChoice(Struct, kw_only=True, frozen=True):
     """The instance that should run a request.
 
     :param only: whether no other instance is left that might run it
@@ -27,8 +27,7 @@
     only: bool
 
 
-@dataclass(slots=True, kw_only=True)
-class PeerSelection:
+class PeerSelection(Struct, kw_only=True):
     """Chooses by the observed time to a result; instances of other zones have a penalty.
 
     Instances that were late are chosen only when no other is left.
--- a/packages/azurefield/src/azurefield/quarantine.py
+++ b/packages/azurefield/src/azurefield/quarantine.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
 from hashlib import sha256
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct, field
+
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 
@@ -38,16 +39,14 @@
     return sha256(canonical.encode()).hexdigest()[:32]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Conviction:
+class Conviction(Struct, kw_only=True, frozen=True):
     """The conviction of a request, to be sent to all peers; it holds for ``ttl_s``."""
 
     fingerprint: str
     ttl_s: float
 
 
-@dataclass(slots=True, kw_only=True)
-class Suspect:
+class Suspect(Struct, kw_only=True):
     """A request that was in flight on a backend server that crashed.
 
     ``lone_crashes`` counts the crashes of servers on which it ran alone; ``until`` is the time at
@@ -58,8 +57,7 @@
     until: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True)
-class InFlightCall:
+class InFlightCall(Struct, kw_only=True):
     """A leaf call that was sent and has not ended; ``alone`` if its request was a suspect."""
 
     server: str
@@ -67,8 +65,7 @@
     alone: bool
 
 
-@dataclass(slots=True, kw_only=True)
-class CrashSuspects:
+class CrashSuspects(Struct, kw_only=True):
     """The suspects, their calls and the convictions of one instance.
 
     The parameter ``request`` is the fingerprint of a request. For each request, the owner calls
--- a/packages/azurefield/src/azurefield/query_actions.py
+++ b/packages/azurefield/src/azurefield/query_actions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from msgspec import Struct
 from result import Result
 
 from azurefield.failures import RequestFailure
@@ -13,8 +13,7 @@
 R = TypeVar("R")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SendLeafCall:
+class SendLeafCall(Struct, kw_only=True, frozen=True):
     """Send one call; its answer or failure must be passed back with the same ``call_id``.
 
     :param start_by: latest time until which the call may wait for quota of a server with a limit
@@ -28,23 +27,20 @@
     start_by: float = float("inf")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CancelLeafCall:
+class CancelLeafCall(Struct, kw_only=True, frozen=True):
     """Cancel a pending call and close its connection; later events of the call are ignored."""
 
     call_id: str
     server: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WakeAt:
+class WakeAt(Struct, kw_only=True, frozen=True):
     """Call ``on_tick`` at this time; it replaces an earlier wake-up."""
 
     at: float
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Finished(Generic[R]):
+class Finished(Struct, Generic[R], kw_only=True, frozen=True):
     """The query ended; it returns no further actions."""
 
     result: Result[R, RequestFailure]
--- a/packages/azurefield/src/azurefield/query_result.py
+++ b/packages/azurefield/src/azurefield/query_result.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
 from math import inf
 from typing import Generic, TypeVar
 
+from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.failures import LeafFailureReason, RequestFailure
@@ -22,8 +23,7 @@
 R = TypeVar("R")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ResultBuilder(Generic[A, R]):
+class ResultBuilder(Struct, Generic[A, R], kw_only=True, frozen=True):
     """Builds the result of a query that has ended, by its leafs' progress."""
 
     merge: MergePolicy[A, R]
--- a/packages/azurefield/src/azurefield/query_timers.py
+++ b/packages/azurefield/src/azurefield/query_timers.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from typing import Any
 
+from msgspec import Struct, field
+
 from azurefield.leaf_progress import LeafProgress
 
 
-@dataclass(slots=True, kw_only=True)
-class QueryTimers:
+class QueryTimers(Struct, kw_only=True):
     """The due times of all leafs of one query; those of settled leafs are dropped when they come.
 
     :param progress: the state of each leaf, in shard-map order
--- a/packages/azurefield/src/azurefield/quota.py
+++ b/packages/azurefield/src/azurefield/quota.py
@@ -12,10 +12,11 @@
 from __future__ import annotations
 
 from collections.abc import Hashable
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.server_limits import NO_LIMIT, NamedLimit
 
 if TYPE_CHECKING:
@@ -35,8 +36,7 @@
 UNUSED_MAX_S = 60.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QuotaRequest:
+class QuotaRequest(Struct, kw_only=True, frozen=True):
     """A call that an instance is about to send; times are those of the issuer's clock.
 
     :param key: identifies the request at the issuer
@@ -52,8 +52,7 @@
     start_by: float
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QuotaGranted:
+class QuotaGranted(Struct, kw_only=True, frozen=True):
     """The call may be sent.
 
     :param limit_ended: whether the server no longer names a limit
@@ -63,8 +62,7 @@
     limit_ended: bool = False
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QuotaDenied:
+class QuotaDenied(Struct, kw_only=True, frozen=True):
     """The call can't be sent in time.
 
     :param wait_s: time after which a token is expected for a call of the same priority
@@ -77,8 +75,7 @@
 QuotaDecision = QuotaGranted | QuotaDenied
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerQuota:
+class ServerQuota(Struct, kw_only=True):
     """The token bucket of one server, with the requests that wait for a token.
 
     :param fraction: the part of the limit that this issuer issues
@@ -116,8 +113,7 @@
         return missing / self.rate_per_s if missing > ROUNDING_TOLERANCE else 0.0
 
 
-@dataclass(slots=True, kw_only=True)
-class QuotaQueue:
+class QuotaQueue(Struct, kw_only=True):
     """Issues the tokens of servers: to the most urgent calls first, and at once where possible.
 
     A request whose token is not expected in time is denied at once. The owner withdraws a request
--- a/packages/azurefield/src/azurefield/quota_shares.py
+++ b/packages/azurefield/src/azurefield/quota_shares.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import floor
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from azurefield.quota import issuer_order
 
 if TYPE_CHECKING:
@@ -28,8 +29,7 @@
 START_FRACTION = 0.25
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QuotaBounds:
+class QuotaBounds(Struct, kw_only=True, frozen=True):
     """What a deployment tolerates beyond the quota of a workspace.
 
     :param window_s: length of the windows in which requests are counted
@@ -47,8 +47,7 @@
         return allowed * (1 + self.overage) + self.slack
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ShareLimit:
+class ShareLimit(Struct, kw_only=True, frozen=True):
     """The token bucket of each share of one quota.
 
     :param shares: number of shares
--- a/packages/azurefield/src/azurefield/reachability.py
+++ b/packages/azurefield/src/azurefield/reachability.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Protocol
 
+from msgspec import Struct, field
+
 
 class ConnectObserver(Protocol):
     """Is notified of each attempt to open a connection to a server."""
@@ -16,8 +17,7 @@
         """Record that a server has not accepted a connection."""
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerContacts:
+class ServerContacts(Struct, kw_only=True):
     """When servers last accepted a connection, and when they last showed that they were up.
 
     :param opened_at: when a server last accepted a connection
--- a/packages/azurefield/src/azurefield/relay_tree.py
+++ b/packages/azurefield/src/azurefield/relay_tree.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 # With two, the followers of one can switch to the other when it is lost.
 RELAYS_PER_ZONE = 2
@@ -17,8 +17,7 @@
 ZONE_INSTANCES_MIN = 5
 
 
-@dataclass(slots=True, kw_only=True)
-class RelayTree:
+class RelayTree(Struct, kw_only=True):
     """The instances that can relay changes, as one instance knows them.
 
     Instances with different views may follow each other in a circle. The age of what they relay
--- a/packages/azurefield/src/azurefield/residency.py
+++ b/packages/azurefield/src/azurefield/residency.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.directory import Directory
 from azurefield.routes import ShardSet
 
@@ -14,8 +15,7 @@
     from azurefield.snapshot import Holding
 
 
-@dataclass(slots=True, kw_only=True)
-class Residency:
+class Residency(Struct, kw_only=True):
     """Decides which zones the body of a request may be sent to.
 
     :param regions: the region of each availability zone
@@ -55,8 +55,7 @@
         return named - frozenset(self.regions.values())
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class AllowedHolders:
+class AllowedHolders(Struct, kw_only=True, frozen=True):
     """Lists only servers in some regions, for all calls of a request."""
 
     directory: Directory
--- a/packages/azurefield/src/azurefield/retry.py
+++ b/packages/azurefield/src/azurefield/retry.py
@@ -4,9 +4,10 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import Struct, field
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -28,8 +29,7 @@
         """Spend one further call to a leaf if the budget allows it; return whether it did."""
 
 
-@dataclass(slots=True, kw_only=True)
-class RetryBudget:
+class RetryBudget(Struct, kw_only=True):
     """Token bucket for all leafs of a service, refilled by first attempts and spent by retries.
 
     ``ratio`` is the number of retries allowed per first attempt over time. The bucket starts full,
@@ -56,8 +56,7 @@
         return True
 
 
-@dataclass(slots=True, kw_only=True)
-class WindowCount:
+class WindowCount(Struct, kw_only=True):
     """First and further calls to one leaf within the window, counted per time slice."""
 
     slices: deque[list[float]] = field(default_factory=deque)
@@ -81,8 +80,7 @@
             self.further -= further
 
 
-@dataclass(slots=True, kw_only=True)
-class WindowedBudget:
+class WindowedBudget(Struct, kw_only=True):
     """Limits further calls to a leaf, in any window, to a ratio of the first calls in that window.
 
     Each instance applies the ratio to its own first calls. The sum over all instances therefore
--- a/packages/azurefield/src/azurefield/routes.py
+++ b/packages/azurefield/src/azurefield/routes.py
@@ -2,27 +2,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from azurefield.workspaces import Workspace, WorkspaceKeys
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SingleService:
+class SingleService(Struct, kw_only=True, frozen=True):
     """All requests go to one service."""
 
     service: str
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WeightedServices:
+class WeightedServices(Struct, kw_only=True, frozen=True):
     """Each request goes to one of several services, in proportion to their weights."""
 
     weights: tuple[tuple[str, float], ...]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ShardSet:
+class ShardSet(Struct, kw_only=True, frozen=True):
     """Each request goes to all services, which are shards of one index.
 
     :param top: the maximum number of records in the answer
@@ -37,8 +35,7 @@
 Target = SingleService | WeightedServices | ShardSet
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Route:
+class Route(Struct, kw_only=True, frozen=True):
     """How the requests of one host and path prefix are handled.
 
     :param idempotent: whether a request may run more than once
@@ -74,8 +71,7 @@
                 return shards
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceLimits:
+class ServiceLimits(Struct, kw_only=True, frozen=True):
     """The limits of one server of a service.
 
     :param connections_max: the maximum number of open connections from all callers together
@@ -89,8 +85,7 @@
     warmup_rate_per_s: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CallerLimits:
+class CallerLimits(Struct, kw_only=True, frozen=True):
     """The limits on the requests and connections of callers."""
 
     header_bytes_max: int = 16_384
@@ -99,8 +94,7 @@
     idle_timeout_s: float = 60.0
 
 
-@dataclass(slots=True, kw_only=True)
-class RouteTable:
+class RouteTable(Struct, kw_only=True):
     """All routes of one version, found by host and longest prefix, and its workspaces.
 
     :param workspaces: None if the version has no workspaces, so that no request needs a key
@@ -207,8 +201,7 @@
     return first & second
 
 
-@dataclass(slots=True, kw_only=True)
-class WeightedRoundRobin:
+class WeightedRoundRobin(Struct, kw_only=True):
     """Distributes the requests of weighted routes by smooth weighted round robin.
 
     Each instance keeps the proportions for its own requests, so the sum over all instances keeps
--- a/packages/azurefield/src/azurefield/routing.py
+++ b/packages/azurefield/src/azurefield/routing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from random import Random
 from statistics import median
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import Struct, field
+
 from azurefield.call_result import FAILURE_RESULTS, CallResult
 from azurefield.server_pace import FixedRamp, ServerPace
 from azurefield.server_view import DEFAULT_LATENCY_S, ServerView
@@ -54,8 +55,7 @@
         """Record the load that a server has reported in an answer."""
 
 
-@dataclass(slots=True, kw_only=True)
-class RoundRobinRouter:
+class RoundRobinRouter(Struct, kw_only=True):
     """Round robin within each set of candidates; the baseline for comparisons."""
 
     positions: dict[tuple[str, ...], int] = field(default_factory=dict)
@@ -85,8 +85,7 @@
         """Do nothing."""
 
 
-@dataclass(slots=True, kw_only=True)
-class OwnObservationRouter:
+class OwnObservationRouter(Struct, kw_only=True):
     """Power of d choices by outstanding calls times the latency observed by this instance.
 
     A server that has stalled or is in backoff after a failed call gets no calls while another
--- a/packages/azurefield/src/azurefield/served_ratio.py
+++ b/packages/azurefield/src/azurefield/served_ratio.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import ceil
 
+from msgspec import Struct, field
+
 # The ratios cover the time since the last but one of these periods began.
 PERIOD_S = 30.0
 # Fewer requests of a workspace say little about how it is served.
@@ -12,16 +13,14 @@
 WORST_FRACTION = 0.1
 
 
-@dataclass(slots=True, kw_only=True)
-class RequestCount:
+class RequestCount(Struct, kw_only=True):
     """Requests of one workspace in one period."""
 
     asked: int = 0
     served: int = 0
 
 
-@dataclass(slots=True, kw_only=True)
-class ServedRatios:
+class ServedRatios(Struct, kw_only=True):
     """Counts the requests of each workspace in this period and in the one before.
 
     >>> ratios = ServedRatios()
--- a/packages/azurefield/src/azurefield/server_check.py
+++ b/packages/azurefield/src/azurefield/server_check.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from azurefield.directory import RegisteredState
 
 if TYPE_CHECKING:
@@ -34,8 +35,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CheckRound:
+class CheckRound(Struct, kw_only=True, frozen=True):
     """One round of connections.
 
     :param reached: whether the checked server accepted one
--- a/packages/azurefield/src/azurefield/server_choice.py
+++ b/packages/azurefield/src/azurefield/server_choice.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
+from msgspec import Struct
+
 from azurefield.model import Snapshot
 from azurefield.routing import Router
 from azurefield.snapshot import Holding
@@ -28,8 +29,7 @@
         """Return when a call may get a token; minus infinity if nothing speaks against it."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServerChoice:
+class ServerChoice(Struct, kw_only=True, frozen=True):
     """Chooses among the servers of one snapshot; a server is open if it may be called now."""
 
     snapshot: Snapshot
--- a/packages/azurefield/src/azurefield/server_limits.py
+++ b/packages/azurefield/src/azurefield/server_limits.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, field
 from math import inf
 
+from msgspec import Struct, field
+
 # Value of a limit, in requests per second, of a server that names none.
 NO_LIMIT = inf
 WRITTEN_LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -22,8 +23,7 @@
     return float(limit) if WRITTEN_LIMIT.fullmatch(limit) else None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class NamedLimit:
+class NamedLimit(Struct, kw_only=True, frozen=True):
     """The limit that a server named last.
 
     :param per_s: requests per second that the server takes from all instances together;
@@ -35,8 +35,7 @@
     named_at: float
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerLimits:
+class ServerLimits(Struct, kw_only=True):
     """The servers that have a limit; it holds as long as their answers name it.
 
     :param denied_until: when a token is expected, by server and priority of the denied call
@@ -100,8 +99,7 @@
         self.logged.pop(server, None)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RouteServerLimits:
+class RouteServerLimits(Struct, kw_only=True, frozen=True):
     """The servers' limits as they concern the calls of one route.
 
     :param priority: priority of the calls, 0 first
--- a/packages/azurefield/src/azurefield/server_load.py
+++ b/packages/azurefield/src/azurefield/server_load.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # A report counts fully when it arrives, and less with its age until it counts no more.
 REPORT_AGE_MAX_S = 0.25
@@ -19,8 +20,7 @@
 WRITTEN_LOAD = re.compile(r"([0-9]{1,6}),([0-9]{1,6}),([0-9]{1,6})(?:,([0-9]{1,6}))?")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ServerLoad:
+class ServerLoad(Struct, kw_only=True, frozen=True):
     """What a server reports of itself.
 
     :param running: requests that it runs, of all instances
@@ -59,8 +59,7 @@
     return ServerLoad(running=running, waiting=waiting, slots=slots, slowness=percent / PERCENT)
 
 
-@dataclass(slots=True, kw_only=True)
-class ReportedLoad:
+class ReportedLoad(Struct, kw_only=True):
     """What one server has reported, as a factor of its observed latency.
 
     :param at: when the last report arrived
--- a/packages/azurefield/src/azurefield/server_pace.py
+++ b/packages/azurefield/src/azurefield/server_pace.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import inf
 from typing import Protocol
 
+from msgspec import Struct, field
+
 from azurefield.call_result import FAILURE_RESULTS, UNSENT_RESULTS, CallResult
 
 SHARE_MIN = 0.1
@@ -22,8 +23,7 @@
 HOLD_S = 0.5
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class CompletedRise:
+class CompletedRise(Struct, kw_only=True, frozen=True):
     """A server that gets its usual calls again.
 
     :param took_s: time since its rise began
@@ -64,8 +64,7 @@
         """Return and drop the completed rises, except those that take a fixed time."""
 
 
-@dataclass(slots=True, kw_only=True)
-class FixedRamp:
+class FixedRamp(Struct, kw_only=True):
     """The share rises evenly, whatever the server answers.
 
     :param begun_at: when the rise of each server began
@@ -103,8 +102,7 @@
         return []
 
 
-@dataclass(slots=True, kw_only=True)
-class Rise:
+class Rise(Struct, kw_only=True):
     """The rise of one server.
 
     :param begun_at: when it began
@@ -163,8 +161,7 @@
         self.restart_evidence(now)
 
 
-@dataclass(slots=True, kw_only=True)
-class AdaptivePace:
+class AdaptivePace(Struct, kw_only=True):
     """The share follows the server's answers.
 
     It doubles while most answers are good, and is halved after refusals, failures and time-outs.
--- a/packages/azurefield/src/azurefield/server_view.py
+++ b/packages/azurefield/src/azurefield/server_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from azurefield.server_load import ReportedLoad, ServerLoad
 
@@ -28,8 +28,7 @@
 STALL_SILENCE_MIN_S = 0.03
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerView:
+class ServerView(Struct, kw_only=True):
     """What one instance observed of one backend server.
 
     :param usual_s: median latency of its leaf's servers when it was last chosen; None if unknown
--- a/packages/azurefield/src/azurefield/sharing.py
+++ b/packages/azurefield/src/azurefield/sharing.py
@@ -4,11 +4,12 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from itertools import accumulate
 from math import exp, inf
 from typing import TYPE_CHECKING, Generic, TypeVar
 
+from msgspec import Struct, field
+
 from azurefield.fairness import FairQueue
 from azurefield.floor_credits import ClassKey, FloorCredits
 
@@ -50,8 +51,7 @@
 ItemT = TypeVar("ItemT")
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestClass:
+class RequestClass(Struct, kw_only=True, frozen=True):
     """Requests that are treated alike.
 
     :param priority: 0 first
@@ -76,8 +76,7 @@
         return cls(priority=priority, workspace=workspace.name, weight=weight)
 
 
-@dataclass(slots=True, kw_only=True)
-class SharedQueue(Generic[ItemT]):
+class SharedQueue(Struct, Generic[ItemT], kw_only=True):
     """Queues items by priority, then by start-time fair queueing over workspaces, then by arrival.
 
     Once a workspace has queued items, each class keeps a floor: a class that was served less goes
@@ -247,8 +246,7 @@
     return granted
 
 
-@dataclass(slots=True, kw_only=True)
-class SharedAdmission:
+class SharedAdmission(Struct, kw_only=True):
     """Accepts the requests of a process that is busy: by priority, then by workspaces' weights.
 
     Protects against more requests than the process runs in time, also from one workspace
--- a/packages/azurefield/src/azurefield/slot_lease.py
+++ b/packages/azurefield/src/azurefield/slot_lease.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from azurefield.issuer_slots import SlotClaim, SlotHold, SlotKey
 from azurefield.quota_shares import CLOCK_RATE_ERROR
 from azurefield.store_position import eras_differ
@@ -19,8 +21,7 @@
 LEASE_MARGIN_FRACTION = 0.01
 
 
-@dataclass(slots=True, kw_only=True)
-class SlotLease:
+class SlotLease(Struct, kw_only=True):
     """The lease of one instance and the slots that it holds under it.
 
     All times are of a clock that also counts while the machine is suspended.
--- a/packages/azurefield/src/azurefield/snapshot.py
+++ b/packages/azurefield/src/azurefield/snapshot.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
+from msgspec import Struct, field
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.failures import LeafFailure, LeafFailureReason
@@ -25,16 +26,14 @@
     LEAVING = "leaving"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Holding:
+class Holding(Struct, kw_only=True, frozen=True):
     """A leaf that a backend server can serve at one snapshot."""
 
     leaf: str
     snapshot: Snapshot
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StatusReport:
+class StatusReport(Struct, kw_only=True, frozen=True):
     """The status that a backend server reported; ``load`` is between 0 and 1 and only a hint.
 
     ``incarnation`` changes with every start of the server, so that a restarted server no longer
@@ -49,8 +48,7 @@
     maps: tuple[ShardMap, ...]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class SnapshotChoice:
+class SnapshotChoice(Struct, kw_only=True, frozen=True):
     """The snapshot of one query, its shard map and the leafs held by at least one usable server."""
 
     snapshot: Snapshot
@@ -63,8 +61,7 @@
         return self.held_leafs.issuperset(self.shard_map.leafs)
 
 
-@dataclass(slots=True, kw_only=True)
-class HoldingsTable:
+class HoldingsTable(Struct, kw_only=True):
     """Records which backend server holds which leaf at which snapshot.
 
     A report that is not renewed within ``max_age_s`` expires. A shard-map version that two servers
@@ -196,8 +193,7 @@
     )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Record:
+class Record(Struct, kw_only=True, frozen=True):
     """One search result; records are merged by descending rank, then by key."""
 
     key: str
@@ -205,8 +201,7 @@
     fields: dict[str, Any]
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeafAnswer:
+class LeafAnswer(Struct, kw_only=True, frozen=True):
     """A leaf's answer, with the call, leaf and snapshot that the server echoed."""
 
     call_id: str
@@ -233,16 +228,14 @@
     return LeafFailure(reason=reason, outcome=Outcome.MAY_HAVE_RUN)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MissingLeaf:
+class MissingLeaf(Struct, kw_only=True, frozen=True):
     """A leaf of the snapshot's shard map whose records are not in the answer, and why."""
 
     leaf: str
     reason: LeafFailureReason
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Coverage:
+class Coverage(Struct, kw_only=True, frozen=True):
     """How many leafs of the snapshot's shard map an answer covers."""
 
     leafs_total: int
@@ -255,8 +248,7 @@
         return self.leafs_covered / self.leafs_total if self.leafs_total else 0.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class MergedAnswer:
+class MergedAnswer(Struct, kw_only=True, frozen=True):
     """The answer of one query, all records from one snapshot."""
 
     snapshot: Snapshot
--- a/packages/azurefield/src/azurefield/store_position.py
+++ b/packages/azurefield/src/azurefield/store_position.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 ERA = re.compile(r"[0-9]{1,18}")
 
 
@@ -40,8 +41,7 @@
     OUTDATED = "outdated"
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StorePosition:
+class StorePosition(Struct, kw_only=True, frozen=True):
     """A revision of a store in one era.
 
     :param era: None if the store names none
--- a/packages/azurefield/src/azurefield/warmup_limits.py
+++ b/packages/azurefield/src/azurefield/warmup_limits.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from math import inf
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from azurefield.routes import ServiceLimits
 from azurefield.server_limits import NamedLimit
 
@@ -18,8 +19,7 @@
 ISSUED_FRACTION = 0.5
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WarmupBound:
+class WarmupBound(Struct, kw_only=True, frozen=True):
     """How many requests a server that warms up may get in any second.
 
     :param rate_factor: factor on the rate that its service names
@@ -34,8 +34,7 @@
         return per_s * self.rate_factor + self.extra_requests
 
 
-@dataclass(slots=True, kw_only=True)
-class WarmupLimits:
+class WarmupLimits(Struct, kw_only=True):
     """The servers that warm up, and the rate at which each may be called meanwhile.
 
     The end of a warm-up counts from the arrival of the entry that told of it, so it is late by the
--- a/packages/azurefield/src/azurefield/workspace_quota.py
+++ b/packages/azurefield/src/azurefield/workspace_quota.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from azurefield.issuer_slots import SlotHold
 from azurefield.quota import ROUNDING_TOLERANCE, QuotaDenied, QuotaGranted
 from azurefield.quota_shares import QuotaBounds, ShareLimit, share_limit, share_slots
@@ -22,8 +24,7 @@
 TOKENS_TO_GRANT = 1.0 - ROUNDING_TOLERANCE
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ShareRequest:
+class ShareRequest(Struct, kw_only=True, frozen=True):
     """A request of a workspace is about to be dispatched.
 
     :param slot: the issuer slot of the share
@@ -36,8 +37,7 @@
     version: int
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class QuotaNotIssued:
+class QuotaNotIssued(Struct, kw_only=True, frozen=True):
     """The asked instance does not hold the issuer slot.
 
     :param replied: whether the instance runs, so that it may be about to take the slot over
@@ -49,8 +49,7 @@
 TokenDecision = QuotaGranted | QuotaDenied | QuotaNotIssued
 
 
-@dataclass(slots=True, kw_only=True)
-class ShareBucket:
+class ShareBucket(Struct, kw_only=True):
     """The token bucket of one share of one workspace."""
 
     limit: ShareLimit
@@ -81,8 +80,7 @@
         return QuotaDenied(key=None, wait_s=(1.0 - self.tokens) / self.limit.rate_per_s)
 
 
-@dataclass(slots=True, kw_only=True)
-class ShareIssuer:
+class ShareIssuer(Struct, kw_only=True):
     """Issues the shares of the slots that this instance holds.
 
     A bucket begins at the moment from which nobody else has issued, empty or with its start tokens,
@@ -171,8 +169,7 @@
             del self.buckets[key]
 
 
-@dataclass(slots=True, kw_only=True)
-class WorkspaceState:
+class WorkspaceState(Struct, kw_only=True):
     """What an instance knows of the shares of one workspace.
 
     :param slots: the issuer slots of the shares
@@ -200,8 +197,7 @@
         return self.denied_until.get(slot, now) > now
 
 
-@dataclass(slots=True, kw_only=True)
-class ShareChoice:
+class ShareChoice(Struct, kw_only=True):
     """Chooses the shares that the requests received by one instance ask.
 
     :param first_turn: which share is asked first; differs between instances
