--- a/packages/azurefield/src/azurefield/workspaces.py
+++ b/packages/azurefield/src/azurefield/workspaces.py
@@ -9,6 +9,8 @@
 from math import isfinite
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -19,8 +21,7 @@
 QUOTA_MAX = 1e9
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RequestQuota:
+class RequestQuota(Struct, kw_only=True, frozen=True):
     """How many requests of a workspace may run on all instances together.
 
     In any time of ``t`` seconds, these are at most ``rate_per_s * t + burst``, apart from what
@@ -46,8 +47,7 @@
         return cls(rate_per_s=min(rate_per_s, QUOTA_MAX), burst=min(burst, QUOTA_MAX))
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Workspace:
+class Workspace(Struct, kw_only=True, frozen=True):
     """A workspace of one version of the configuration.
 
     :param priority: decides before the priority of the routes, 0 first; None to keep theirs
@@ -61,8 +61,7 @@
     allowed_regions: frozenset[str] | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class KeyDigest:
+class KeyDigest(Struct, kw_only=True, frozen=True):
     """What is known of a configured key without the key itself.
 
     :param sha256: the digest of its text
@@ -81,8 +80,7 @@
         return cls(sha256=digest_of_key(key), usable=HEADER_VALUE.fullmatch(key) is not None)
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class WorkspaceEntry:
+class WorkspaceEntry(Struct, kw_only=True, frozen=True):
     """A workspace with its keys, as configured."""
 
     name: str
@@ -102,8 +100,7 @@
         )
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class LeftOutEntries:
+class LeftOutEntries(Struct, kw_only=True, frozen=True):
     """How many entries of a configuration give no access because they can't be used.
 
     :param workspaces: workspaces whose name can't be used or is given twice
--- a/packages/azurefield/tests/configuration/test_acceptance.py
+++ b/packages/azurefield/tests/configuration/test_acceptance.py
@@ -53,7 +53,6 @@
 
 
 class ReportsALostReplyAsNotAccepted(AcceptChange):
-    __slots__ = ()
 
     def on_failure(self, now: float, failed: StoreFailed) -> list[AcceptanceAction]:
         if isinstance(failed.action, CompareAndSwapHead):
@@ -62,7 +61,6 @@
 
 
 class ReportsEveryConflictAsLost(AcceptChange):
-    __slots__ = ()
 
     def search_chain(self, now: float, head: HeadSeen) -> list[AcceptanceAction]:
         if head == self.base:
@@ -71,7 +69,6 @@
 
 
 class WritesTheRecordLast(AcceptChange):
-    __slots__ = ()
 
     def put_record_if_ready(self) -> list[AcceptanceAction]:
         return [] if self.unwritten else self.swap_head()
--- a/packages/azurefield/tests/configuration/test_adoption.py
+++ b/packages/azurefield/tests/configuration/test_adoption.py
@@ -17,7 +17,6 @@
 
 
 class AdoptsAnyVersion(ConfigAdoption):
-    __slots__ = ()
 
     @property
     def version(self) -> int:
@@ -25,7 +24,6 @@
 
 
 class NeverWritesBack(ConfigAdoption):
-    __slots__ = ()
 
     def on_older_store(
         self, now: float, revision: int | None  # noqa: ARG002
@@ -34,7 +32,6 @@
 
 
 class IgnoresPeers(ConfigAdoption):
-    __slots__ = ()
 
     def fetch_from_best_peer(self, now: float) -> list[AdoptionAction]:  # noqa: ARG002
         return []
--- a/packages/azurefield/tests/test_booking.py
+++ b/packages/azurefield/tests/test_booking.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from azurefield.booking import (
--- a/packages/azurefield/tests/test_failure_memory.py
+++ b/packages/azurefield/tests/test_failure_memory.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
 import pytest
 
-from azurefield import server_view
+from azurefield import routing, server_view
 from azurefield.call_result import CallResult
 from azurefield.routing import OwnObservationRouter
 
@@ -104,11 +105,7 @@
 ) -> None:
     """Shows that the bounds above find weakened copies of the decision."""
     monkeypatch.setattr(server_view.ServerView, "lengthen_failure_memory", lambda *_: None)
-    original = server_view.ServerView.__init__
-
-    def init(self: server_view.ServerView, **fields: object) -> None:
-        original(self, **({"failure_half_life_s": half_life_s} | fields))  # type: ignore[arg-type]
-
-    monkeypatch.setattr(server_view.ServerView, "__init__", init)
+    fixed = partial(server_view.ServerView, failure_half_life_s=half_life_s)
+    monkeypatch.setattr(routing, "ServerView", fixed)
     outcome = play(fault)
     assert outcome.lost >= LOST_MAX or outcome.left_zone >= LEFT_ZONE_MAX
--- a/packages/azurefield/tests/test_membership.py
+++ b/packages/azurefield/tests/test_membership.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.membership import (
     HEARTBEAT_MAX_AGE_S,
--- a/packages/azurefield/tests/test_query_differential.py
+++ b/packages/azurefield/tests/test_query_differential.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 import azurefield.merge as merge_module
--- a/packages/azurefield/tests/test_residency.py
+++ b/packages/azurefield/tests/test_residency.py
@@ -131,8 +131,6 @@
 class UnknownZonesAllowed(Residency):
     """A weakened copy: it lets zones without a known region pass."""
 
-    __slots__ = ()
-
     def allows(self, zone: str, allowed: frozenset[str] | None) -> bool:
         return zone not in self.regions or Residency.allows(self, zone, allowed)
 
--- a/packages/azurefield/tests/test_routes.py
+++ b/packages/azurefield/tests/test_routes.py
@@ -1,8 +1,7 @@
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from azurefield.routes import CallerLimits, Route, RouteTable, SingleService, WeightedRoundRobin
 from azurefield.workspaces import Workspace, WorkspaceKeys
--- a/packages/azurefield/tests/test_server_load.py
+++ b/packages/azurefield/tests/test_server_load.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.call_result import CallResult
 from azurefield.routing import OwnObservationRouter
--- a/packages/azurefield/tests/test_sharing.py
+++ b/packages/azurefield/tests/test_sharing.py
@@ -4,11 +4,12 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from math import inf
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from azurefield.overload import LAG_MAX_S, LoopLag
 from azurefield.sharing import (
--- a/packages/azurefield/tests/test_snapshot.py
+++ b/packages/azurefield/tests/test_snapshot.py
@@ -1,11 +1,12 @@
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from azurefield.failures import LeafFailureReason
 from azurefield.model import ShardMap, Snapshot, even_shard_map
--- a/packages/azurefield/tests/test_workspace_quota.py
+++ b/packages/azurefield/tests/test_workspace_quota.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from azurefield.quota_shares import QuotaBounds, share_limit, share_slots
 from azurefield.slot_lease import SlotLease
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 from aiohttp import web
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.directory import RegisteredServer
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from aiohttp.test_utils import make_mocked_request
+from msgspec.structs import replace
 from result import Err, Ok
 
 from azurefield.failures import FailureKind, LeafFailureReason, RequestFailure
