Wait for an acceptance once more after a pause of this process

Cause: an instance that was suspended while it waited for a coordinator's acceptance took the reply, which had arrived meanwhile, as missing. The request failed as possibly run. Change: if the timeout is at least 50 ms late, what has arrived is read and waited for once more.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/forwarding.py
@@ -47,6 +47,8 @@
 # least and, without a goal, exactly the second value.
 ACCEPT_WAIT_FRACTION = 0.35
 ACCEPT_WAIT_MIN_S = 0.05
+# A timeout that is later than this was delayed by a pause of this process.
+SUSPENDED_MIN_S = 0.05
 # A result may arrive this much after the deadline of its request.
 RESULT_MARGIN_S = 0.25
 T = TypeVar("T")
@@ -332,13 +334,21 @@
 
 
 async def wait_for_acceptance(call: ForwardedCall, wait_s: float) -> Result[None, NotForwarded]:
-    """Wait until an instance accepts or refuses a request."""
-    try:
-        async with asyncio.timeout(wait_s):
-            return await asyncio.shield(call.accepted)
-    except TimeoutError:
-        detail = f"not accepted within {wait_s * 1000:.0f} ms"
-        return Err(NotForwarded(problem=ForwardProblem.UNANSWERED, detail=detail))
+    """Wait until an instance accepts or refuses a request.
+
+    If this process was suspended meanwhile, the reply may have arrived without being read, and is
+    waited for once more.
+    """
+    for _ in range(2):
+        due = now() + wait_s
+        try:
+            async with asyncio.timeout_at(due):
+                return await asyncio.shield(call.accepted)
+        except TimeoutError:
+            if now() < due + SUSPENDED_MIN_S:
+                break
+    detail = f"not accepted within {wait_s * 1000:.0f} ms"
+    return Err(NotForwarded(problem=ForwardProblem.UNANSWERED, detail=detail))
 
 
 async def wait_for_result(
--- a/packages/azurefield-entry/tests/gateway/test_silent_coordinators.py
+++ b/packages/azurefield-entry/tests/gateway/test_silent_coordinators.py
@@ -12,12 +12,15 @@
 from azurefield.coordinators import CoordinatorView, InstanceProfile
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_view import BACKOFF_BASE_S
+from azurefield_entry.gateway.peers.forward_frames import RequestAccepted
 from azurefield_entry.gateway.peers.forwarding import (
+    ForwardedCall,
     Forwarding,
     ForwardProblem,
     ForwardTarget,
     NotForwarded,
     is_silent,
+    wait_for_acceptance,
 )
 from azurefield_entry.gateway.peers.frames import Heartbeat
 from azurefield_entry.gateway.peers.framing import encode
@@ -59,6 +62,23 @@
         assert await waiting == Ok(ANSWER)
 
 
+@pytest.mark.parametrize(
+    ("pause_s", "accepted"), [(0.3, True), (0.0, False)], ids=["pause", "none"]
+)
+async def test_a_pause_of_this_process_hides_no_acceptance(pause_s: float, accepted: bool) -> None:
+    """Guards against a request that fails although its acceptance arrived during a pause."""
+    loop = asyncio.get_running_loop()
+    call = ForwardedCall(accepted=loop.create_future(), result=loop.create_future())
+    waiting = asyncio.create_task(wait_for_acceptance(call, 0.05))
+    await asyncio.sleep(0)
+    time.sleep(pause_s)  # noqa: ASYNC251 - suspends the whole process
+    if not accepted:
+        await waiting
+    await asyncio.sleep(0.02)
+    call.on_frame(RequestAccepted(number=1))
+    assert isinstance(await waiting, Ok) is accepted
+
+
 async def test_a_suspended_coordinator_does_not_count_as_having_refused() -> None:
     """Guards against a second run of requests that it runs when it continues."""
     silent = await asyncio.start_server(lambda _reader, _writer: None, "127.0.0.1", 0)
