Share the time of a planned stop between callers and other instances

Cause (by reading): front and coordinator each waited the whole finish time, one after the other: 2.4 + 3 + 3 s against a grace of 6 s, so that a process with a slow forwarded request could be killed with it. Change: a coordinator counts its time from the announcement of the stop. Measured: the new case failed before and passes now; 28 tests of forwarding and 16 of planned stops and coordinators pass.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from math import inf
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -92,7 +93,10 @@
     :param answer_share: decides on the request for a token of a workspace's quota
     :param on_crash_report: called with each crash report of another instance
     :param partitioned: whether this instance reaches no server
-    :param finish_timeout_s: how long a planned stop waits for running requests
+    :param finish_timeout_s: how long a planned stop waits for running requests after its notice
+    :param drain_notice_s: time between the begin of a planned stop and its end of the notice
+    :param finish_by: when a planned stop gives up running requests; other services finish theirs in
+        the same time
     :param load: what callers may hold together; the bodies of accepted requests count
     :param listening: whether the address is in use by this process, and so by no earlier one; not
         while a planned stop runs
@@ -108,6 +112,8 @@
     on_crash_report: Callable[[CrashReportFrame], None]
     partitioned: Callable[[], bool]
     finish_timeout_s: float
+    drain_notice_s: float = 0.0
+    finish_by: float = inf
     load: CallerLoad = field(default_factory=CallerLoad)
     draining: bool = False
     listening: bool = False
@@ -130,6 +136,7 @@
                     self.send_heartbeats()
                 case BeginDrain():
                     self.draining = True
+                    self.finish_by = now() + self.drain_notice_s + self.finish_timeout_s
                     self.listening = False
                 case Stop():
                     break
@@ -162,11 +169,12 @@
             )
 
     async def finish_running(self) -> int:
-        """Wait for the running requests, at most for ``finish_timeout_s``.
+        """Wait for the running requests, at most until ``finish_by``.
 
         :return: how many are left
         """
-        finishing = asyncio.create_task(self.activity.finish(timeout_s=self.finish_timeout_s))
+        timeout_s = min(self.finish_timeout_s, max(0.0, self.finish_by - now()))
+        finishing = asyncio.create_task(self.activity.finish(timeout_s=timeout_s))
         while not finishing.done():
             self.send_heartbeats()
             await asyncio.wait([finishing], timeout=HEARTBEAT_INTERVAL_S)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -146,6 +146,7 @@
         on_crash_report=gateway.on_crash_report_frame,
         partitioned=lambda: gateway.partition_watch.partitioned,
         finish_timeout_s=finish_timeout_s,
+        drain_notice_s=DRAIN_NOTICE_S,
         load=caller_load,
         on_share_refused=gateway.metrics.share_refusals.inc,
     )
--- a/packages/azurefield-entry/tests/gateway/test_forwarding.py
+++ b/packages/azurefield-entry/tests/gateway/test_forwarding.py
@@ -158,6 +158,21 @@
         assert await waiting == Ok(ANSWER)
 
 
+async def test_a_planned_stop_gives_up_in_the_time_that_it_was_announced_with() -> None:
+    """Guards against a stop that outlasts its grace, as each service waits after the other."""
+    async with pair(Runner()) as instances:
+        instances.coordinator.finish_timeout_s = 1.0
+        waiting = asyncio.create_task(instances.forward(request()))
+        await wait_until(lambda: bool(instances.coordinator.activity.running), what="the request")
+        instances.mailbox.send(BeginDrain())
+        # Another service finishes its own requests before this one is stopped.
+        await asyncio.sleep(1.0)
+        instances.mailbox.send(Stop())
+        async with asyncio.timeout(0.7):
+            await asyncio.shield(instances.serving)
+        assert isinstance(await waiting, Err)
+
+
 @pytest.mark.parametrize("message", [BeginDrain(), Stop()], ids=["drain", "stop"])
 async def test_a_stopping_coordinator_no_longer_counts_as_reachable(
     message: BeginDrain | Stop,
