Test crowds of callers that do not stay inside the limits

Callers that send heads, trailers or bodies and stay open take a gateway over its memory. The tests start the real process with memory_mb = 120 and compare its resident memory, with the bytes that the operating system has received for callers' connections and the process has not read, to that limit; its descriptors to max_fds; and require an ordinary request to be answered beside the crowd and after it. No test depends on times.

--- /dev/null
+++ b/tests/fleet/crowds.py
@@ -0,0 +1,213 @@
+"""Crowds of callers, and the memory and descriptors of a real gateway beside them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gateway_process import Site
+
+MEMORY_MB = 120
+DESCRIPTORS_MAX = 600
+# Descriptors that the platform reserves for files; sockets and pipes share the others.
+RESERVED_DESCRIPTORS = 200
+CALLERS = 300
+# The crowd sends for at most this time before the ordinary request.
+SENDING_S = 15.0
+ORDINARY_ANSWER_S = 60.0
+SAMPLE_INTERVAL_S = 0.05
+# Fields and the state of a listening socket in the operating system's list of sockets.
+LOCAL_ADDRESS, STATE, QUEUES = 1, 3, 4
+LISTENING = "0A"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Sending:
+    """What each caller of a crowd sends before it stops and stays open.
+
+    :param piece: written ``pieces`` times, behind the head
+    :param last: written behind the pieces
+    :param receive_bytes: what the operating system may hold of answers; None for its usual size
+    :param callers: how many callers send it
+    :param leaves: whether each caller resets its connection behind its last byte
+    """
+
+    head: bytes
+    piece: bytes = b""
+    pieces: int = 0
+    last: bytes = b""
+    receive_bytes: int | None = None
+    callers: int = CALLERS
+    leaves: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Peaks:
+    """The largest memory and number of descriptors of a process.
+
+    :param memory_mb: its resident memory, with the bytes that the operating system has received for
+        its callers' connections and it has not read
+    """
+
+    memory_mb: float = 0.0
+    unread_mb: float = 0.0
+    descriptors: int = 0
+
+    def sample(self, site: Site) -> None:
+        """Read both from the operating system; a process that has ended fails the test."""
+        assert site.process is not None
+        assert site.process.running, site.process.tail()
+        directory = Path(f"/proc/{site.process.process.pid}")
+        lines = (directory / "status").read_text().splitlines()
+        kilobytes = next(line.split()[1] for line in lines if line.startswith("VmRSS:"))
+        unread_mb = unread_bytes(site.callers) / 1_000_000
+        self.unread_mb = max(self.unread_mb, unread_mb)
+        self.memory_mb = max(self.memory_mb, int(kilobytes) / 1000 + unread_mb)
+        self.descriptors = max(self.descriptors, len([*(directory / "fd").iterdir()]))
+
+    async def sample_until_cancelled(self, site: Site) -> None:
+        """Sample at a fixed interval."""
+        while True:
+            self.sample(site)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+@asynccontextmanager
+async def sampled(site: Site) -> AsyncIterator[Peaks]:
+    """Sample the gateway process meanwhile."""
+    peaks = Peaks()
+    sampling = asyncio.create_task(peaks.sample_until_cancelled(site))
+    try:
+        yield peaks
+        peaks.sample(site)
+    finally:
+        sampling.cancel()
+    with suppress(asyncio.CancelledError):
+        await sampling
+
+
+def unread_bytes(address: str) -> int:
+    """Return the received and unread bytes of the connections at a local ``host:port``."""
+    port = f"{int(address.rpartition(':')[2]):04X}"
+    sockets = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(
+        int(fields[QUEUES].rpartition(":")[2], 16)
+        for fields in sockets
+        if fields[LOCAL_ADDRESS].endswith(f":{port}") and fields[STATE] != LISTENING
+    )
+
+
+async def send(address: str, sending: Sending, left: asyncio.Event, sent: asyncio.Event) -> None:
+    """Send as one caller of a crowd, on one connection, and keep it open until the crowd leaves."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket()
+    sock.setblocking(False)
+    if sending.receive_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, sending.receive_bytes)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        # Reading pauses after the first read of an answer.
+        _, writer = await asyncio.open_connection(sock=sock, limit=1)
+    except OSError:
+        sock.close()
+        sent.set()
+        return
+    try:
+        with suppress(ConnectionError):
+            writer.write(sending.head)
+            for _ in range(sending.pieces):
+                writer.write(sending.piece)
+                await writer.drain()
+            writer.write(sending.last)
+            await writer.drain()
+        sent.set()
+        if not sending.leaves:
+            await left.wait()
+    finally:
+        writer.transport.abort()
+
+
+@asynccontextmanager
+async def crowd_of(address: str, *sendings: Sending) -> AsyncIterator[None]:
+    """Let a crowd send, at most for ``SENDING_S``, and keep its connections open meanwhile."""
+    left = asyncio.Event()
+    sent: list[asyncio.Event] = []
+    callers = []
+    for sending in (one for one in sendings for _ in range(one.callers)):
+        sent.append(asyncio.Event())
+        callers.append(asyncio.create_task(send(address, sending, left, sent[-1])))
+    try:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SENDING_S):
+                await asyncio.gather(*(event.wait() for event in sent))
+        yield
+    finally:
+        left.set()
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+
+
+async def ordinary_request_is_answered(site: Site, name: str) -> bool:
+    """Whether an ordinary request, sent again after each failure, is answered in the end."""
+    ends = asyncio.get_running_loop().time() + ORDINARY_ANSWER_S
+    number = 0
+    while asyncio.get_running_loop().time() < ends:
+        number += 1
+        with suppress(aiohttp.ClientError, TimeoutError):
+            async with asyncio.timeout_at(ends):
+                status, _, _ = await site.call("/s/x", f"{name}-{number}", deadline_ms=5000)
+            if status == 200:
+                return True
+        await asyncio.sleep(0.1)
+    return False
+
+
+async def check_limits(
+    site: Site,
+    *sendings: Sending,
+    stay_s: float = 0.0,
+    others: tuple[Site, ...] = (),
+    descriptors_max: int = DESCRIPTORS_MAX,
+) -> None:
+    """Check a gateway's limits, and an ordinary request beside a crowd and after it.
+
+    :param stay_s: how long the crowd stays before the ordinary request
+    :param others: further gateways whose limits are checked
+    """
+    async with AsyncExitStack() as stack:
+        sampling = [await stack.enter_async_context(sampled(one)) for one in (site, *others)]
+        async with crowd_of(site.callers, *sendings):
+            await asyncio.sleep(stay_s)
+            beside = await ordinary_request_is_answered(site, "beside")
+        after = await ordinary_request_is_answered(site, "after")
+    for peaks in sampling:
+        check_peaks(peaks, beside=beside, after=after, descriptors_max=descriptors_max)
+
+
+def check_peaks(
+    peaks: Peaks, *, beside: bool, after: bool, descriptors_max: int = DESCRIPTORS_MAX
+) -> None:
+    """Check what was seen of a gateway.
+
+    :param beside: whether an ordinary request was answered beside the crowd
+    :param after: whether one was answered when the crowd had left
+    """
+    seen = (
+        f"{peaks.memory_mb:.0f} MB, {peaks.unread_mb:.0f} MB unread at most, "
+        f"{peaks.descriptors} descriptors, {beside=}, {after=}"
+    )
+    print(seen)
+    assert peaks.memory_mb < MEMORY_MB, seen
+    assert peaks.descriptors <= descriptors_max - RESERVED_DESCRIPTORS, seen
+    assert beside, seen
+    assert after, seen
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -49,6 +49,8 @@
     :param first_port: first of two ports for other instances; None for no range of ports
     :param connections_max: connections that each leaf accepts
     :param body_bytes_max: how large a caller's body may be
+    :param header_bytes_max: how large the head of a caller's request may be
+    :param timeout_ms: the timeout of the route to the service of one leaf
     :param limits: further lines of the settings' table of limits
     :param bounds: further lines of the settings' table of bounds
     """
@@ -61,6 +63,8 @@
     store_address: str = ""
     connections_max: int = 30
     body_bytes_max: int = 1000
+    header_bytes_max: int = 16384
+    timeout_ms: int = 1000
     limits: str = ""
     bounds: str = ""
     store: StoreStandIn = field(default_factory=StoreStandIn)
@@ -105,7 +109,7 @@
         gather = {"gather": ["a", "b"], "top_k": 1, "min_coverage": 0.5} | listing
         routes = (
             route("listing", "/l/", **gather),
-            route("single", "/s/", service="desk"),
+            route("single", "/s/", service="desk", timeout_ms=self.timeout_ms),
             route("order", "/o/", service="desk", route_type="unsafe"),
             route("nowhere", "/n/", service="none"),
         )
@@ -116,6 +120,7 @@
             services=services,
             connections_max=self.connections_max,
             body_bytes_max=self.body_bytes_max,
+            header_bytes_max=self.header_bytes_max,
         )
         self.store.put("op/config", entry)
 
@@ -228,11 +233,22 @@
 
 @asynccontextmanager
 async def serving(
-    directory: Path, *, limits: str = "", body_bytes_max: int = 1000
+    directory: Path,
+    *,
+    limits: str = "",
+    body_bytes_max: int = 1000,
+    header_bytes_max: int = 16384,
+    timeout_ms: int = 1000,
 ) -> AsyncIterator[Site]:
     """Run one gateway process, with further lines in the settings' table of limits."""
     PORTS.used_ports.clear()
-    site = Site(directory=directory, limits=limits, body_bytes_max=body_bytes_max)
+    site = Site(
+        directory=directory,
+        limits=limits,
+        body_bytes_max=body_bytes_max,
+        header_bytes_max=header_bytes_max,
+        timeout_ms=timeout_ms,
+    )
     async with running(site.store, *site.leafs.values()), aiohttp.ClientSession() as session:
         site.session = session
         site.put_config()
--- a/tests/fleet/standins.py
+++ b/tests/fleet/standins.py
@@ -287,6 +287,7 @@
     services: tuple[str, ...],
     connections_max: int = 30,
     body_bytes_max: int = 1000,
+    header_bytes_max: int = 16384,
 ) -> dict[str, object]:
     """Build the operator's configuration."""
     return {
@@ -303,7 +304,7 @@
             for name in services
         ],
         "limits": {
-            "max_header_bytes": 16384,
+            "max_header_bytes": header_bytes_max,
             "max_body_bytes": body_bytes_max,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
