Bound what the operating system receives for callers' connections

Callers saw nothing; the process saw up to 278 MB that it had not read, which the platform counts as its memory and kills it for. Where reading pauses (turns, bytes behind a running request) or the event loop is busy, the operating system goes on receiving up to the connection's receive buffer, 127 KB and more by default, times 900 connections.

The callers' listener now has a receive buffer of 4 KiB, doubled by the operating system, set before it listens, so that each accepted connection has it from its first byte on. A connection whose body is longer than 4 KiB gets 64 KiB (doubled) while a sixtieth of the memory has room for it; the grant ends with the connection, because an offered window can't be taken back.

Large bodies in calm are served; the time over a slow link was not measured, since loopback has no round trip.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -28,6 +29,10 @@
 PIECE_BYTES = 64 * 1024
 PIECE_LINES = 256
 SMALL_PIECE_BYTES = 2048
+# A body that is longer than this is received faster with a large buffer. The operating system
+# doubles the value, as it does with the buffer of all connections.
+SMALL_BODY_BYTES = 4096
+LARGE_BUFFER_BYTES = 64 * 1024
 # What the transport may hold of an answer before it counts as one that the caller does not read.
 UNREAD_ANSWER_BYTES = 16 * 1024
 # Stops aiohttp from logging a line per request.
@@ -169,6 +174,14 @@
         self.fed_bytes += len(data)
         super().data_received(data)
         self.count_held()
+        if self.reads_body and self.body_bytes + self.fed_bytes > SMALL_BODY_BYTES:
+            self.enlarge_buffer()
+
+    def enlarge_buffer(self) -> None:
+        """Let the operating system receive more of a large body at a time, if that is granted."""
+        if self.transport is not None and self.load.large_buffers.grant(self):
+            connected = self.transport.get_extra_info("socket")
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LARGE_BUFFER_BYTES)
 
     def postpone(self, data: bytes) -> None:
         """Keep bytes until their turn, or until the running request has been answered.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -22,7 +22,7 @@
 from azurefield_entry.gateway.ports import CallerDialect
 from azurefield_entry.gateway.service import GatewayService
 from azurefield_entry.kernel import BeginDrain, Stop
-from azurefield_entry.listener import listen
+from azurefield_entry.listener import listen, listen_for_callers
 from azurefield_entry.logs import describe_error
 
 if TYPE_CHECKING:
@@ -73,7 +73,7 @@
         readiness = web.ServerRunner(
             web.Server(self.get_readiness, access_log=None), shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        site = await listen(callers, self.address, mailbox)
+        site = await listen_for_callers(callers, self.address, mailbox)
         if site is not None:
             log.info("Listening on {}.", self.address)
         # Readiness is reported only once callers can connect.
@@ -87,6 +87,7 @@
                     self.load.set_limits(
                         memory_bytes=settings.caller_memory_bytes,
                         connections_max=settings.caller_connections_max,
+                        large_buffers_max=settings.caller_large_buffers_max,
                     )
                 case BeginDrain():
                     self.draining = True
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -8,6 +8,7 @@
 from logbook import Logger
 from msgspec import Struct, field
 
+from azurefield.buffer_grants import BufferGrants
 from azurefield.connection_limit import ConnectionLimit
 from azurefield.held_memory import LIMIT_BYTES, HeldMemory
 from azurefield.parsing_turns import ParsingTurns
@@ -25,6 +26,7 @@
 # A body is held once more in a frame to another instance.
 COPIES_IN_USE = 2
 CONNECTIONS_MAX = 4096
+LARGE_BUFFERS_MAX = 64
 # Bounds the lines of each kind, which a crowd of callers causes in any number.
 LOG_LINES_PER_S = 1.0
 log = Logger("callers")
@@ -37,6 +39,7 @@
     :param body_bytes_max: how large one body may be
     :param memory: the bytes of bodies and unread answers
     :param connections: the open connections
+    :param large_buffers: the connections whose receive buffer is large
     :param turns: the connections that wait until their bytes are parsed
     :param turn_scheduled: whether the next turn will be run
     """
@@ -48,6 +51,9 @@
     connections: ConnectionLimit[CallerConnection] = field(
         default_factory=lambda: ConnectionLimit(limit=CONNECTIONS_MAX)
     )
+    large_buffers: BufferGrants[CallerConnection] = field(
+        default_factory=lambda: BufferGrants(limit=LARGE_BUFFERS_MAX)
+    )
     turns: ParsingTurns[CallerConnection] = field(default_factory=ParsingTurns)
     turn_scheduled: bool = False
     connection_lines: LineLimit = field(
@@ -60,6 +66,7 @@
         *,
         memory_bytes: int | None = None,
         connections_max: int | None = None,
+        large_buffers_max: int | None = None,
         body_bytes_max: int | None = None,
     ) -> None:
         """Change limits; those that are None stay."""
@@ -69,6 +76,8 @@
             self.body_bytes_max = body_bytes_max
         if connections_max is not None:
             self.connections.limit = connections_max
+        if large_buffers_max is not None:
+            self.large_buffers.limit = large_buffers_max
         # A single body has room whatever the settings are.
         self.memory.limit_bytes = max(self.memory_bytes, COPIES_IN_USE * self.body_bytes_max)
 
@@ -92,6 +101,7 @@
         self.memory.release(connection)
         self.memory.end_use(connection)
         self.turns.forget(connection)
+        self.large_buffers.release(connection)
         self.connections.on_close(connection)
         self.metrics.caller_connections.set(self.connections.open_count)
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -20,6 +20,9 @@
 CONNECTION_MEMORY_FRACTION = 1 / 8
 # What a caller's connection takes with the objects of a request, a small body and a small answer.
 CALLER_CONNECTION_BYTES = 16 * 1024
+# For connections with a large receive buffer, of which the operating system may fill twice this.
+LARGE_BUFFER_MEMORY_FRACTION = 1 / 60
+LARGE_BUFFER_UNREAD_BYTES = 128 * 1024
 # Descriptors that are kept for files; sockets and pipes share the others.
 FILE_DESCRIPTORS = 200
 # The other half is for servers, the store and other instances.
@@ -101,3 +104,9 @@
             return int(fitting_memory)
         sockets = max(2.0, descriptors - FILE_DESCRIPTORS)
         return int(min(fitting_memory, CALLER_SOCKETS_FRACTION * sockets))
+
+    @property
+    def caller_large_buffers_max(self) -> int:
+        """How many connections of callers may have a large receive buffer."""
+        share = LARGE_BUFFER_MEMORY_FRACTION * self.memory_bytes
+        return max(1, int(share / LARGE_BUFFER_UNREAD_BYTES))
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -89,7 +89,9 @@
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
     caller_load = CallerLoad(metrics=metrics)
     caller_load.set_limits(
-        memory_bytes=settings.caller_memory_bytes, connections_max=settings.caller_connections_max
+        memory_bytes=settings.caller_memory_bytes,
+        connections_max=settings.caller_connections_max,
+        large_buffers_max=settings.caller_large_buffers_max,
     )
     gateway.workspace_quotas.set_bounds(settings.quota_bounds)
     finish_timeout_s = max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S)
--- a/packages/azurefield-entry/src/azurefield_entry/listener.py
+++ b/packages/azurefield-entry/src/azurefield_entry/listener.py
@@ -10,9 +10,10 @@
 from aiohttp import web
 from logbook import Logger
 
-from azurefield_entry.early_listener import BACKLOG, take_socket
+from azurefield_entry.early_listener import BACKLOG, open_callers_socket, take_socket
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Awaitable, Callable
 
     from aiohttp.web_runner import BaseRunner, BaseSite
@@ -28,20 +29,36 @@
 async def listen(runner: BaseRunner, address: str, mailbox: Mailbox) -> BaseSite | None:
     """Start a runner on ``host:port``; an IPv6 host may be in brackets.
 
-    A socket that was opened early for the address is used. While another process uses the address,
-    this waits; a predecessor may still be ending, or an outgoing connection may have the port.
+    While another process uses the address, this waits; a predecessor may still be ending, or an
+    outgoing connection may have the port.
 
     :param mailbox: the mailbox of the service that listens
     :return: the site; None if the service is stopped before
     :raises OSError: if the address can't be used for another reason
     """
     await runner.setup()
+    return await retry_while_in_use(lambda: start_site(runner, address), address, mailbox)
+
+
+async def listen_for_callers(runner: BaseRunner, address: str, mailbox: Mailbox) -> BaseSite | None:
+    """Start a runner as ``listen`` does, for connections that share what callers may use.
+
+    A socket that was opened early for the address is used.
+    """
+    await runner.setup()
     opened = take_socket(address)
     if opened is not None:
-        site = web.SockSite(runner, opened, backlog=BACKLOG)
-        await site.start()
-        return site
-    return await retry_while_in_use(lambda: start_site(runner, address), address, mailbox)
+        return await start_socket_site(runner, opened)
+    return await retry_while_in_use(
+        lambda: start_socket_site(runner, open_callers_socket(address)), address, mailbox
+    )
+
+
+async def start_socket_site(runner: BaseRunner, listener: socket.socket) -> BaseSite:
+    """Start a runner on a listening socket."""
+    site = web.SockSite(runner, listener, backlog=BACKLOG)
+    await site.start()
+    return site
 
 
 async def start_site(runner: BaseRunner, address: str) -> BaseSite:
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -15,7 +16,9 @@
 
 from azurefield.parsing_turns import SHORT_LINES
 from azurefield.routes import CallerLimits
+from azurefield_entry.early_listener import RECEIVE_BUFFER_BYTES, open_callers_socket
 from azurefield_entry.gateway.callers.bodies import read_body
+from azurefield_entry.gateway.callers.connection import LARGE_BUFFER_BYTES
 from azurefield_entry.gateway.callers.load import UNCOUNTED_BYTES, CallerLoad
 from azurefield_entry.gateway.callers.server import CallerServer
 from azurefield_entry.gateway.settings import GatewaySettings
@@ -89,17 +92,31 @@
 
 @asynccontextmanager
 async def loaded_server(
-    *, memory_bytes: int = 10_000_000, connections_max: int = 100
+    *,
+    memory_bytes: int = 10_000_000,
+    connections_max: int = 100,
+    large_buffers_max: int = 100,
+    small_buffers: bool = False,
 ) -> AsyncIterator[LoadedServer]:
-    """Run a server with limits for all connections together."""
+    """Run a server with limits for all connections together.
+
+    :param small_buffers: whether the receive buffers of its connections are small at first
+    """
     loaded = LoadedServer()
-    loaded.load.set_limits(memory_bytes=memory_bytes, connections_max=connections_max)
+    loaded.load.set_limits(
+        memory_bytes=memory_bytes,
+        connections_max=connections_max,
+        large_buffers_max=large_buffers_max,
+    )
     loaded.may_answer.set()
     server = CallerServer(handle=loaded.answer, limits=lambda: LIMITS, load=loaded.load)
     loaded.server = server
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    if small_buffers:
+        await web.SockSite(runner, open_callers_socket("127.0.0.1:0")).start()
+    else:
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
     loaded.port = runner.addresses[0][1]
     try:
         yield loaded
@@ -337,3 +354,38 @@
         reader, writer = await loaded.connect()
         writer.write(request(SMALL))
         assert await status_of(reader) == 200
+
+
+def receive_buffers(loaded: LoadedServer) -> list[int]:
+    """Return the sizes of the connections' receive buffers that were asked for, in ascending order.
+
+    The operating system reports twice the size.
+    """
+    assert loaded.server is not None
+    sockets = [
+        connection.transport.get_extra_info("socket")
+        for connection in loaded.server.connections
+        if connection.transport is not None
+    ]
+    return sorted(one.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) // 2 for one in sockets)
+
+
+async def test_few_connections_have_a_large_receive_buffer() -> None:
+    """Guards against unread bytes of a crowd, and against slow large bodies in calm."""
+    async with loaded_server(large_buffers_max=1, small_buffers=True) as loaded:
+        _, small = await loaded.connect()
+        small.write(request(SMALL, missing=1))
+        reader, first = await loaded.connect()
+        first.write(request(LARGE, missing=1))
+        await wait_until(lambda: LARGE_BUFFER_BYTES in receive_buffers(loaded), "one is large")
+        _, second = await loaded.connect()
+        second.write(request(LARGE, missing=1))
+        await wait_until(lambda: len(loaded.load.memory.held) == 2, "both bodies are counted")
+        small_bytes = RECEIVE_BUFFER_BYTES
+        assert receive_buffers(loaded) == [small_bytes, small_bytes, LARGE_BUFFER_BYTES]
+        first.write(b"x")
+        assert await status_of(reader) == 200
+        first.close()
+        await wait_until(lambda: not loaded.load.large_buffers.holders, "it is released")
+        for writer in (small, second):
+            writer.close()
