Test crowds with malformed chunks, and with large heads that were answered

Two shapes that no earlier test had. The parser of aiohttp keeps the last head of a connection until the next one begins, so callers that send whole requests one after another and stay idle hold 170 KB each with heads of 64 KiB: 189 MB with 900 callers. A malformed chunk does not end a body's reader: the request hangs, and each further read adds an error that holds copies of it: 316 MB with 300 callers.

Callers of a crowd can now send in turn, each once the one before has got an answer. A crowd that sends a part of its next head behind a request holds (85 MB) and stays as a guard.

--- a/tests/fleet/crowds.py
+++ b/tests/fleet/crowds.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, nullcontext, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -38,6 +38,7 @@
     :param last: written behind the pieces
     :param receive_bytes: what the operating system may hold of answers; None for its usual size
     :param callers: how many callers send it
+    :param in_turn: whether each caller waits until the one before has got an answer
     :param leaves: whether each caller resets its connection behind its last byte
     """
 
@@ -47,6 +48,7 @@
     last: bytes = b""
     receive_bytes: int | None = None
     callers: int = CALLERS
+    in_turn: bool = False
     leaves: bool = False
 
 
@@ -106,8 +108,43 @@
     )
 
 
-async def send(address: str, sending: Sending, left: asyncio.Event, sent: asyncio.Event) -> None:
-    """Send as one caller of a crowd, on one connection, and keep it open until the crowd leaves."""
+async def send(
+    address: str,
+    sending: Sending,
+    *,
+    turn: asyncio.Lock,
+    left: asyncio.Event,
+    sent: asyncio.Event,
+) -> None:
+    """Send as one caller of a crowd, on one connection, and keep it open until the crowd leaves.
+
+    :param turn: held until there is an answer if the callers send in turn
+    """
+    writer = None
+    try:
+        async with turn if sending.in_turn else nullcontext():
+            reader, writer = await connect(address, sending)
+            await write_all(writer, sending)
+            if sending.in_turn:
+                await reader.read(1)
+        sent.set()
+        if not sending.leaves:
+            await left.wait()
+    except OSError:
+        sent.set()
+        await left.wait()
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+
+
+async def connect(
+    address: str, sending: Sending
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect as one caller.
+
+    :raises OSError: if the connection is refused
+    """
     host, _, port = address.rpartition(":")
     sock = socket.socket()
     sock.setblocking(False)
@@ -116,24 +153,23 @@
     try:
         await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
         # Reading pauses after the first read of an answer.
-        _, writer = await asyncio.open_connection(sock=sock, limit=1)
+        return await asyncio.open_connection(sock=sock, limit=1)
     except OSError:
         sock.close()
-        sent.set()
-        return
-    try:
-        with suppress(ConnectionError):
-            writer.write(sending.head)
-            for _ in range(sending.pieces):
-                writer.write(sending.piece)
-                await writer.drain()
-            writer.write(sending.last)
-            await writer.drain()
-        sent.set()
-        if not sending.leaves:
-            await left.wait()
-    finally:
-        writer.transport.abort()
+        raise
+
+
+async def write_all(writer: asyncio.StreamWriter, sending: Sending) -> None:
+    """Write what one caller sends.
+
+    :raises ConnectionError: if the connection is closed meanwhile
+    """
+    writer.write(sending.head)
+    for _ in range(sending.pieces):
+        writer.write(sending.piece)
+        await writer.drain()
+    writer.write(sending.last)
+    await writer.drain()
 
 
 @asynccontextmanager
@@ -142,9 +178,12 @@
     left = asyncio.Event()
     sent: list[asyncio.Event] = []
     callers = []
-    for sending in (one for one in sendings for _ in range(one.callers)):
-        sent.append(asyncio.Event())
-        callers.append(asyncio.create_task(send(address, sending, left, sent[-1])))
+    turn = asyncio.Lock()
+    for sending in (each for each in sendings for _ in range(each.callers)):
+        event = asyncio.Event()
+        sent.append(event)
+        one = send(address, sending, turn=turn, left=left, sent=event)
+        callers.append(asyncio.create_task(one))
     try:
         with suppress(TimeoutError):
             async with asyncio.timeout(SENDING_S):
--- a/tests/fleet/test_unbounded_callers.py
+++ b/tests/fleet/test_unbounded_callers.py
@@ -86,6 +86,15 @@
         leafs="hang",
         stay_s=STAY_S,
     ),
+    "whole-heads-of-requests-that-were-answered": Crowd(
+        sending=Sending(
+            head=WHOLE[:-2] + lines(110, 500) + b"\r\n", callers=MANY_CALLERS, in_turn=True
+        ),
+        header_bytes_max=LARGE_HEAD_BYTES,
+    ),
+    "a-part-of-the-next-head": Crowd(
+        sending=Sending(head=WHOLE + START + lines(60, 100), callers=MANY_CALLERS), stay_s=STAY_S
+    ),
     "a-line-without-end": Crowd(
         sending=Sending(head=START + b"N: ", piece=b"x" * 65_536, pieces=64)
     ),
@@ -113,6 +122,13 @@
             callers=MANY_CALLERS,
         )
     ),
+    "bytes-behind-a-malformed-chunk": Crowd(
+        sending=Sending(
+            head=CHUNKED + b"\r\n4000\r\n" + bytes(16_384) + b"\r\nzz\r\n",
+            piece=b"\xff" * 65_536,
+            pieces=64,
+        )
+    ),
     "an-extension-without-end": Crowd(
         sending=Sending(head=CHUNKED + b"\r\n1;n=", piece=b"x" * 65_536, pieces=64)
     ),
