Let the load of callers know connections by a protocol only

callers/connection and callers/load imported each other. LimitedConnection names what the limits need of a connection; IncomingBody owns what is held of a body, and the refusals have a module of their own, so that the next changes find one owner for each.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
@@ -8,12 +8,15 @@
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
-from azurefield.failures import FailureKind, RequestFailure
-from azurefield.model import Outcome
-from azurefield_entry.gateway.callers.connection import BodyRefusedError, CallerConnection
-from azurefield_entry.gateway.requests.outcomes import refusal
+from azurefield_entry.gateway.callers.connection import CallerConnection
+from azurefield_entry.gateway.callers.refusals import (
+    BodyRefusedError,
+    body_too_large,
+    too_much_memory,
+)
 
 if TYPE_CHECKING:
+    from azurefield.failures import RequestFailure
     from azurefield.routes import CallerLimits
 
 BLOCK_BYTES = 16 * 1024
@@ -71,8 +74,8 @@
     if request.can_read_body:
         try:
             read = await read_bytes(request, connection, limits.body_bytes_max)
-        except BodyRefusedError:
-            return Err(too_much_memory())
+        except BodyRefusedError as error:
+            return Err(error.failure)
         if read is None:
             return Err(body_too_large(limits.body_bytes_max))
         body = read
@@ -86,7 +89,7 @@
 ) -> bytes | None:
     """Read the whole body; None if it is too large.
 
-    :raises BodyRefusedError: if all callers together hold too much memory
+    :raises BodyRefusedError: if it is not read to its end
     """
     if (request.content_length or 0) > limit:
         return None
@@ -98,7 +101,7 @@
             body.add(part)
             if body.size > limit:
                 return None
-            connection.hold_body(body.size)
+            connection.on_body_read(body.size)
         return body.join()
     finally:
         # The traceback of an error may refer to this frame until the garbage collector runs.
@@ -109,19 +112,3 @@
     """Whether a caller sends its body only after an interim answer."""
     expected = request.headers.get("Expect", "").lower() == "100-continue"
     return expected and request.version >= HttpVersion11
-
-
-def too_much_memory() -> RequestFailure:
-    """Build the failure of a request whose body is refused for what all callers hold."""
-    return refusal(FailureKind.QUEUE_FULL, "callers hold too much memory")
-
-
-def body_too_large(limit: int) -> RequestFailure:
-    """Build the failure of a request whose body is too large."""
-    return RequestFailure(
-        kind=FailureKind.BODY_TOO_LARGE,
-        outcome=Outcome.NOT_RUN,
-        detail="the body is too large",
-        field="body",
-        allowed=f"at most {limit} bytes",
-    )
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -12,7 +12,9 @@
 
 from azurefield.parsed_heads import ParsedHeads
 from azurefield.parsing_turns import is_short
+from azurefield_entry.gateway.callers.incoming_body import IncomingBody
 from azurefield_entry.gateway.callers.pending_bytes import PendingBytes
+from azurefield_entry.gateway.callers.refusals import BodyRefusedError, too_much_memory
 
 if TYPE_CHECKING:
     from aiohttp.streams import StreamReader
@@ -41,10 +43,6 @@
 NO_ACCESS_LOG.disabled = True
 
 
-class BodyRefusedError(Exception):
-    """A body is not read to its end, because all callers together hold too much memory."""
-
-
 def find_head_end(before: bytes, data: bytes) -> int | None:
     """Return where the first head in ``data`` ends; None if it does not.
 
@@ -69,18 +67,12 @@
     :param head_tail: the last bytes of a head that is not complete
     :param rejected: whether what the caller sends is dropped, for what it has sent before
     :param unparsed: bytes that were read and wait to be parsed
-    :param body: the body of the running request; None if none runs
-    :param body_taken: whether the handler of the running request has the whole body
-    :param body_bytes: what the reader of the body has taken of it, until the body is complete
-    :param fed_bytes: body bytes that were parsed and not yet taken by the reader
+    :param body: the body of the running request
     """
 
     __slots__ = (
         "answer_bytes",
         "body",
-        "body_bytes",
-        "body_taken",
-        "fed_bytes",
         "head_bytes_left",
         "head_bytes_max",
         "head_tail",
@@ -115,14 +107,8 @@
         self.heads = ParsedHeads()
         self.heads_in_use = False
         self.unparsed = PendingBytes()
-        self.body: StreamReader | None = None
-        self.body_taken = False
-        self.answer_bytes = self.body_bytes = self.fed_bytes = 0
-
-    @property
-    def reads_body(self) -> bool:
-        """Whether the body of the running request is not complete."""
-        return self.body is not None and not self.body.is_eof()
+        self.body = IncomingBody()
+        self.answer_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first bytes as long as for those of a later request."""
@@ -141,9 +127,9 @@
         if self.rejected:
             return
         self.load.on_progress(self)
-        if self.body is None and not self._messages:
+        if self.body.reader is None and not self._messages:
             self.receive_head(data)
-        elif self.reads_body and self.load.parses_at_once(self, data):
+        elif self.body.arrives and self.load.parses_at_once(self, data):
             self.parse(data)
         else:
             self.postpone(data)
@@ -185,10 +171,10 @@
 
     def parse(self, data: bytes) -> None:
         """Parse bytes of a body."""
-        self.fed_bytes += len(data)
+        self.body.fed_bytes += len(data)
         super().data_received(data)
         self.count_held()
-        if self.reads_body and self.body_bytes + self.fed_bytes > SMALL_BODY_BYTES:
+        if self.body.arrives and self.body.held_bytes > SMALL_BODY_BYTES:
             self.enlarge_buffer()
 
     def enlarge_buffer(self) -> None:
@@ -208,7 +194,7 @@
 
     def parse_piece(self) -> None:
         """Parse the next piece of a body that had to wait."""
-        if not self.reads_body or not self.unparsed:
+        if not self.body.arrives or not self.unparsed:
             return
         piece = self.unparsed.take(PIECE_BYTES)
         lines = piece.count(b"\n")
@@ -220,7 +206,7 @@
         self.parse(piece)
         if not self.unparsed:
             self._resume_transport_reading()
-        elif self.reads_body:
+        elif self.body.arrives:
             self.load.wait(self)
 
     def _resume_transport_reading(self) -> None:
@@ -230,7 +216,7 @@
 
     def require_head(self) -> None:
         """Close the connection if what may be a head, at its longest, is none."""
-        if self.unparsed and self.body is None and not self._messages:
+        if self.unparsed and self.body.reader is None and not self._messages:
             self.close_rejected()
 
     def close_rejected(self) -> None:
@@ -250,14 +236,12 @@
         request, or while its answer is not read, the connection is closed at once.
         """
         self.reject()
-        body = self.body
-        if body is None and self._messages:
-            body = self._messages[0][1]
-        if body is None or self.writing_paused:
+        if self.body.reader is None and self._messages:
+            self.body.begin(self._messages[0][1])
+        if self.body.reader is None or self.writing_paused:
             self.abort()
             return
-        if not self.body_taken:
-            body.set_exception(BodyRefusedError())
+        self.body.refuse(BodyRefusedError(too_much_memory()))
         # Closing with unread bytes would reset the connection, and the answer could be lost.
         self._resume_transport_reading()
 
@@ -268,16 +252,21 @@
         if transport is not None:
             transport.abort()
 
-    def hold_body(self, body_bytes: int) -> None:
-        """Record how much of the running request's body has been taken."""
-        self.body_bytes, self.fed_bytes = body_bytes, 0
+    def on_body_read(self, read_bytes: int) -> None:
+        """Record how much of the running request's body its handler has taken."""
+        self.body.on_read(read_bytes)
         self.count_held()
 
+    def on_body_taken(self) -> None:
+        """Record that the handler has the whole body, which is counted as in use with the head."""
+        self.body.taken = self.heads_in_use = True
+        self.on_body_read(0)
+
     def count_held(self) -> None:
         """Count what this connection holds while it is open."""
         if self.transport is None:
             return
-        held_bytes = self.body_bytes + self.fed_bytes + self.unparsed.size
+        held_bytes = self.body.held_bytes + self.unparsed.size
         if not self.heads_in_use:
             held_bytes += self.heads.memory_bytes
         if self.writing_paused:
@@ -316,15 +305,13 @@
             self.head_timer.cancel()
             self.head_timer = None
 
-    def on_request_begin(self, body: StreamReader) -> None:
+    def on_request_begin(self, reader: StreamReader) -> None:
         """Record that a whole head has arrived."""
         self.stop_timer()
-        self.body = body
-        self.body_taken = False
-        self.body_bytes = self.fed_bytes = 0
+        self.body.begin(reader)
         self.head_bytes_left = self.head_bytes_max
         self.head_tail = b""
-        if self.unparsed and self.reads_body:
+        if self.unparsed and self.body.arrives:
             self.load.wait(self)
 
     async def finish_response(
@@ -351,9 +338,8 @@
 
     def on_request_end(self) -> None:
         """Go on with what has arrived behind the request."""
-        self.body = None
-        self.body_taken = False
-        self.answer_bytes = self.body_bytes = self.fed_bytes = 0
+        self.body.end()
+        self.answer_bytes = 0
         if not self._messages:
             self.heads.end_request()
         if self.transport is None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -179,7 +179,7 @@
     ) -> None:
         """Log a body that was refused for what all callers hold."""
         parsed = self.dialect.parse_request(request, b"", now)
-        if failure.kind is not FailureKind.BODY_TOO_LARGE and isinstance(parsed, Ok):
+        if failure.kind is FailureKind.QUEUE_FULL and isinstance(parsed, Ok):
             self.load.log_refused(parsed.ok_value.request_id)
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -13,7 +13,7 @@
 from azurefield.held_memory import LIMIT_BYTES, HeldMemory
 from azurefield.parsing_turns import ParsingTurns
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.callers.connection import CallerConnection
+from azurefield_entry.gateway.callers.limited import LimitedConnection
 from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.log_limit import LineLimit
 
@@ -47,14 +47,14 @@
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     memory_bytes: int = LIMIT_BYTES
     body_bytes_max: int = 0
-    memory: HeldMemory[CallerConnection] = field(default_factory=HeldMemory)
-    connections: ConnectionLimit[CallerConnection] = field(
+    memory: HeldMemory[LimitedConnection] = field(default_factory=HeldMemory)
+    connections: ConnectionLimit[LimitedConnection] = field(
         default_factory=lambda: ConnectionLimit(limit=CONNECTIONS_MAX)
     )
-    large_buffers: BufferGrants[CallerConnection] = field(
+    large_buffers: BufferGrants[LimitedConnection] = field(
         default_factory=lambda: BufferGrants(limit=LARGE_BUFFERS_MAX)
     )
-    turns: ParsingTurns[CallerConnection] = field(default_factory=ParsingTurns)
+    turns: ParsingTurns[LimitedConnection] = field(default_factory=ParsingTurns)
     turn_scheduled: bool = False
     connection_lines: LineLimit = field(
         default_factory=lambda: LineLimit(lines_per_s=LOG_LINES_PER_S)
@@ -81,7 +81,7 @@
         # A single body has room whatever the settings are.
         self.memory.limit_bytes = max(self.memory_bytes, COPIES_IN_USE * self.body_bytes_max)
 
-    def on_open(self, connection: CallerConnection) -> None:
+    def on_open(self, connection: LimitedConnection) -> None:
         """Record a new connection, and close one if there are too many."""
         closing = self.connections.on_open(connection)
         self.metrics.caller_connections.set(self.connections.open_count)
@@ -92,11 +92,11 @@
             log.warning("Callers have {} connections; closing one.", self.connections.open_count)
         closing.abort()
 
-    def on_progress(self, connection: CallerConnection) -> None:
+    def on_progress(self, connection: LimitedConnection) -> None:
         """Record bytes of a caller."""
         self.connections.on_progress(connection)
 
-    def on_close(self, connection: CallerConnection) -> None:
+    def on_close(self, connection: LimitedConnection) -> None:
         """Forget a connection."""
         self.memory.release(connection)
         self.memory.end_use(connection)
@@ -105,7 +105,7 @@
         self.connections.on_close(connection)
         self.metrics.caller_connections.set(self.connections.open_count)
 
-    def hold(self, connection: CallerConnection, held_bytes: int) -> None:
+    def hold(self, connection: LimitedConnection, held_bytes: int) -> None:
         """Record what a connection holds; those that hold most give up if it is too much."""
         if held_bytes > UNCOUNTED_BYTES:
             self.memory.hold(connection, held_bytes)
@@ -121,14 +121,13 @@
             self.metrics.callers_limited.labels("memory").inc()
             largest.give_up()
 
-    def use_body(self, connection: CallerConnection, body_bytes: int) -> bool:
+    def use_body(self, connection: LimitedConnection, body_bytes: int) -> bool:
         """Keep a complete body until its request has ended; return whether there is room."""
         if connection.rejected:
             # The connection gave up while the handler took the last bytes.
             return False
-        connection.body_taken = connection.heads_in_use = True
+        connection.on_body_taken()
         self.connections.on_served(connection)
-        connection.hold_body(0)
         return self.use(connection, body_bytes, head_bytes=connection.heads.memory_bytes)
 
     def use(self, user: Hashable, body_bytes: int, *, head_bytes: int = 0) -> bool:
@@ -150,13 +149,13 @@
         counted = counted_bytes(body_bytes)
         return not counted or self.memory.has_room(counted)
 
-    def on_answer(self, connection: CallerConnection) -> None:
+    def on_answer(self, connection: LimitedConnection) -> None:
         """Record that the answer to a request is about to be written; the caller has to read it."""
         self.memory.end_use(connection)
         if connection.transport is not None:
             self.connections.on_wait(connection)
 
-    def parses_at_once(self, connection: CallerConnection, data: bytes) -> bool:
+    def parses_at_once(self, connection: LimitedConnection, data: bytes) -> bool:
         """Whether bytes of a body are parsed now; if not, the connection waits for its turn."""
         if self.turns.parses_at_once(connection, data):
             return True
@@ -164,7 +163,7 @@
         self.schedule_turn()
         return False
 
-    def wait(self, connection: CallerConnection) -> None:
+    def wait(self, connection: LimitedConnection) -> None:
         """Let a connection wait for its turn."""
         self.turns.wait(connection)
         self.schedule_turn()
--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/refusals.py
@@ -0,0 +1,34 @@
+"""Failures of requests that are refused for their bodies; none of them has run."""
+
+from __future__ import annotations
+
+from azurefield.failures import FailureKind, RequestFailure
+from azurefield.model import Outcome
+from azurefield_entry.gateway.requests.outcomes import refusal
+
+
+class BodyRefusedError(Exception):
+    """A body is not read to its end.
+
+    :param failure: why
+    """
+
+    def __init__(self, failure: RequestFailure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+def too_much_memory() -> RequestFailure:
+    """Build the failure of a request that is refused for what all callers hold."""
+    return refusal(FailureKind.QUEUE_FULL, "callers hold too much memory")
+
+
+def body_too_large(limit: int) -> RequestFailure:
+    """Build the failure of a request whose body is too large."""
+    return RequestFailure(
+        kind=FailureKind.BODY_TOO_LARGE,
+        outcome=Outcome.NOT_RUN,
+        detail="the body is too large",
+        field="body",
+        allowed=f"at most {limit} bytes",
+    )
