Parse one head at a time, and count it until the next one begins

The parser of aiohttp keeps the lines of a head until the next message begins. A short read was parsed as a whole, so that further requests and a part of the next head were kept uncounted behind a request.

A head is parsed up to its end only. What follows waits as unparsed bytes, which are counted, until the request has been answered; a body goes on when the request begins, up to its length. Only the parser finds the end of chunks: heads that it parses with the last bytes of such a body are counted. A head counts until the next one begins, so an idle connection can be the one that closes. Empty lines before a head are dropped unparsed.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -11,12 +11,12 @@
 from aiohttp.web_protocol import RequestHandler
 
 from azurefield.parsed_heads import ParsedHeads
-from azurefield.parsing_turns import is_short
 from azurefield_entry.gateway.callers.incoming_body import IncomingBody
 from azurefield_entry.gateway.callers.pending_bytes import PendingBytes
 from azurefield_entry.gateway.callers.refusals import BodyRefusedError, too_much_memory
 
 if TYPE_CHECKING:
+    from aiohttp.http_parser import RawRequestMessage
     from aiohttp.streams import StreamReader
 
     from azurefield.routes import CallerLimits
@@ -26,6 +26,7 @@
 # caller sends just before the timeout is not lost.
 IDLE_MARGIN_S = 1.0
 HEAD_END = b"\r\n\r\n"
+EMPTY_LINES = b"\r\n"
 # A caller may send this much behind a head whose request has not begun.
 UNPARSED_BYTES_MAX = 256 * 1024
 # A piece of a body is parsed at once. It is smaller if it has many lines, as small chunks have.
@@ -65,6 +66,7 @@
     :param heads_in_use: whether they are counted with the body of the running request
     :param head_bytes_left: how many bytes of a head may follow
     :param head_tail: the last bytes of a head that is not complete
+    :param next_head: what was parsed of it behind a body in chunks
     :param rejected: whether what the caller sends is dropped, for what it has sent before
     :param unparsed: bytes that were read and wait to be parsed
     :param body: the body of the running request
@@ -82,6 +84,7 @@
         "heads_in_use",
         "idle_timeout_s",
         "load",
+        "next_head",
         "rejected",
         "unparsed",
     )
@@ -103,7 +106,7 @@
         self.head_timer: asyncio.TimerHandle | None = None
         self.rejected = False
         self.head_bytes_max = self.head_bytes_left = limits.header_bytes_max
-        self.head_tail = b""
+        self.head_tail = self.next_head = b""
         self.heads = ParsedHeads()
         self.heads_in_use = False
         self.unparsed = PendingBytes()
@@ -147,36 +150,52 @@
         self.count_held()
 
     def parse_head(self) -> None:
-        """Parse what may be a head; a short read is parsed as a whole."""
-        ended = False
-        while self.unparsed and self.head_bytes_left and not ended:
-            head = self.unparsed.take(self.head_bytes_left)
-            end = find_head_end(self.head_tail, head)
-            ended = end is not None
-            if ended and not is_short(head):
-                self.unparsed.put_back(head[end:])
-                head = head[:end]
-            self.head_tail = (self.head_tail + head)[1 - len(HEAD_END) :]
-            self.head_bytes_left -= len(head)
-            self.heads.add(head if end is None else head[:end])
-            super().data_received(head)
-            self.count_pipelined(head, end)
-        if self.unparsed and not ended:
+        """Parse up to the end of a head; what follows waits until its request has begun."""
+        while self.unparsed and self.head_bytes_left and not self._messages:
+            data = self.unparsed.take(self.head_bytes_left)
+            self.head_bytes_left -= len(data)
+            if not self.head_tail:
+                # The parser ignores empty lines before a head.
+                data = data.lstrip(EMPTY_LINES)
+            if data:
+                self.parse_head_part(data)
+        if self.unparsed and not self._messages:
             asyncio.get_running_loop().call_soon(self.require_head)
 
-    def count_pipelined(self, data: bytes, end: int | None) -> None:
-        """Count the heads of further requests that were parsed with the first one."""
-        if end is not None and len(self._messages) > 1:
-            self.heads.add(data[end:])
+    def parse_head_part(self, data: bytes) -> None:
+        """Parse a part of a head, without what follows its end."""
+        end = find_head_end(self.head_tail, data)
+        if end is not None:
+            self.unparsed.put_back(data[end:])
+            data = data[:end]
+        if not self.head_tail:
+            # Until a head begins, the parser keeps the one before.
+            self.heads.clear()
+        self.head_tail = (self.head_tail + data)[1 - len(HEAD_END) :]
+        self.heads.add(data)
+        super().data_received(data)
 
     def parse(self, data: bytes) -> None:
-        """Parse bytes of a body."""
-        self.body.fed_bytes += len(data)
+        """Parse bytes of a body, without what follows it if its length is known."""
+        data, behind = self.body.split(data)
+        if behind:
+            self.unparsed.put_back(behind)
+            self._pause_transport_reading()
         super().data_received(data)
+        self.count_behind_chunks(data)
         self.count_held()
         if self.body.arrives and self.body.held_bytes > SMALL_BODY_BYTES:
             self.enlarge_buffer()
 
+    def count_behind_chunks(self, data: bytes) -> None:
+        """Count heads that were parsed with the last bytes of a body in chunks."""
+        complete = self.body.reader is not None and self.body.reader.is_eof()
+        if not complete or self.body.bytes_left is not None:
+            return
+        self.next_head = data[data.rfind(HEAD_END) + len(HEAD_END) :]
+        if self.next_head or self._messages:
+            self.heads.add(data)
+
     def enlarge_buffer(self) -> None:
         """Let the operating system receive more of a large body at a time, if that is granted."""
         if self.transport is not None and self.load.large_buffers.grant(self):
@@ -192,6 +211,18 @@
         self._pause_transport_reading()
         self.count_held()
 
+    def parse_pending(self) -> None:
+        """Parse the beginning of a body that arrived with its head; more than a little waits."""
+        if not self.unparsed:
+            return
+        data = self.unparsed.take(self.unparsed.size)
+        if not self.unparsed and self.load.parses_at_once(self, data):
+            self.parse(data)
+            self._resume_transport_reading()
+        else:
+            self.unparsed.put_back(data)
+            self.load.wait(self)
+
     def parse_piece(self) -> None:
         """Parse the next piece of a body that had to wait."""
         if not self.body.arrives or not self.unparsed:
@@ -236,12 +267,14 @@
         request, or while its answer is not read, the connection is closed at once.
         """
         self.reject()
-        if self.body.reader is None and self._messages:
-            self.body.begin(self._messages[0][1])
-        if self.body.reader is None or self.writing_paused:
+        reader = self.body.reader
+        if reader is None and self._messages:
+            reader = self._messages[0][1]
+        if reader is None or self.writing_paused:
             self.abort()
             return
-        self.body.refuse(BodyRefusedError(too_much_memory()))
+        if not self.body.taken:
+            reader.set_exception(BodyRefusedError(too_much_memory()))
         # Closing with unread bytes would reset the connection, and the answer could be lost.
         self._resume_transport_reading()
 
@@ -305,14 +338,20 @@
             self.head_timer.cancel()
             self.head_timer = None
 
-    def on_request_begin(self, reader: StreamReader) -> None:
-        """Record that a whole head has arrived."""
+    def on_request_begin(self, message: RawRequestMessage, reader: StreamReader) -> None:
+        """Record that a whole head has arrived, and go on with its body."""
         self.stop_timer()
-        self.body.begin(reader)
-        self.head_bytes_left = self.head_bytes_max
-        self.head_tail = b""
-        if self.unparsed and self.body.arrives:
-            self.load.wait(self)
+        self.body.begin(message, reader)
+        self.begin_head(b"")
+        if self.body.arrives:
+            self.parse_pending()
+        elif self.unparsed:
+            self._pause_transport_reading()
+
+    def begin_head(self, parsed: bytes) -> None:
+        """Expect the next head, of which a part may have been parsed."""
+        self.head_bytes_left = max(0, self.head_bytes_max - len(parsed))
+        self.head_tail = parsed[1 - len(HEAD_END) :]
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
@@ -340,8 +379,6 @@
         """Go on with what has arrived behind the request."""
         self.body.end()
         self.answer_bytes = 0
-        if not self._messages:
-            self.heads.end_request()
         if self.transport is None:
             return
         if self.rejected:
@@ -349,8 +386,19 @@
             return
         self.load.on_progress(self)
         # A request whose head has been parsed already begins by itself.
-        if self.unparsed and not self._messages:
+        if not self._messages:
+            self.begin_next_head()
+        self.count_held()
+
+    def begin_next_head(self) -> None:
+        """Parse the next head, as far as it has arrived."""
+        if self.next_head:
+            self.heads.clear()
+            self.heads.add(self.next_head)
+            self.begin_head(self.next_head)
+            self.next_head = b""
+            self.start_timer(self.header_timeout_s)
+        if self.unparsed:
             self.start_timer(self.header_timeout_s)
             self.parse_head()
             self._resume_transport_reading()
-        self.count_held()
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/server.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/server.py
@@ -57,7 +57,7 @@
             if message is ERROR:
                 protocol.reject()
             else:
-                protocol.on_request_begin(payload)
+                protocol.on_request_begin(message, payload)
         loop = asyncio.get_running_loop()
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
--- a/packages/azurefield/src/azurefield/parsed_heads.py
+++ b/packages/azurefield/src/azurefield/parsed_heads.py
@@ -15,7 +15,7 @@
 
 
 class ParsedHeads(Struct, kw_only=True):
-    r"""Counts what a parser keeps of heads, and of trailers, until their requests have ended.
+    r"""Counts what a parser keeps of heads, and of trailers, until the next head begins.
 
     >>> heads = ParsedHeads()
     >>> heads.add(b"GET / HTTP/1.1\r\nHost: a\r\n")
@@ -27,7 +27,7 @@
     >>> heads.set_trailers(size=1000, lines=1)
     >>> heads.memory_bytes
     25475
-    >>> heads.end_request()
+    >>> heads.clear()
     >>> heads.memory_bytes
     0
 
@@ -60,6 +60,6 @@
         self.trailer_bytes = size
         self.trailer_lines = lines
 
-    def end_request(self) -> None:
-        """Record that nothing is kept."""
+    def clear(self) -> None:
+        """Record that nothing is kept, as when the next head begins."""
         self.size = self.lines = self.trailer_bytes = self.trailer_lines = 0
