Refuse a request at once whose body can't be parsed

A caller with a malformed chunk or too many trailers saw nothing: aiohttp queues an error in place of the next request and leaves the body's reader waiting, so the request hung until the caller left, and each further read queued another error that holds copies of what was read. 300 such callers took a gateway to 316 MB.

The connection notices a message behind a body that is not complete, which can only be that error, drops it and refuses the request with 400; what arrives later is dropped and the connection closes behind the answer. Nothing has run, as the body was never whole.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -13,12 +13,17 @@
 from azurefield.parsed_heads import ParsedHeads
 from azurefield_entry.gateway.callers.incoming_body import IncomingBody
 from azurefield_entry.gateway.callers.pending_bytes import PendingBytes
-from azurefield_entry.gateway.callers.refusals import BodyRefusedError, too_much_memory
+from azurefield_entry.gateway.callers.refusals import (
+    BodyRefusedError,
+    malformed_body,
+    too_much_memory,
+)
 
 if TYPE_CHECKING:
     from aiohttp.http_parser import RawRequestMessage
     from aiohttp.streams import StreamReader
 
+    from azurefield.failures import RequestFailure
     from azurefield.routes import CallerLimits
     from azurefield_entry.gateway.callers.load import CallerLoad
 
@@ -126,6 +131,7 @@
         if not data:
             # aiohttp lets its parser go on with what it has kept.
             super().data_received(data)
+            self.check_body()
             return
         if self.rejected:
             return
@@ -182,11 +188,21 @@
             self.unparsed.put_back(behind)
             self._pause_transport_reading()
         super().data_received(data)
+        self.check_body()
         self.count_behind_chunks(data)
         self.count_held()
         if self.body.arrives and self.body.held_bytes > SMALL_BODY_BYTES:
             self.enlarge_buffer()
 
+    def check_body(self) -> None:
+        """Refuse a request whose body can't be parsed.
+
+        aiohttp queues an error in place of the next request, and the body's reader goes on waiting.
+        """
+        if self.body.arrives and self._messages:
+            self._messages.clear()
+            self.refuse(malformed_body())
+
     def count_behind_chunks(self, data: bytes) -> None:
         """Count heads that were parsed with the last bytes of a body in chunks."""
         complete = self.body.reader is not None and self.body.reader.is_eof()
@@ -261,10 +277,16 @@
         self.unparsed.clear()
 
     def give_up(self) -> None:
-        """Free what is held, and close the connection after the answer to its request.
+        """Free what is held, and close the connection after the answer to its request."""
+        self.refuse(too_much_memory())
+
+    def refuse(self, failure: RequestFailure) -> None:
+        """Drop what arrives, and close the connection after the answer to its request.
 
         A request whose handler has not taken the body is refused; one that runs goes on. Without a
         request, or while its answer is not read, the connection is closed at once.
+
+        :param failure: why a body is not read
         """
         self.reject()
         reader = self.body.reader
@@ -274,7 +296,7 @@
             self.abort()
             return
         if not self.body.taken:
-            reader.set_exception(BodyRefusedError(too_much_memory()))
+            reader.set_exception(BodyRefusedError(failure))
         # Closing with unread bytes would reset the connection, and the answer could be lost.
         self._resume_transport_reading()
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/refusals.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/refusals.py
@@ -4,6 +4,7 @@
 
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
+from azurefield_entry.gateway.callers.failure_response import malformed
 from azurefield_entry.gateway.requests.outcomes import refusal
 
 
@@ -32,3 +33,8 @@
         field="body",
         allowed=f"at most {limit} bytes",
     )
+
+
+def malformed_body() -> RequestFailure:
+    """Build the failure of a request whose body is not framed as HTTP demands."""
+    return malformed("body", "chunks with their sizes, and lines of trailers")
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -332,3 +332,33 @@
         writer.write(request(SMALL))
         assert await status_of(reader) == 200
         assert loaded.load.memory.total_bytes == 0
+
+
+CHUNKED = b"POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+MANY_LINES = b"N: x\r\n" * 200
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        pytest.param((CHUNKED, b"zz\r\n"), id="size-of-the-first-chunk"),
+        pytest.param((CHUNKED + b"1\r\nx\r\n", b"zz\r\n"), id="size-of-a-later-chunk"),
+        pytest.param((CHUNKED, b"1\r\nxx" + bytes(40_000)), id="end-of-a-chunk"),
+        pytest.param((CHUNKED + b"0\r\n", b"no line\r\n\r\n"), id="trailer"),
+        pytest.param((CHUNKED + b"0\r\n", MANY_LINES), id="too-many-trailers"),
+    ],
+)
+async def test_a_malformed_body_ends_its_connection(pieces: tuple[bytes, ...]) -> None:
+    """Guards against a request that waits for ever, and errors that add up."""
+    async with loaded_server() as loaded:
+        reader, writer = await loaded.connect()
+        await wait_until(lambda: loaded.load.connections.open_count == 1, "it is connected")
+        for piece in pieces:
+            loaded.receive(piece)
+            await asyncio.sleep(0.01)
+        assert await status_of(reader) == 400
+        async with asyncio.timeout(5.0):
+            await reader.read()
+        assert loaded.running == 0
+        assert loaded.load.memory.total_bytes == 0
+        writer.close()
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/caller_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/caller_server.py
@@ -13,6 +13,7 @@
 from azurefield.routes import CallerLimits
 from azurefield_entry.early_listener import open_callers_socket
 from azurefield_entry.gateway.callers.bodies import read_body
+from azurefield_entry.gateway.callers.failure_response import write_failure
 from azurefield_entry.gateway.callers.load import UNCOUNTED_BYTES, CallerLoad
 from azurefield_entry.gateway.callers.server import CallerServer
 from azurefield_testkit.waiting import wait_until
@@ -50,7 +51,7 @@
         """Read and answer one request."""
         read = await read_body(request, self.limits)
         if isinstance(read, Err):
-            return web.Response(status=503)
+            return web.Response(status=write_failure(read.err_value).status)
         self.running += 1
         await self.may_answer.wait()
         if request.path == "/large":
