Bound the trailers of callers' bodies as heads, and count them

Callers that send a chunked body of one byte and then trailers kept up to 128 lines of 16 KiB each in the parser, as bytes and as text; only their bytes were counted, once. 300 callers took a gateway to 185 MB, 900 to 141 MB.

What follows a last chunk counts as lines of the head do, until the next head begins. More bytes in a row without a byte of the body than a head may have, trailers or an extension of a chunk, are refused with 413, which no caller inside the limits meets; the request has not run. There is no limit on the time of trailers: as for a body, none follows from the configuration.

Trailers, extensions and bodies that look like a last chunk are served within the limit.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
@@ -17,6 +17,7 @@
     BodyRefusedError,
     malformed_body,
     too_much_memory,
+    trailers_too_large,
 )
 
 if TYPE_CHECKING:
@@ -32,6 +33,9 @@
 IDLE_MARGIN_S = 1.0
 HEAD_END = b"\r\n\r\n"
 EMPTY_LINES = b"\r\n"
+# The size of a last chunk begins so.
+LAST_CHUNK = b"\n0"
+NO_TRAILERS = b"0\r\n\r\n"
 # A caller may send this much behind a head whose request has not begun.
 UNPARSED_BYTES_MAX = 256 * 1024
 # A piece of a body is parsed at once. It is smaller if it has many lines, as small chunks have.
@@ -58,6 +62,16 @@
     return None if found < 0 else found + len(HEAD_END) - len(before)
 
 
+def trailers_of(data: bytes) -> bytes:
+    r"""Return what may be trailers in a part of a body; more if the body looks like a last chunk.
+
+    >>> trailers_of(b"1\r\nx\r\n0\r\nName: y\r\n"), trailers_of(b"4000\r\n" + bytes(9))
+    (b'\n0\r\nName: y\r\n', b'')
+    """
+    begin = data.rfind(LAST_CHUNK)
+    return b"" if begin < 0 else data[begin:]
+
+
 class CallerConnection(RequestHandler):
     """A connection that is closed if its caller sends nothing, or does not complete a head.
 
@@ -187,9 +201,11 @@
         if behind:
             self.unparsed.put_back(behind)
             self._pause_transport_reading()
+        received = self.body.received_bytes
         super().data_received(data)
         self.check_body()
-        self.count_behind_chunks(data)
+        if self.body.bytes_left is None:
+            self.count_framing(data, has_body=self.body.received_bytes > received)
         self.count_held()
         if self.body.arrives and self.body.held_bytes > SMALL_BODY_BYTES:
             self.enlarge_buffer()
@@ -203,14 +219,24 @@
             self._messages.clear()
             self.refuse(malformed_body())
 
-    def count_behind_chunks(self, data: bytes) -> None:
-        """Count heads that were parsed with the last bytes of a body in chunks."""
-        complete = self.body.reader is not None and self.body.reader.is_eof()
-        if not complete or self.body.bytes_left is not None:
-            return
-        self.next_head = data[data.rfind(HEAD_END) + len(HEAD_END) :]
-        if self.next_head or self._messages:
-            self.heads.add(data)
+    def count_framing(self, data: bytes, *, has_body: bool) -> None:
+        """Count what the parser keeps of the framing of a body in chunks; too much is refused.
+
+        :param has_body: whether there were bytes of the body in what was parsed
+        """
+        if not self.body.arrives:
+            # Heads may follow, which have been parsed as well.
+            self.next_head = data[data.rfind(HEAD_END) + len(HEAD_END) :]
+            if self.next_head or self._messages:
+                self.heads.add(data)
+            if data.endswith(NO_TRAILERS):
+                self.heads.begin_trailers(b"")
+        elif has_body:
+            self.heads.begin_trailers(trailers_of(data))
+        elif not self._reading_paused:
+            self.heads.add_trailers(data)
+            if self.heads.trailer_bytes > self.head_bytes_max:
+                self.refuse(trailers_too_large(self.head_bytes_max))
 
     def enlarge_buffer(self) -> None:
         """Let the operating system receive more of a large body at a time, if that is granted."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/incoming_body.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/incoming_body.py
@@ -33,6 +33,11 @@
         """Whether a request runs whose body is not complete."""
         return self.reader is not None and not self.reader.is_eof()
 
+    @property
+    def received_bytes(self) -> int:
+        """How much of it the parser has found."""
+        return 0 if self.reader is None else self.reader.total_bytes
+
     @property
     def held_bytes(self) -> int:
         """What is held of it."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/refusals.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/refusals.py
@@ -38,3 +38,14 @@
 def malformed_body() -> RequestFailure:
     """Build the failure of a request whose body is not framed as HTTP demands."""
     return malformed("body", "chunks with their sizes, and lines of trailers")
+
+
+def trailers_too_large(limit: int) -> RequestFailure:
+    """Build the failure of a request with too much behind its body, or between its chunks."""
+    return RequestFailure(
+        kind=FailureKind.BODY_TOO_LARGE,
+        outcome=Outcome.NOT_RUN,
+        detail="the trailers or the framing of the body are too large",
+        field="body",
+        allowed=f"at most {limit} bytes in a row without a byte of the body",
+    )
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -362,3 +362,42 @@
         assert loaded.running == 0
         assert loaded.load.memory.total_bytes == 0
         writer.close()
+
+
+LAST_CHUNK = b"1\r\nx\r\n0\r\n"
+TRAILER = b"N: " + b"x" * 8000 + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    ("pieces", "status"),
+    [
+        pytest.param((LAST_CHUNK, TRAILER, b"\r\n"), 200, id="within-the-limit"),
+        pytest.param((LAST_CHUNK + TRAILER, b"\r\n"), 200, id="with-the-last-chunk"),
+        pytest.param((LAST_CHUNK, TRAILER, TRAILER, TRAILER), 413, id="too-large"),
+        pytest.param((LAST_CHUNK + TRAILER, TRAILER, TRAILER), 413, id="with-the-last-chunk-too"),
+        pytest.param((b"1;n=", *[b"x" * 8000] * 3), 413, id="an-extension"),
+        pytest.param((b"1;n=" + b"x" * 8000 + b"\r\nx\r\n",) * 4 + (b"0\r\n\r\n",), 200, id="each"),
+    ],
+)
+async def test_trailers_and_framing_are_bounded_as_heads_are(
+    pieces: tuple[bytes, ...], status: int
+) -> None:
+    """Guards against trailers and chunk extensions without an end."""
+    async with loaded_server() as loaded:
+        reader, writer = await loaded.connect()
+        await wait_until(lambda: loaded.load.connections.open_count == 1, "it is connected")
+        for piece in (CHUNKED, *pieces):
+            loaded.receive(piece)
+            await asyncio.sleep(0.01)
+        assert await status_of(reader) == status
+        writer.close()
+        await wait_until(lambda: loaded.load.memory.total_bytes == 0, "nothing is held")
+
+
+async def test_a_small_body_that_looks_like_a_last_chunk_is_served_without_room() -> None:
+    """Guards against a small request that is refused for what others hold."""
+    async with loaded_server(memory_bytes=1) as loaded:
+        reader, writer = await loaded.connect()
+        writer.write(CHUNKED + b"7d0\r\n" + b"\n0" * 1000 + b"\r\n0\r\n\r\n")
+        assert await status_of(reader) == 200
+        writer.close()
--- a/packages/azurefield/src/azurefield/parsed_heads.py
+++ b/packages/azurefield/src/azurefield/parsed_heads.py
@@ -24,9 +24,9 @@
     >>> heads.add(b"N: x\r\n" * 100)
     >>> heads.memory_bytes
     22275
-    >>> heads.set_trailers(size=1000, lines=1)
+    >>> heads.add_trailers(b"N: " + b"x" * 1000)
     >>> heads.memory_bytes
-    25475
+    25284
     >>> heads.clear()
     >>> heads.memory_bytes
     0
@@ -55,10 +55,15 @@
         self.size += len(data)
         self.lines += data.count(b"\n")
 
-    def set_trailers(self, *, size: int, lines: int) -> None:
-        """Record what may be trailers."""
-        self.trailer_bytes = size
-        self.trailer_lines = lines
+    def begin_trailers(self, data: bytes) -> None:
+        """Record bytes that may be trailers, in place of those before."""
+        self.trailer_bytes = self.trailer_lines = 0
+        self.add_trailers(data)
+
+    def add_trailers(self, data: bytes) -> None:
+        """Record further bytes that may be trailers."""
+        self.trailer_bytes += len(data)
+        self.trailer_lines += data.count(b"\n")
 
     def clear(self) -> None:
         """Record that nothing is kept, as when the next head begins."""
