Bound the calls of running requests over many shards

Callers that send only ordinary requests, many at once while the servers are slow, took a gateway of 120 MB to 362 MB (900 requests over 63 shards): a running request holds 16 KB and 5.3 KB for each of its calls (slope of 2, 10, 25 and 63 shards, x86-64), and nothing counted that.

A request over shards needs room for all its calls before the first one: a twelfth of the memory at 6 KiB a call, in the runner, so that requests that other instances forward count as well. Without room it is refused with 503, which is true: no call was sent. One request alone has room whatever the limit is, and requests with a single call are never refused for it. At 200 MB that is 2,712 calls, 43 requests over 63 shards at once.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/policies.py
@@ -54,3 +54,5 @@
 START_WAIT_FRACTION = 0.4
 # Added to the expected wait for a server whose calls all fail, when a server is chosen.
 FAILURE_COST_S = 1.0
+# Calls that running requests over many shards may need together, until the settings are known.
+CALLS_MAX = 8192
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/runner.py
@@ -29,6 +29,7 @@
     priority_label,
 )
 from azurefield_entry.gateway.requests.planning import RequestPlanner
+from azurefield_entry.gateway.requests.room import RequestRoom
 from azurefield_entry.gateway.requests.running import (
     ActiveCall,
     CompletedRun,
@@ -37,6 +38,7 @@
     SentCall,
     record_reply,
 )
+from azurefield_entry.gateway.requests.server_reports import ServerReports
 from azurefield_entry.gateway.servers.connections import ServerConnections
 from azurefield_entry.gateway.zone_traffic import ZoneTraffic, kind_of_call
 from azurefield_entry.logs import describe_error
@@ -52,6 +54,8 @@
 class RequestRunner(Struct, kw_only=True):
     """Owns the running requests and their calls.
 
+    :param room: the calls that running requests may need together
+    :param reports: what servers say of themselves in their answers
     :param running: the running requests, by their digest
     :param store_age_s: returns the time since the store last answered, for the log
     :param traffic: counts the bytes exchanged with other zones; None not to count them
@@ -64,6 +68,8 @@
     metrics: GatewayMetrics
     store_age_s: Callable[[], float]
     quotas: ServerQuotas
+    room: RequestRoom
+    reports: ServerReports
     traffic: ZoneTraffic | None = None
     active_calls: dict[str, ActiveCall] = field(default_factory=dict)
     running: dict[str, list[RunningRequest]] = field(default_factory=dict)
@@ -74,6 +80,18 @@
 
     async def run_counted(
         self, request: GatewayRequest, route: Route, version: int
+    ) -> CompletedRun:
+        """Run a request and count its attempts, if there is room for its calls."""
+        taken = self.room.take(request, route)
+        if isinstance(taken, Err):
+            return CompletedRun(result=taken)
+        try:
+            return await self.run_with_room(request, route, version)
+        finally:
+            self.room.limit.end(taken.ok_value)
+
+    async def run_with_room(
+        self, request: GatewayRequest, route: Route, version: int
     ) -> CompletedRun:
         """Run a request and count its attempts."""
         started_at = now()
@@ -220,8 +238,8 @@
             call.stop_watching()
         ended_at = now()
         if call.sent_at is not None:
-            self.record_limit(action.server, result, call.sent_at)
-            self.record_load(ended_at, action.server, result)
+            self.reports.record_limit(action.server, result, call.sent_at)
+            self.reports.record_load(ended_at, action.server, result)
             record_reply(running, action.call_id, result)
         match result:
             case Ok(answer):
@@ -330,35 +348,6 @@
         running.attempts[action.leaf] += 1
         self.crash_watch.on_call_sent(running, sent, active)
 
-    def record_limit(
-        self, server: str, result: Result[OpaqueAnswer, LeafFailure], sent_at: float
-    ) -> None:
-        """Record what an answer says of the rate limit of its server."""
-        limits = self.quotas.limits
-        answer = result.ok_value if isinstance(result, Ok) else result.err_value
-        if answer.limit_per_s is None:
-            return
-        if limits.on_answer(now(), server, answer.limit_per_s, sent_at):
-            if server in limits.known:
-                log.info(
-                    "Server {} takes {} requests/s from all instances.", server, answer.limit_per_s
-                )
-            else:
-                log.info("Server {} no longer names a limit.", server)
-                entry = self.directory.servers.get(server)
-                if entry is not None:
-                    self.quotas.on_limit_ended(entry)
-            self.metrics.limited_servers.set(len(limits.known))
-
-    def record_load(
-        self, ended_at: float, server: str, result: Result[OpaqueAnswer, LeafFailure]
-    ) -> None:
-        """Record the load that a server has reported in its answer."""
-        answer = result.ok_value if isinstance(result, Ok) else result.err_value
-        if answer.load is not None:
-            self.metrics.load_reports.inc()
-            self.planner.router.on_load(ended_at, server, answer.load)
-
     def connection_wait_s(self, route: Route) -> float:
         """Return how long a call may wait for a connection."""
         if route.goal_s is None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/service.py
@@ -22,6 +22,7 @@
 from azurefield.warmup_limits import WarmupBound, WarmupLimits
 from azurefield_entry.clock import now
 from azurefield_entry.gateway import policies
+from azurefield_entry.gateway.applied_settings import apply_settings
 from azurefield_entry.gateway.crashes.broadcast import CrashBroadcast
 from azurefield_entry.gateway.crashes.watch import CrashWatch
 from azurefield_entry.gateway.messages import (
@@ -51,7 +52,9 @@
 from azurefield_entry.gateway.requests.access import AdmittedRequest, RequestAccess
 from azurefield_entry.gateway.requests.dispatch import RequestDispatcher
 from azurefield_entry.gateway.requests.planning import RequestPlanner
+from azurefield_entry.gateway.requests.room import RequestRoom
 from azurefield_entry.gateway.requests.runner import RequestRunner
+from azurefield_entry.gateway.requests.server_reports import ServerReports
 from azurefield_entry.gateway.requests.start_wait import wait_for_start
 from azurefield_entry.gateway.requests.table_problems import log_problems
 from azurefield_entry.gateway.servers.checker import ServerChecker
@@ -110,6 +113,7 @@
     access: RequestAccess = field(init=False)
     registry: ServerRegistry = field(init=False)
     planner: RequestPlanner = field(init=False)
+    room: RequestRoom = field(init=False)
     runner: RequestRunner = field(init=False)
     dispatcher: RequestDispatcher = field(init=False)
     kernel: Kernel | None = None
@@ -178,6 +182,7 @@
             budget=self.budget,
             limits=self.quotas.limits,
         )
+        self.room = RequestRoom(metrics=self.metrics)
         self.runner = RequestRunner(
             directory=self.directory,
             connections=self.connections,
@@ -186,6 +191,13 @@
             metrics=self.metrics,
             store_age_s=self.store_age_s,
             quotas=self.quotas,
+            room=self.room,
+            reports=ServerReports(
+                directory=self.directory,
+                quotas=self.quotas,
+                router=self.router,
+                metrics=self.metrics,
+            ),
             traffic=self.forwarding.traffic,
         )
         self.dispatcher = RequestDispatcher(
@@ -219,15 +231,7 @@
                     for item in changes.items:
                         self.apply_change(received_at, item)
                 case SettingsChanged(settings=settings):
-                    self.budget.ratio = (
-                        policies.FURTHER_CALLS_RATIO_FRACTION * settings.further_calls_ratio
-                    )
-                    self.budget.window_s = settings.further_calls_window_s
-                    self.further_calls_allowance = settings.further_calls_allowance
-                    self.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
-                    self.quotas.warmups.bound = settings.warmup_bound
-                    self.residency.regions = settings.regions
-                    self.divide_limits()
+                    apply_settings(self, settings)
                 case Tick():
                     self.tick(received_at)
                 case Stop():
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -20,6 +20,9 @@
 CONNECTION_MEMORY_FRACTION = 1 / 8
 # What a caller's connection takes with the objects of a request, a small body and a small answer.
 CALLER_CONNECTION_BYTES = 16 * 1024
+# For the calls of running requests over many shards, each with its timers, tasks and buffers.
+CALL_MEMORY_FRACTION = 1 / 12
+CALL_BYTES = 6 * 1024
 # For connections with a large receive buffer, of which the operating system may fill twice this.
 LARGE_BUFFER_MEMORY_FRACTION = 1 / 60
 LARGE_BUFFER_UNREAD_BYTES = 128 * 1024
@@ -110,3 +113,8 @@
         """How many connections of callers may have a large receive buffer."""
         share = LARGE_BUFFER_MEMORY_FRACTION * self.memory_bytes
         return max(1, int(share / LARGE_BUFFER_UNREAD_BYTES))
+
+    @property
+    def calls_max(self) -> int:
+        """How many calls the running requests over many shards may need together."""
+        return int(CALL_MEMORY_FRACTION * self.memory_bytes / CALL_BYTES)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -87,6 +87,7 @@
         metrics=metrics,
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
+    gateway.room.limit.calls_max = settings.calls_max
     caller_load = CallerLoad(metrics=metrics)
     caller_load.set_limits(
         memory_bytes=settings.caller_memory_bytes,
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Site:
-    """One gateway process with a store, two shards of two leafs, and a service of one leaf.
+    """One gateway process with a store, shards of two leafs, and a service of one leaf.
 
     :param cores: the processor capacity in the settings
     :param store_address: where the process reaches the store, if not at its own address
@@ -50,7 +50,8 @@
     :param connections_max: connections that each leaf accepts
     :param body_bytes_max: how large a caller's body may be
     :param header_bytes_max: how large the head of a caller's request may be
-    :param timeout_ms: the timeout of the route to the service of one leaf
+    :param timeout_ms: the timeout of the routes with servers
+    :param shards: the services of the shards
     :param limits: further lines of the settings' table of limits
     :param bounds: further lines of the settings' table of bounds
     """
@@ -65,6 +66,7 @@
     body_bytes_max: int = 1000
     header_bytes_max: int = 16384
     timeout_ms: int = 1000
+    shards: tuple[str, ...] = ("a", "b")
     limits: str = ""
     bounds: str = ""
     store: StoreStandIn = field(default_factory=StoreStandIn)
@@ -78,7 +80,8 @@
     def __post_init__(self) -> None:
         if self.leafs:
             return
-        for name, service in (("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"), ("d1", "desk")):
+        names = [(f"{shard}{number}", shard) for shard in self.shards for number in (1, 2)]
+        for name, service in (*names, ("d1", "desk")):
             body = name.encode() * 8
             self.leafs[name] = LeafStandIn(name=name, service=service, body=body)
 
@@ -106,14 +109,15 @@
 
     def put_config(self, version: int = 1, **listing: object) -> None:
         """Write the operator's configuration."""
-        gather = {"gather": ["a", "b"], "top_k": 1, "min_coverage": 0.5} | listing
+        gather = {"gather": list(self.shards), "top_k": 1, "min_coverage": 0.5}
+        gather |= {"timeout_ms": self.timeout_ms} | listing
         routes = (
             route("listing", "/l/", **gather),
             route("single", "/s/", service="desk", timeout_ms=self.timeout_ms),
             route("order", "/o/", service="desk", route_type="unsafe"),
             route("nowhere", "/n/", service="none"),
         )
-        services = ("a", "b", "desk", "none")
+        services = (*self.shards, "desk", "none")
         entry = config(
             version,
             *routes,
@@ -239,6 +243,7 @@
     body_bytes_max: int = 1000,
     header_bytes_max: int = 16384,
     timeout_ms: int = 1000,
+    shards: tuple[str, ...] = ("a", "b"),
 ) -> AsyncIterator[Site]:
     """Run one gateway process, with further lines in the settings' table of limits."""
     PORTS.used_ports.clear()
@@ -248,6 +253,7 @@
         body_bytes_max=body_bytes_max,
         header_bytes_max=header_bytes_max,
         timeout_ms=timeout_ms,
+        shards=shards,
     )
     async with running(site.store, *site.leafs.values()), aiohttp.ClientSession() as session:
         site.session = session
--- a/tests/fleet/test_unbounded_callers.py
+++ b/tests/fleet/test_unbounded_callers.py
@@ -49,7 +49,9 @@
     """A crowd, and the gateway that it meets.
 
     :param others: what further callers send at the same time
-    :param leafs: how the leafs behave that listings need
+    :param shards: how many shards a listing needs
+    :param timeout_ms: the timeout of the routes
+    :param leafs: how their leafs behave
     :param stay_s: how long the crowd stays until the ordinary request
     """
 
@@ -57,6 +59,8 @@
     others: tuple[Sending, ...] = ()
     header_bytes_max: int = SMALL_HEAD_BYTES
     descriptors_max: int = MANY_DESCRIPTORS
+    shards: int = 2
+    timeout_ms: int = 1000
     leafs: str = "answer"
     stay_s: float = 0.0
 
@@ -164,6 +168,15 @@
         sending=Sending(head=LISTING * 20, callers=MANY_CALLERS), leafs="hang", stay_s=STAY_S
     ),
 }
+WORK = {
+    "listings-over-many-shards": Crowd(
+        sending=Sending(head=LISTING, callers=MANY_CALLERS),
+        shards=63,
+        timeout_ms=20_000,
+        leafs="hang",
+        stay_s=STAY_S,
+    ),
+}
 DESCRIPTORS = {
     "connections-at-once": Crowd(
         sending=Sending(head=START, callers=MANY_CALLERS), descriptors_max=DESCRIPTORS_MAX
@@ -207,6 +220,7 @@
         ("heads", HEADS),
         ("trailers", TRAILERS),
         ("unread", UNREAD),
+        ("work", WORK),
         ("open", DESCRIPTORS),
         ("mixed", MIXED),
     )
@@ -234,9 +248,12 @@
         limits=limits,
         body_bytes_max=BODY_BYTES_MAX,
         header_bytes_max=crowd.header_bytes_max,
+        timeout_ms=crowd.timeout_ms,
+        shards=tuple(f"shard-{number}" for number in range(crowd.shards)),
     ) as site:
-        for name in ("a1", "a2", "b1", "b2"):
-            site.leafs[name].behaviour = crowd.leafs
+        for leaf in site.leafs.values():
+            if leaf.service != "desk":
+                leaf.behaviour = crowd.leafs
         await check_limits(
             site,
             crowd.sending,
