Free a refused request without the garbage collector

A request that is refused for its body stayed in memory, with its head, after its connection had closed: the body's reader keeps the error, whose traceback refers to the frames of the request. What is no longer counted was still there until the garbage collector ran.

The error loses its traceback where it is handled.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
@@ -75,7 +75,9 @@
         try:
             read = await read_bytes(request, connection, limits.body_bytes_max)
         except BodyRefusedError as error:
-            return Err(error.failure)
+            # The reader refers to the error, and its traceback to this request. Without it, the
+            # request is freed before the garbage collector runs.
+            return Err(error.with_traceback(None).failure)
         if read is None:
             return Err(body_too_large(limits.body_bytes_max))
         body = read
