Divide the memory of a gateway by one sum that a test computes

Bounds for bodies, answers and connections were fractions chosen apart; connections were taken to cost 16 KiB whatever they hold, the receive buffers were in no sum, and the room for bodies grew with max_body_bytes beyond the memory. So a shape that nobody had thought of could pass any of them.

MemoryShares holds all shares: the program, answers, bodies with heads and trailers, calls, large receive buffers, connections that are not accepted yet, and connections at 48 KiB each (an idle one takes 6.4 KB, one whose request runs 22.4 KB, both measured; the rest is what is not counted). The number of connections follows from what is left: 282 at 120 MB, 552 at 160, 823 at 200, 1,499 at 300, 3,204 at 552 (915, 1,220, 1,525, 1,950 and 3,996 before). The room for bodies is at most three sixteenths of the memory; if the configuration allows larger bodies, a warning says so.

test_memory_shares.py replaces the test of the fractions: the sum is within the limit from 120 MB on, for any max_body_bytes; heads are counted whatever max_header_bytes is. Its rows for single limits are as exact as before, with the new values.

--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -85,9 +85,10 @@
                     self.load.set_limits(body_bytes_max=table.limits.body_bytes_max)
                 case SettingsChanged(settings=settings):
                     self.load.set_limits(
-                        memory_bytes=settings.caller_memory_bytes,
+                        memory_bytes=settings.memory_shares.bodies_bytes,
+                        memory_max_bytes=settings.memory_shares.bodies_max_bytes,
                         connections_max=settings.caller_connections_max,
-                        large_buffers_max=settings.caller_large_buffers_max,
+                        large_buffers_max=settings.memory_shares.large_buffers_max,
                     )
                 case BeginDrain():
                     self.draining = True
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -35,9 +36,10 @@
 class CallerLoad(Struct, kw_only=True):
     """Bounds what all callers together hold, and the work for them in a turn of the event loop.
 
-    :param memory_bytes: what the settings allow for bodies and unread answers
+    :param memory_bytes: what the settings allow for bodies, large heads and unread answers
+    :param memory_max_bytes: what they allow at most if a single body may be larger
     :param body_bytes_max: how large one body may be
-    :param memory: the bytes of bodies and unread answers
+    :param memory: the bytes of bodies, large heads and unread answers
     :param connections: the open connections
     :param large_buffers: the connections whose receive buffer is large
     :param turns: the connections that wait until their bytes are parsed
@@ -46,6 +48,7 @@
 
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     memory_bytes: int = LIMIT_BYTES
+    memory_max_bytes: int = sys.maxsize
     body_bytes_max: int = 0
     memory: HeldMemory[LimitedConnection] = field(default_factory=HeldMemory)
     connections: ConnectionLimit[LimitedConnection] = field(
@@ -65,6 +68,7 @@
         self,
         *,
         memory_bytes: int | None = None,
+        memory_max_bytes: int | None = None,
         connections_max: int | None = None,
         large_buffers_max: int | None = None,
         body_bytes_max: int | None = None,
@@ -72,14 +76,23 @@
         """Change limits; those that are None stay."""
         if memory_bytes is not None:
             self.memory_bytes = memory_bytes
+        if memory_max_bytes is not None:
+            self.memory_max_bytes = memory_max_bytes
         if body_bytes_max is not None:
             self.body_bytes_max = body_bytes_max
         if connections_max is not None:
             self.connections.limit = connections_max
         if large_buffers_max is not None:
             self.large_buffers.limit = large_buffers_max
-        # A single body has room whatever the settings are.
-        self.memory.limit_bytes = max(self.memory_bytes, COPIES_IN_USE * self.body_bytes_max)
+        # The largest body that callers may send has room, if the process has memory for it.
+        wanted_bytes = max(self.memory_bytes, COPIES_IN_USE * self.body_bytes_max)
+        self.memory.limit_bytes = min(wanted_bytes, self.memory_max_bytes)
+        if wanted_bytes > self.memory_max_bytes:
+            log.warning(
+                "Callers may send bodies of {} bytes; this process has memory for {} bytes of one.",
+                self.body_bytes_max,
+                self.memory.limit_bytes // COPIES_IN_USE,
+            )
 
     def on_open(self, connection: LimitedConnection) -> None:
         """Record a new connection, and close one if there are too many."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -11,26 +11,12 @@
 from azurefield.held_memory import LIMIT_BYTES
 from azurefield.quota_shares import QuotaBounds
 from azurefield.warmup_limits import WarmupBound
+from azurefield_entry.gateway.memory_shares import BYTES_PER_MB, MemoryShares
 
-# The rest is left to the program itself and to complete answers.
-ANSWER_MEMORY_FRACTION = 1 / 6
-CALLER_MEMORY_FRACTION = 1 / 6
-# The largest answer of a server, which has room whatever the memory is.
-CALLER_MEMORY_MIN_BYTES = 8 * 1024 * 1024
-CONNECTION_MEMORY_FRACTION = 1 / 8
-# What a caller's connection takes with the objects of a request, a small body and a small answer.
-CALLER_CONNECTION_BYTES = 16 * 1024
-# For the calls of running requests over many shards, each with its timers, tasks and buffers.
-CALL_MEMORY_FRACTION = 1 / 12
-CALL_BYTES = 6 * 1024
-# For connections with a large receive buffer, of which the operating system may fill twice this.
-LARGE_BUFFER_MEMORY_FRACTION = 1 / 60
-LARGE_BUFFER_UNREAD_BYTES = 128 * 1024
 # Descriptors that are kept for files; sockets and pipes share the others.
 FILE_DESCRIPTORS = 200
 # The other half is for servers, the store and other instances.
 CALLER_SOCKETS_FRACTION = 1 / 2
-BYTES_PER_MB = 1_000_000
 
 
 class GatewaySettings(Struct, kw_only=True, frozen=True):
@@ -84,7 +70,7 @@
         """How much memory all answers that are being received may hold together."""
         if not self.memory_mb:
             return LIMIT_BYTES
-        return int(ANSWER_MEMORY_FRACTION * self.memory_mb * BYTES_PER_MB)
+        return self.memory_shares.answers_bytes
 
     @property
     def memory_bytes(self) -> float:
@@ -94,27 +80,16 @@
         return self.memory_mb * BYTES_PER_MB
 
     @property
-    def caller_memory_bytes(self) -> int:
-        """How much memory callers' bodies and unread answers may hold together."""
-        return max(CALLER_MEMORY_MIN_BYTES, int(CALLER_MEMORY_FRACTION * self.memory_bytes))
+    def memory_shares(self) -> MemoryShares:
+        """What the process may hold for callers and servers."""
+        return MemoryShares(memory_bytes=self.memory_bytes)
 
     @property
     def caller_connections_max(self) -> int:
         """How many connections callers may have open together."""
         descriptors = self.descriptors_max or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        fitting_memory = CONNECTION_MEMORY_FRACTION * self.memory_bytes / CALLER_CONNECTION_BYTES
+        fitting_memory = self.memory_shares.connections_max
         if descriptors == resource.RLIM_INFINITY:
-            return int(fitting_memory)
+            return fitting_memory
         sockets = max(2.0, descriptors - FILE_DESCRIPTORS)
         return int(min(fitting_memory, CALLER_SOCKETS_FRACTION * sockets))
-
-    @property
-    def caller_large_buffers_max(self) -> int:
-        """How many connections of callers may have a large receive buffer."""
-        share = LARGE_BUFFER_MEMORY_FRACTION * self.memory_bytes
-        return max(1, int(share / LARGE_BUFFER_UNREAD_BYTES))
-
-    @property
-    def calls_max(self) -> int:
-        """How many calls the running requests over many shards may need together."""
-        return int(CALL_MEMORY_FRACTION * self.memory_bytes / CALL_BYTES)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -87,12 +87,13 @@
         metrics=metrics,
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
-    gateway.room.limit.calls_max = settings.calls_max
+    gateway.room.limit.calls_max = settings.memory_shares.calls_max
     caller_load = CallerLoad(metrics=metrics)
     caller_load.set_limits(
-        memory_bytes=settings.caller_memory_bytes,
+        memory_bytes=settings.memory_shares.bodies_bytes,
+        memory_max_bytes=settings.memory_shares.bodies_max_bytes,
         connections_max=settings.caller_connections_max,
-        large_buffers_max=settings.caller_large_buffers_max,
+        large_buffers_max=settings.memory_shares.large_buffers_max,
     )
     gateway.workspace_quotas.set_bounds(settings.quota_bounds)
     finish_timeout_s = max(0.0, settings.stop_grace_s - DRAIN_NOTICE_S - STOP_MARGIN_S)
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
 
 import pytest
-from msgspec.structs import replace
 
 from azurefield.parsing_turns import SHORT_LINES
 from azurefield.routes import CallerLimits
 from azurefield_entry.early_listener import RECEIVE_BUFFER_BYTES
 from azurefield_entry.gateway.callers.connection import LARGE_BUFFER_BYTES
-from azurefield_entry.gateway.settings import GatewaySettings
 from azurefield_testkit.entry_support.caller_server import (
     LIMITS,
     SMALL,
@@ -25,45 +22,6 @@
 from azurefield_testkit.waiting import wait_until
 
 LARGE = b"x" * 50_000
-SETTINGS = GatewaySettings(
-    instance="n1",
-    availability_zone="z",
-    callers_address="127.0.0.1:1",
-    readiness_address="127.0.0.1:2",
-    admin_address=None,
-    store_address="127.0.0.1:3",
-    further_calls_ratio=0.2,
-    further_calls_allowance=0.0,
-    further_calls_window_s=10.0,
-    stop_grace_s=6.0,
-)
-
-
-@pytest.mark.parametrize(
-    ("memory_mb", "descriptors_max", "memory_bytes", "connections_max"),
-    [
-        pytest.param(300.0, 4100.0, 50_000_000, 1950, id="half-of-the-sockets"),
-        pytest.param(120.0, 4100.0, 20_000_000, 915, id="an-eighth-of-the-memory"),
-        pytest.param(30.0, 600.0, 8 * 1024 * 1024, 200, id="one-answer-has-room"),
-        pytest.param(300.0, 100.0, 50_000_000, 1, id="fewer-descriptors-than-are-kept-for-files"),
-    ],
-)
-def test_the_limits_follow_from_memory_and_descriptors(
-    memory_mb: float, descriptors_max: float, memory_bytes: int, connections_max: int
-) -> None:
-    """Guards against limits that leave no room for servers, the store and other instances."""
-    settings = replace(SETTINGS, memory_mb=memory_mb, descriptors_max=descriptors_max)
-    assert settings.caller_memory_bytes == memory_bytes
-    assert settings.caller_connections_max == connections_max
-
-
-@pytest.mark.parametrize("unset", [None, 0.0])
-def test_the_limits_of_the_machine_apply_where_the_settings_name_none(unset: float | None) -> None:
-    """Guards against no limit at all, or one of nothing."""
-    settings = replace(SETTINGS, memory_mb=unset, descriptors_max=unset)
-    machine_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
-    assert 0 < settings.caller_memory_bytes < machine_bytes
-    assert 0 < settings.caller_connections_max < machine_bytes // 16_384
 
 
 async def test_the_largest_body_is_refused_and_small_ones_are_served() -> None:
