--- a/tests/fleet/crowds.py
+++ b/tests/fleet/crowds.py
@@ -3,21 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import socket
-from contextlib import AsyncExitStack, asynccontextmanager, nullcontext, suppress
+from contextlib import (
+    AsyncExitStack,
+    asynccontextmanager,
+    contextmanager,
+    nullcontext,
+    suppress,
+)
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import aiohttp
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
-    from gateway_process import Site
+    from azurefield_testkit.processes import ManagedProcess
 
 MEMORY_MB = 120
 DESCRIPTORS_MAX = 600
+# The usual number of descriptors, with which the memory bounds the connections.
+MANY_DESCRIPTORS = 4100
 # Descriptors that the platform reserves for files; sockets and pipes share the others.
 RESERVED_DESCRIPTORS = 200
 CALLERS = 300
@@ -30,6 +39,19 @@
 LISTENING = "0A"
 
 
+class Crowded(Protocol):
+    """A process that a crowd of callers meets.
+
+    :param callers: its ``host:port`` for callers
+    """
+
+    callers: str
+    process: ManagedProcess | None
+
+    async def serves(self, request_id: str) -> bool:
+        """Whether an ordinary request is answered."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Sending:
     """What each caller of a crowd sends before it stops and stays open.
@@ -52,6 +74,18 @@
     leaves: bool = False
 
 
+@contextmanager
+def raised_descriptor_limit() -> Iterator[None]:
+    """Let this process open a connection for each caller of a crowd."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MANY_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, MANY_DESCRIPTORS)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 @dataclass(slots=True, kw_only=True)
 class Peaks:
     """The largest memory and number of descriptors of a process.
@@ -64,7 +98,7 @@
     unread_mb: float = 0.0
     descriptors: int = 0
 
-    def sample(self, site: Site) -> None:
+    def sample(self, site: Crowded) -> None:
         """Read both from the operating system; a process that has ended fails the test."""
         assert site.process is not None
         assert site.process.running, site.process.tail()
@@ -76,7 +110,7 @@
         self.memory_mb = max(self.memory_mb, int(kilobytes) / 1000 + unread_mb)
         self.descriptors = max(self.descriptors, len([*(directory / "fd").iterdir()]))
 
-    async def sample_until_cancelled(self, site: Site) -> None:
+    async def sample_until_cancelled(self, site: Crowded) -> None:
         """Sample at a fixed interval."""
         while True:
             self.sample(site)
@@ -84,7 +118,7 @@
 
 
 @asynccontextmanager
-async def sampled(site: Site) -> AsyncIterator[Peaks]:
+async def sampled(site: Crowded) -> AsyncIterator[Peaks]:
     """Sample the gateway process meanwhile."""
     peaks = Peaks()
     sampling = asyncio.create_task(peaks.sample_until_cancelled(site))
@@ -196,7 +230,7 @@
         await asyncio.gather(*callers, return_exceptions=True)
 
 
-async def ordinary_request_is_answered(site: Site, name: str) -> bool:
+async def ordinary_request_is_answered(site: Crowded, name: str) -> bool:
     """Whether an ordinary request, sent again after each failure, is answered in the end."""
     ends = asyncio.get_running_loop().time() + ORDINARY_ANSWER_S
     number = 0
@@ -204,18 +238,17 @@
         number += 1
         with suppress(aiohttp.ClientError, TimeoutError):
             async with asyncio.timeout_at(ends):
-                status, _, _ = await site.call("/s/x", f"{name}-{number}", deadline_ms=5000)
-            if status == 200:
-                return True
+                if await site.serves(f"{name}-{number}"):
+                    return True
         await asyncio.sleep(0.1)
     return False
 
 
 async def check_limits(
-    site: Site,
+    site: Crowded,
     *sendings: Sending,
     stay_s: float = 0.0,
-    others: tuple[Site, ...] = (),
+    others: tuple[Crowded, ...] = (),
     descriptors_max: int = DESCRIPTORS_MAX,
 ) -> None:
     """Check a gateway's limits, and an ordinary request beside a crowd and after it.
--- a/tests/fleet/gateway_process.py
+++ b/tests/fleet/gateway_process.py
@@ -197,6 +197,11 @@
         ) as answer:
             return answer.status, answer.headers, await answer.read()
 
+    async def serves(self, request_id: str) -> bool:
+        """Whether an ordinary request is answered."""
+        status, _, _ = await self.call("/s/x", request_id, deadline_ms=5000)
+        return status == 200
+
     async def wait_for_instances(self, count: int) -> None:
         """Wait until this instance knows a number of running instances.
 
--- a/tests/fleet/test_unbounded_callers.py
+++ b/tests/fleet/test_unbounded_callers.py
@@ -6,13 +6,19 @@
 
 from __future__ import annotations
 
-import resource
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import pytest
 
-from crowds import DESCRIPTORS_MAX, MEMORY_MB, Sending, check_limits
+from crowds import (
+    DESCRIPTORS_MAX,
+    MANY_DESCRIPTORS,
+    MEMORY_MB,
+    Sending,
+    check_limits,
+    raised_descriptor_limit,
+)
 from gateway_process import serving
 
 if TYPE_CHECKING:
@@ -21,8 +27,6 @@
 
 pytestmark = [pytest.mark.process, pytest.mark.crowd]
 
-# The usual number of descriptors, with which the memory bounds the connections.
-MANY_DESCRIPTORS = 4100
 MANY_CALLERS = 900
 BODY_BYTES_MAX = 1_048_576
 SMALL_HEAD_BYTES = 16_384
@@ -230,12 +234,8 @@
 
 @pytest.fixture(autouse=True)
 def many_descriptors() -> Iterator[None]:
-    """Let this process open a connection for each caller of a crowd."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = MANY_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, MANY_DESCRIPTORS)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
-    yield
-    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    with raised_descriptor_limit():
+        yield
 
 
 @pytest.mark.parametrize("kind", CROWDS)
