Move the connections of callers out of the gateway

The server of callers' connections, its load, memory shares and refusals know nothing of the gateway, and the daemon's own interface needs them too. They move to azurefield_entry/callers; their metrics become CallerMetrics with the names as before, and the refusals are built there.

--- /dev/null
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers, within limits for all of them together."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/bodies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/bodies.py
@@ -8,8 +8,8 @@
 from msgspec import Struct, field
 from result import Err, Ok, Result
 
-from azurefield_entry.gateway.callers.connection import CallerConnection
-from azurefield_entry.gateway.callers.refusals import (
+from azurefield_entry.callers.connection import CallerConnection
+from azurefield_entry.callers.refusals import (
     BodyRefusedError,
     body_too_large,
     too_much_memory,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
@@ -11,9 +11,9 @@
 from aiohttp.web_protocol import RequestHandler
 
 from azurefield.parsed_heads import ParsedHeads
-from azurefield_entry.gateway.callers.incoming_body import IncomingBody
-from azurefield_entry.gateway.callers.pending_bytes import PendingBytes
-from azurefield_entry.gateway.callers.refusals import (
+from azurefield_entry.callers.incoming_body import IncomingBody
+from azurefield_entry.callers.pending_bytes import PendingBytes
+from azurefield_entry.callers.refusals import (
     BodyRefusedError,
     malformed_body,
     too_much_memory,
@@ -26,7 +26,7 @@
 
     from azurefield.failures import RequestFailure
     from azurefield.routes import CallerLimits
-    from azurefield_entry.gateway.callers.load import CallerLoad
+    from azurefield_entry.callers.load import CallerLoad
 
 # The gateway closes an idle connection this long after the idle timeout, so that a request that a
 # caller sends just before the timeout is not lost.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/load.py
@@ -13,9 +13,9 @@
 from azurefield.connection_limit import ConnectionLimit
 from azurefield.held_memory import LIMIT_BYTES, HeldMemory
 from azurefield.parsing_turns import ParsingTurns
+from azurefield_entry.callers.limited import LimitedConnection
+from azurefield_entry.callers.metrics import CallerMetrics
 from azurefield_entry.clock import now
-from azurefield_entry.gateway.callers.limited import LimitedConnection
-from azurefield_entry.gateway.metrics import GatewayMetrics
 from azurefield_entry.log_limit import LineLimit
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
     :param turn_scheduled: whether the next turn will be run
     """
 
-    metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
+    metrics: CallerMetrics = field(default_factory=CallerMetrics)
     memory_bytes: int = LIMIT_BYTES
     memory_max_bytes: int = sys.maxsize
     body_bytes_max: int = 0
@@ -97,10 +97,10 @@
     def on_open(self, connection: LimitedConnection) -> None:
         """Record a new connection, and close one if there are too many."""
         closing = self.connections.on_open(connection)
-        self.metrics.caller_connections.set(self.connections.open_count)
+        self.metrics.connections.set(self.connections.open_count)
         if closing is None:
             return
-        self.metrics.callers_limited.labels("connection").inc()
+        self.metrics.limited.labels("connection").inc()
         if self.connection_lines.allow(now()):
             log.warning("Callers have {} connections; closing one.", self.connections.open_count)
         closing.abort()
@@ -116,7 +116,7 @@
         self.turns.forget(connection)
         self.large_buffers.release(connection)
         self.connections.on_close(connection)
-        self.metrics.caller_connections.set(self.connections.open_count)
+        self.metrics.connections.set(self.connections.open_count)
 
     def hold(self, connection: LimitedConnection, held_bytes: int) -> None:
         """Record what a connection holds; those that hold most give up if it is too much."""
@@ -131,7 +131,7 @@
         while (largest := self.memory.largest_above_limit()) is not None:
             self.memory.release(largest)
             self.turns.forget(largest)
-            self.metrics.callers_limited.labels("memory").inc()
+            self.metrics.limited.labels("memory").inc()
             largest.give_up()
 
     def use_body(self, connection: LimitedConnection, body_bytes: int) -> bool:
@@ -152,7 +152,7 @@
         if not counted:
             return True
         if not self.memory.use(user, counted):
-            self.metrics.callers_limited.labels("memory").inc()
+            self.metrics.limited.labels("memory").inc()
             return False
         self.make_room()
         return True
@@ -172,7 +172,7 @@
         """Whether bytes of a body are parsed now; if not, the connection waits for its turn."""
         if self.turns.parses_at_once(connection, data):
             return True
-        self.metrics.callers_limited.labels("turn").inc()
+        self.metrics.limited.labels("turn").inc()
         self.schedule_turn()
         return False
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/refusals.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/refusals.py
@@ -4,8 +4,9 @@
 
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
-from azurefield_entry.gateway.callers.failure_response import malformed
-from azurefield_entry.gateway.requests.outcomes import refusal
+
+# Time after which a refused caller may retry.
+RETRY_AFTER_S = 0.1
 
 
 class BodyRefusedError(Exception):
@@ -21,7 +22,12 @@
 
 def too_much_memory() -> RequestFailure:
     """Build the failure of a request that is refused for what all callers hold."""
-    return refusal(FailureKind.QUEUE_FULL, "callers hold too much memory")
+    return RequestFailure(
+        kind=FailureKind.QUEUE_FULL,
+        outcome=Outcome.NOT_RUN,
+        detail="callers hold too much memory",
+        retry_after_s=RETRY_AFTER_S,
+    )
 
 
 def body_too_large(limit: int) -> RequestFailure:
@@ -37,7 +43,13 @@
 
 def malformed_body() -> RequestFailure:
     """Build the failure of a request whose body is not framed as HTTP demands."""
-    return malformed("body", "chunks with their sizes, and lines of trailers")
+    return RequestFailure(
+        kind=FailureKind.MALFORMED_REQUEST,
+        outcome=Outcome.NOT_RUN,
+        detail="the body is malformed",
+        field="body",
+        allowed="chunks with their sizes, and lines of trailers",
+    )
 
 
 def trailers_too_large(limit: int) -> RequestFailure:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/server.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/server.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import ERROR, RequestHandler
 
-from azurefield_entry.gateway.callers.connection import CallerConnection
-from azurefield_entry.gateway.callers.load import CallerLoad
+from azurefield_entry.callers.connection import CallerConnection
+from azurefield_entry.callers.load import CallerLoad
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/__init__.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/__init__.py
@@ -1,1 +1,1 @@
-"""Callers' side of the gateway: the HTTP server, and the requests that it receives."""
+"""Callers' side of the gateway: its front, and the answers to failed requests."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -14,10 +14,10 @@
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
 from azurefield.routes import CallerLimits
+from azurefield_entry.callers.bodies import read_body
+from azurefield_entry.callers.load import CallerLoad
+from azurefield_entry.callers.server import CallerServer
 from azurefield_entry.front.activity import Activity
-from azurefield_entry.gateway.callers.bodies import read_body
-from azurefield_entry.gateway.callers.load import CallerLoad
-from azurefield_entry.gateway.callers.server import CallerServer
 from azurefield_entry.gateway.messages import RouteTableChanged, SettingsChanged
 from azurefield_entry.gateway.ports import CallerDialect
 from azurefield_entry.gateway.service import GatewayService
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/explain/explainer.py
@@ -22,9 +22,9 @@
     QuotaShare,
 )
 from azurefield.query_actions import Finished
+from azurefield_entry.callers.refusals import body_too_large, too_much_memory
 from azurefield_entry.clock import now
 from azurefield_entry.gateway.callers.front import GatewayFront
-from azurefield_entry.gateway.callers.refusals import body_too_large, too_much_memory
 from azurefield_entry.gateway.explain.instances import InstanceExplainer
 from azurefield_entry.gateway.explain.servers import ServerExplainer, milliseconds
 from azurefield_entry.gateway.peers.coordinator import CoordinatorService
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from azurefield_entry.callers.metrics import CallerMetrics
 from azurefield_entry.metrics import LATENCY_BUCKETS_S
 
 
@@ -50,8 +51,7 @@
     store_failures: Counter = field(init=False)
     store_contact_at: Gauge = field(init=False)
     store_restores: Counter = field(init=False)
-    caller_connections: Gauge = field(init=False)
-    callers_limited: Counter = field(init=False)
+    callers: CallerMetrics = field(init=False)
     task_failures: Counter = field(init=False)
     log_lines_dropped: Counter = field(init=False)
 
@@ -249,17 +249,7 @@
             "Restores of the platform's store from an older copy that this process has noticed.",
             registry=registry,
         )
-        self.caller_connections = Gauge(
-            "azurefield_gateway_caller_connections",
-            "Open connections of callers.",
-            registry=registry,
-        )
-        self.callers_limited = Counter(
-            "azurefield_gateway_callers_limited",
-            "What was refused, closed or delayed because of what all callers together hold.",
-            ("limit",),
-            registry=registry,
-        )
+        self.callers = CallerMetrics(registry=registry, prefix="azurefield_gateway")
         self.task_failures = Counter(
             "azurefield_gateway_task_failures",
             "Background tasks that failed with an unexpected error.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/coordinator.py
@@ -16,9 +16,9 @@
 from azurefield.overload import LoopLag
 from azurefield.quota import QuotaDenied, QuotaGranted
 from azurefield.sharing import RequestClass, SharedAdmission
+from azurefield_entry.callers.load import CallerLoad
 from azurefield_entry.clock import now
 from azurefield_entry.front.activity import Activity
-from azurefield_entry.gateway.callers.load import CallerLoad
 from azurefield_entry.gateway.crashes.frames import (
     CrashReportFrame,
     RequestAnsweredFrame,
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/peers/counted_frames.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/peers/counted_frames.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Struct
 
-from azurefield_entry.gateway.callers.load import CallerLoad
+from azurefield_entry.callers.load import CallerLoad
 from azurefield_entry.gateway.peers.frames import TO_PEER, ToPeer
 from azurefield_entry.gateway.peers.framing import decode_frame, read_length
 
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/requests/room.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/requests/room.py
@@ -35,7 +35,7 @@
         calls = len(route.services) if isinstance(route.target, ShardSet) else 1
         if self.limit.begin(calls):
             return Ok(calls)
-        self.metrics.callers_limited.labels("calls").inc()
+        self.metrics.callers.limited.labels("calls").inc()
         if self.lines.allow(now()):
             log.warning(
                 "Request id={} is refused: the running requests need {} calls already.",
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -11,7 +11,7 @@
 from azurefield.held_memory import LIMIT_BYTES
 from azurefield.quota_shares import QuotaBounds
 from azurefield.warmup_limits import WarmupBound
-from azurefield_entry.gateway.memory_shares import BYTES_PER_MB, MemoryShares
+from azurefield_entry.callers.memory_shares import BYTES_PER_MB, MemoryShares
 
 # Descriptors that are kept for files; sockets and pipes share the others.
 FILE_DESCRIPTORS = 200
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -12,9 +12,9 @@
 from azurefield.routing import OwnObservationRouter
 from azurefield.server_pace import AdaptivePace, FixedRamp
 from azurefield_entry.background import FAILURE_LISTENERS
+from azurefield_entry.callers.load import CallerLoad
 from azurefield_entry.gateway.admin import GatewayAdmin
 from azurefield_entry.gateway.callers.front import GatewayFront
-from azurefield_entry.gateway.callers.load import CallerLoad
 from azurefield_entry.gateway.explain.explainer import RequestExplainer
 from azurefield_entry.gateway.metadata.relay import RelayService
 from azurefield_entry.gateway.metadata.service import MetadataService
@@ -88,7 +88,7 @@
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
     gateway.room.limit.calls_max = settings.memory_shares.calls_max
-    caller_load = CallerLoad(metrics=metrics)
+    caller_load = CallerLoad(metrics=metrics.callers)
     caller_load.set_limits(
         memory_bytes=settings.memory_shares.bodies_bytes,
         memory_max_bytes=settings.memory_shares.bodies_max_bytes,
--- a/packages/azurefield-entry/src/azurefield_entry/metrics.py
+++ b/packages/azurefield-entry/src/azurefield_entry/metrics.py
@@ -6,6 +6,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from azurefield_entry.callers.metrics import CallerMetrics
+
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.05, 0.066, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0)
 COVERAGE_BUCKETS = (0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 1.0)
 
@@ -31,6 +33,7 @@
     connections_open: Gauge = field(init=False)
     probes_missed: Counter = field(init=False)
     version_in_force: Gauge = field(init=False)
+    callers: CallerMetrics = field(init=False)
 
     def __post_init__(self) -> None:
         registry = self.registry
@@ -104,6 +107,7 @@
         self.version_in_force = Gauge(
             "azurefield_configuration_version", "Configuration version in force.", registry=registry
         )
+        self.callers = CallerMetrics(registry=registry)
 
 
 def _counter(registry: CollectorRegistry, name: str, text: str, *labels: str) -> Counter:
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -9,8 +9,8 @@
 
 from azurefield.parsing_turns import SHORT_LINES
 from azurefield.routes import CallerLimits
+from azurefield_entry.callers.connection import LARGE_BUFFER_BYTES
 from azurefield_entry.early_listener import RECEIVE_BUFFER_BYTES
-from azurefield_entry.gateway.callers.connection import LARGE_BUFFER_BYTES
 from azurefield_testkit.entry_support.caller_server import (
     LIMITS,
     SMALL,
@@ -84,7 +84,7 @@
         reader, writer = await loaded.connect_running()
         loaded.load.memory.limit_bytes = 10_000
         writer.write(request(LARGE))
-        refused = loaded.load.metrics.callers_limited.labels("memory")
+        refused = loaded.load.metrics.limited.labels("memory")
         await wait_until(lambda: refused._value.get() == 1, "the rest is dropped")
         loaded.may_answer.set()
         assert await status_of(reader) == 200
--- a/packages/azurefield-entry/tests/gateway/test_caller_server.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_server.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from azurefield.routes import CallerLimits
-from azurefield_entry.gateway.callers.server import CallerServer
+from azurefield_entry.callers.server import CallerServer
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/azurefield-entry/tests/gateway/test_memory_shares.py
+++ b/packages/azurefield-entry/tests/gateway/test_memory_shares.py
@@ -8,8 +8,8 @@
 import pytest
 from msgspec.structs import replace
 
-from azurefield_entry.gateway.callers.load import CallerLoad
-from azurefield_entry.gateway.memory_shares import BYTES_PER_MB, MemoryShares
+from azurefield_entry.callers.load import CallerLoad
+from azurefield_entry.callers.memory_shares import BYTES_PER_MB, MemoryShares
 from azurefield_entry.gateway.settings import GatewaySettings
 
 SETTINGS = GatewaySettings(
--- a/packages/azurefield-testkit/src/azurefield_testkit/entry_support/caller_server.py
+++ b/packages/azurefield-testkit/src/azurefield_testkit/entry_support/caller_server.py
@@ -11,11 +11,11 @@
 from result import Err
 
 from azurefield.routes import CallerLimits
+from azurefield_entry.callers.bodies import read_body
+from azurefield_entry.callers.load import UNCOUNTED_BYTES, CallerLoad
+from azurefield_entry.callers.server import CallerServer
 from azurefield_entry.early_listener import open_callers_socket
-from azurefield_entry.gateway.callers.bodies import read_body
 from azurefield_entry.gateway.callers.failure_response import write_failure
-from azurefield_entry.gateway.callers.load import UNCOUNTED_BYTES, CallerLoad
-from azurefield_entry.gateway.callers.server import CallerServer
 from azurefield_testkit.waiting import wait_until
 
 if TYPE_CHECKING:
