Receive the rest of a refused body before closing

A caller that sends its whole body before it reads got a reset in place of 413 or 503: the connection closed with unread bytes, which makes the operating system discard the answer on the caller's side. With the small receive buffer nearly every refused body met this; a test of malformed requests at the daemon showed it (five answers of 'status 0').

Behind an answer to a request whose body is not complete, the connection drops what arrives until the body is over, at most for 1 s, and then closes. Nothing is kept meanwhile, and the connection still counts and can be the one that closes if there are too many.

--- a/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -46,6 +47,8 @@
 # doubles the value, as it does with the buffer of all connections.
 SMALL_BODY_BYTES = 4096
 LARGE_BUFFER_BYTES = 64 * 1024
+# A caller whose body is not read may send the rest for this time behind the answer.
+DROP_REST_S = 1.0
 # What the transport may hold of an answer before it counts as one that the caller does not read.
 UNREAD_ANSWER_BYTES = 16 * 1024
 # Stops aiohttp from logging a line per request.
@@ -86,6 +89,7 @@
     :param head_bytes_left: how many bytes of a head may follow
     :param head_tail: the last bytes of a head that is not complete
     :param next_head: what was parsed of it behind a body in chunks
+    :param rest_dropped: set once the rest of a body that is not read has arrived
     :param rejected: whether what the caller sends is dropped, for what it has sent before
     :param unparsed: bytes that were read and wait to be parsed
     :param body: the body of the running request
@@ -105,6 +109,7 @@
         "load",
         "next_head",
         "rejected",
+        "rest_dropped",
         "unparsed",
     )
 
@@ -124,6 +129,7 @@
         self.load = load
         self.head_timer: asyncio.TimerHandle | None = None
         self.rejected = False
+        self.rest_dropped: asyncio.Event | None = None
         self.head_bytes_max = self.head_bytes_left = limits.header_bytes_max
         self.head_tail = self.next_head = b""
         self.heads = ParsedHeads()
@@ -148,6 +154,7 @@
             self.check_body()
             return
         if self.rejected:
+            self.drop(data)
             return
         self.load.on_progress(self)
         if self.body.reader is None and not self._messages:
@@ -157,6 +164,12 @@
         else:
             self.postpone(data)
 
+    def drop(self, data: bytes) -> None:
+        """Drop bytes behind an answer, until those of its request's body are over."""
+        ended = self.body.drop(len(data))
+        if ended and self.rest_dropped is not None:
+            self.rest_dropped.set()
+
     def receive_head(self, data: bytes) -> None:
         """Start the time allowed for a head with its first bytes."""
         if self.head_timer is None or self.head_timer.when() > self.head_limit():
@@ -323,7 +336,6 @@
             return
         if not self.body.taken:
             reader.set_exception(BodyRefusedError(failure))
-        # Closing with unread bytes would reset the connection, and the answer could be lost.
         self._resume_transport_reading()
 
     def abort(self) -> None:
@@ -420,9 +432,23 @@
             # aiohttp refers to the answer until the next request has been handled.
             resp.body = None
         await request.writer.drain()
+        if self.body.arrives:
+            await self.drop_rest()
         self.on_request_end()
         return finished
 
+    async def drop_rest(self) -> None:
+        """Receive the rest of a body that is not read, for a while.
+
+        Closing with unread bytes would reset the connection, and the caller could lose the answer.
+        """
+        self.reject()
+        self.rest_dropped = asyncio.Event()
+        self._resume_transport_reading()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(DROP_REST_S):
+                await self.rest_dropped.wait()
+
     def on_request_end(self) -> None:
         """Go on with what has arrived behind the request."""
         self.body.end()
--- a/packages/azurefield-entry/src/azurefield_entry/callers/incoming_body.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/incoming_body.py
@@ -65,6 +65,13 @@
         self.fed_bytes += len(body)
         return body, data[len(body) :]
 
+    def drop(self, size: int) -> bool:
+        """Record bytes that arrived and are not kept; return whether the body is over with them."""
+        if self.bytes_left is None:
+            return False
+        self.bytes_left = max(0, self.bytes_left - size)
+        return self.bytes_left == 0
+
     def on_read(self, read_bytes: int) -> None:
         """Record how much the handler has taken; all that was parsed."""
         self.read_bytes, self.fed_bytes = read_bytes, 0
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -359,3 +359,26 @@
         writer.write(CHUNKED + b"7d0\r\n" + b"\n0" * 1000 + b"\r\n0\r\n\r\n")
         assert await status_of(reader) == 200
         writer.close()
+
+
+@pytest.mark.parametrize("small_buffers", [False, True])
+@pytest.mark.parametrize(
+    ("body_bytes", "memory_bytes", "status"),
+    [
+        pytest.param(LIMITS.body_bytes_max + 1, 10_000_000, 413, id="too-large"),
+        pytest.param(LIMITS.body_bytes_max, 20_000, 503, id="no-room"),
+    ],
+)
+async def test_a_caller_that_sends_its_whole_body_first_gets_the_refusal(
+    body_bytes: int, memory_bytes: int, status: int, *, small_buffers: bool
+) -> None:
+    """Guards against an answer that is lost because the connection closes with unread bytes."""
+    async with loaded_server(memory_bytes=memory_bytes, small_buffers=small_buffers) as loaded:
+        reader, writer = await loaded.connect()
+        whole = request(bytes(body_bytes))
+        for at in range(0, len(whole), 10_000):
+            writer.write(whole[at : at + 10_000])
+            await asyncio.sleep(0.01)
+        assert await status_of(reader) == status
+        async with asyncio.timeout(5.0):
+            await reader.read()
