Serve the daemon's own interface with the gateway's server of callers

Callers of the daemon's interface met none of the gateway's bounds: a plain server of aiohttp kept whatever they sent. CallerServer serves both fronts now, with CallerLoad and MemoryShares; the front resolves its paths itself with aiohttp's dispatcher and reads bodies through the connection, which counts them. New settings memory_mb and descriptors_max say what the process may use; 0 stands for the machine's memory and the operating system's limit. A head has at most 16 KiB now, complete 10 s after its first byte; a caller inside docs/api.md does not meet that.

--- a/packages/azurefield-entry/src/azurefield_entry/callers/memory_shares.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/memory_shares.py
@@ -1,10 +1,13 @@
-"""How the memory of a gateway process is divided.
+"""How the memory and the descriptors of a process are divided.
 
 The design note ``caller-memory.md`` has the sum as a table.
 """
 
 from __future__ import annotations
 
+import os
+import resource
+
 from msgspec import Struct
 
 from azurefield_entry.callers.connection import LARGE_BUFFER_BYTES
@@ -32,6 +35,10 @@
 CALL_BYTES = 6 * 1024
 # Large receive buffers of callers' connections.
 LARGE_BUFFERS_FRACTION = 1 / 120
+# Descriptors that are kept for files; sockets and pipes share the others.
+FILE_DESCRIPTORS = 200
+# The other half is for servers, the store and other instances.
+CALLER_SOCKETS_FRACTION = 1 / 2
 
 
 class MemoryShares(Struct, kw_only=True, frozen=True):
@@ -97,3 +104,22 @@
     def sum_bytes(self) -> int:
         """What the process may hold at most, whatever callers send."""
         return self.other_bytes + self.connections_max * (CONNECTION_BYTES + UNREAD_BYTES_MAX)
+
+
+def usable_memory_bytes(memory_mb: float | None) -> float:
+    """Return how much memory a process may use: that of the machine if its settings name none."""
+    if not memory_mb:
+        return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return memory_mb * BYTES_PER_MB
+
+
+def caller_connections_max(shares: MemoryShares, descriptors_max: float | None) -> int:
+    """Return how many connections callers may have open together.
+
+    :param descriptors_max: descriptors of the process; None or 0 for the operating system's limit
+    """
+    descriptors = descriptors_max or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if descriptors == resource.RLIM_INFINITY:
+        return shares.connections_max
+    sockets = max(2.0, descriptors - FILE_DESCRIPTORS)
+    return int(min(shares.connections_max, CALLER_SOCKETS_FRACTION * sockets))
--- a/packages/azurefield-entry/src/azurefield_entry/callers/server.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/server.py
@@ -27,6 +27,7 @@
     """A server whose new connections use the current limits.
 
     :param load: what all connections together may hold
+    :param request_type: the class of the requests that are handled
     """
 
     def __init__(
@@ -35,9 +36,11 @@
         handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         limits: Callable[[], CallerLimits],
         load: CallerLoad | None = None,
+        request_type: type[web.BaseRequest] = web.BaseRequest,
     ) -> None:
         super().__init__(handle, request_factory=self.begin_request, handler_cancellation=True)
         self.limits = limits
+        self.request_type = request_type
         self.load = CallerLoad() if load is None else load
 
     def __call__(self) -> RequestHandler:
@@ -59,7 +62,7 @@
             else:
                 protocol.on_request_begin(message, payload)
         loop = asyncio.get_running_loop()
-        return web.BaseRequest(message, payload, protocol, writer, task, loop)
+        return self.request_type(message, payload, protocol, writer, task, loop)
 
     async def finish_writing(self, deadline: float) -> None:
         """Wait until the operating system has taken all answers, at most until a deadline."""
--- a/packages/azurefield-entry/src/azurefield_entry/front/api.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/api.py
@@ -42,11 +42,13 @@
     state: FrontState
     context: FrontContext
 
-    async def answer(self, request: web.Request, arrival: Arrival, path: str) -> web.Response:
+    async def answer(
+        self, request: web.Request, arrival: Arrival, *, service: str, path: str
+    ) -> web.Response:
         """Answer one request; the answer to a failed one is a problem document."""
         self.context.activity.begin(arrival.request_id)
         try:
-            result = await self.check_and_run(request, arrival, path)
+            result = await self.check_and_run(request, arrival, service, path)
         finally:
             self.context.activity.end(arrival.request_id)
         match result:
@@ -57,10 +59,10 @@
                 return problem_response(failure, request_id=arrival.caller_id)
 
     async def check_and_run(
-        self, request: web.Request, arrival: Arrival, path: str
+        self, request: web.Request, arrival: Arrival, service: str, path: str
     ) -> ResponseResult:
         """Check the request, then run it."""
-        match await self.check(request, arrival, path):
+        match await self.check(request, arrival, service, path):
             case Err(failure):
                 if path == BOOKINGS_PATH:
                     failure = await correct_refusal_outcome(self.context.kernel, request, failure)
@@ -74,7 +76,7 @@
         return await run.run_query()
 
     async def check(
-        self, request: web.Request, arrival: Arrival, path: str
+        self, request: web.Request, arrival: Arrival, service: str, path: str
     ) -> Result[RequestRun, RequestFailure]:
         """Check path and headers of a request and read its body, which is decoded later."""
         if arrival.failure is not None:
@@ -82,7 +84,7 @@
         match self.state.configuration_in_force().and_then(
             lambda configuration: check_request(
                 configuration,
-                service=request.match_info["service"],
+                service=service,
                 kind=KIND_OF_PATH[path],
                 headers=request.headers,
             )
--- a/packages/azurefield-entry/src/azurefield_entry/front/bodies.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/bodies.py
@@ -12,6 +12,9 @@
 
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
+from azurefield_entry.callers.bodies import read_bytes
+from azurefield_entry.callers.connection import CallerConnection
+from azurefield_entry.callers.refusals import BodyRefusedError, body_too_large, too_much_memory
 from azurefield_entry.front.validation import invalid_input
 
 BODY_BYTES_MAX = 64 * 1024
@@ -49,30 +52,35 @@
 
 
 async def read_body(request: web.Request, *, deadline: float) -> Result[bytes, RequestFailure]:
-    """Read a body of at most ``BODY_BYTES_MAX`` bytes.
+    """Read a body of at most ``BODY_BYTES_MAX`` bytes, unless callers hold too much memory.
 
     :param deadline: time of the event loop's clock at which reading is given up
     """
-    if (request.content_length or 0) > BODY_BYTES_MAX:
-        return Err(_too_large())
-    body = bytearray()
-    try:
-        async with asyncio.timeout_at(deadline):
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > BODY_BYTES_MAX:
-                    return Err(_too_large())
-    except TimeoutError:
-        return Err(
-            RequestFailure(
-                kind=FailureKind.DEADLINE_EXCEEDED,
-                outcome=Outcome.NOT_RUN,
-                detail="the body did not arrive before the deadline",
+    connection = request.protocol
+    assert isinstance(connection, CallerConnection)
+    body = b""
+    if request.can_read_body:
+        try:
+            async with asyncio.timeout_at(deadline):
+                read = await read_bytes(request, connection, BODY_BYTES_MAX)
+        except TimeoutError:
+            return Err(
+                RequestFailure(
+                    kind=FailureKind.DEADLINE_EXCEEDED,
+                    outcome=Outcome.NOT_RUN,
+                    detail="the body did not arrive before the deadline",
+                )
             )
-        )
-    except (web.PayloadAccessError, web.RequestPayloadError) as error:
-        return Err(_malformed(f"the body can't be read: {error}"))
-    return Ok(bytes(body))
+        except BodyRefusedError as error:
+            return Err(error.with_traceback(None).failure)
+        except (web.PayloadAccessError, web.RequestPayloadError) as error:
+            return Err(_malformed(f"the body can't be read: {error}"))
+        if read is None:
+            return Err(body_too_large(BODY_BYTES_MAX))
+        body = read
+    if not connection.load.use_body(connection, len(body)):
+        return Err(too_much_memory())
+    return Ok(body)
 
 
 def decode_body(body: bytes, type_: type[T]) -> Result[T, RequestFailure]:
@@ -90,12 +98,3 @@
     return invalid_input(
         FailureKind.MALFORMED_REQUEST, detail, field=field or "body", allowed="see docs/api.md"
     )
-
-
-def _too_large() -> RequestFailure:
-    return invalid_input(
-        FailureKind.BODY_TOO_LARGE,
-        "the body is too large",
-        field="body",
-        allowed=f"at most {BODY_BYTES_MAX} bytes",
-    )
--- a/packages/azurefield-entry/src/azurefield_entry/front/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -14,15 +13,19 @@
 
 from azurefield.failures import FailureKind, RequestFailure
 from azurefield.model import Outcome
+from azurefield.routes import CallerLimits
+from azurefield_entry.callers.load import CallerLoad
+from azurefield_entry.callers.server import CallerServer
 from azurefield_entry.front.activity import Activity
 from azurefield_entry.front.admission import Admission
 from azurefield_entry.front.api import KIND_OF_PATH, CallersApi
 from azurefield_entry.front.arrival import Arrival, ArrivalRegistry
+from azurefield_entry.front.bodies import BODY_BYTES_MAX
 from azurefield_entry.front.problems import plain_http_problem, problem_response
 from azurefield_entry.front.run import REPLY_GRACE_S, FrontContext
 from azurefield_entry.front.state import FrontState
 from azurefield_entry.kernel import BeginDrain, Stop, send_every
-from azurefield_entry.listener import listen
+from azurefield_entry.listener import listen_for_callers
 from azurefield_entry.logs import describe_error
 from azurefield_entry.messages import (
     ConfigurationChanged,
@@ -36,16 +39,33 @@
 from azurefield_entry.peers.frames import HeartbeatFields, parse_fields
 
 if TYPE_CHECKING:
-    from aiohttp.typedefs import Handler
-
     from azurefield_entry.kernel import Kernel, Mailbox
 
 CLOSE_TIMEOUT_S = 2.0
 SHARE_EXCHANGE_INTERVAL_S = 1.0  # The interval of the heartbeats, which carry the members' use.
-ARRIVAL = web.RequestKey("arrival", Arrival)
+CALLER_LIMITS = CallerLimits(
+    header_bytes_max=16 * 1024,
+    body_bytes_max=BODY_BYTES_MAX,
+    header_timeout_s=10.0,
+    # A balancer closes idle connections before.
+    idle_timeout_s=3600.0,
+)
 log = Logger("front")
 
 
+def make_router() -> web.UrlDispatcher:
+    """Make the paths of the callers' API."""
+    router = web.UrlDispatcher()
+    for path in KIND_OF_PATH:
+        router.add_post(f"/v1/services/{{service}}/{{path:{path}}}", unused_handler)
+    return router
+
+
+async def unused_handler(request: web.Request) -> web.StreamResponse:
+    """Stand for the handler that a route needs; requests are answered by what their path names."""
+    raise NotImplementedError(request.path)
+
+
 class ExchangeShares(Struct, kw_only=True, frozen=True):
     """To ``front`` itself: adjust the members' weights."""
 
@@ -60,6 +80,8 @@
     admission: Admission
     state: FrontState = field(default_factory=FrontState)
     activity: Activity = field(default_factory=Activity)
+    load: CallerLoad = field(default_factory=CallerLoad)
+    router: web.UrlDispatcher = field(default_factory=make_router)
     api: CallersApi = field(init=False)
     arrivals: ArrivalRegistry = field(init=False)
 
@@ -73,13 +95,14 @@
             activity=self.activity,
         )
         self.api = CallersApi(state=self.state, context=context)
-        runner = web.AppRunner(
-            self.application(),
-            handler_cancellation=True,
-            access_log=None,
-            shutdown_timeout=CLOSE_TIMEOUT_S,
+        server = CallerServer(
+            handle=self.answer,
+            limits=lambda: CALLER_LIMITS,
+            load=self.load,
+            request_type=web.Request,
         )
-        site = await listen(runner, self.address, mailbox)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
+        site = await listen_for_callers(runner, self.address, mailbox)
         if site is not None:
             log.info("Listening on {}.", self.address)
         ready = ReadinessChanged(part="front", ready=True, reason="")
@@ -136,24 +159,12 @@
                 left,
             )
 
-    def application(self) -> web.Application:
-        """Build the web application with the routes of the callers' API."""
-        application = web.Application(middlewares=[self.request_middleware])
-        for path in KIND_OF_PATH:
-            handler = partial(self.handle, path)
-            application.router.add_post(f"/v1/services/{{service}}/{path}", handler)
-        return application
-
-    @web.middleware
-    async def request_middleware(
-        self, request: web.Request, handler: Handler
-    ) -> web.StreamResponse:
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Assign an identity to each request and answer every error with a problem document."""
         arrival = self.arrivals.register(request)
-        request[ARRIVAL] = arrival
         response: web.StreamResponse
         try:
-            response = await handler(request)
+            response = await self.route(request, arrival)
         except web.HTTPException as error:
             response = plain_http_problem(error, request_id=arrival.caller_id)
         except Exception as error:
@@ -163,15 +174,22 @@
                 describe_error(error),
             )
             response = problem_response(_internal(), request_id=arrival.caller_id)
-        if self.state.draining:
+        if self.state.draining or not request.content.is_eof():
             response.force_close()
         return response
 
-    async def handle(self, path: str, request: web.Request) -> web.StreamResponse:
-        """Answer one request of the API and record its metrics."""
-        arrival = request[ARRIVAL]
-        response = await self.api.answer(request, arrival, path)
-        self.record_metrics(request.match_info["service"], path, arrival, response.status)
+    async def route(self, request: web.BaseRequest, arrival: Arrival) -> web.StreamResponse:
+        """Answer one request of the API and record its metrics.
+
+        :raises web.HTTPException: if there is no such path or method
+        """
+        assert isinstance(request, web.Request)
+        match = await self.router.resolve(request)
+        if match.http_exception is not None:
+            raise match.http_exception
+        service, path = match["service"], match["path"]
+        response = await self.api.answer(request, arrival, service=service, path=path)
+        self.record_metrics(service, path, arrival, response.status)
         return response
 
     def record_metrics(self, service: str, path: str, arrival: Arrival, status: int) -> None:
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import os
-import resource
 from collections.abc import Mapping
 
 from msgspec import Struct, field
@@ -11,12 +9,11 @@
 from azurefield.held_memory import LIMIT_BYTES
 from azurefield.quota_shares import QuotaBounds
 from azurefield.warmup_limits import WarmupBound
-from azurefield_entry.callers.memory_shares import BYTES_PER_MB, MemoryShares
-
-# Descriptors that are kept for files; sockets and pipes share the others.
-FILE_DESCRIPTORS = 200
-# The other half is for servers, the store and other instances.
-CALLER_SOCKETS_FRACTION = 1 / 2
+from azurefield_entry.callers.memory_shares import (
+    MemoryShares,
+    caller_connections_max,
+    usable_memory_bytes,
+)
 
 
 class GatewaySettings(Struct, kw_only=True, frozen=True):
@@ -75,9 +72,7 @@
     @property
     def memory_bytes(self) -> float:
         """How much memory the process may use, at most that of the machine."""
-        if not self.memory_mb:
-            return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
-        return self.memory_mb * BYTES_PER_MB
+        return usable_memory_bytes(self.memory_mb)
 
     @property
     def memory_shares(self) -> MemoryShares:
@@ -87,9 +82,4 @@
     @property
     def caller_connections_max(self) -> int:
         """How many connections callers may have open together."""
-        descriptors = self.descriptors_max or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        fitting_memory = self.memory_shares.connections_max
-        if descriptors == resource.RLIM_INFINITY:
-            return fitting_memory
-        sockets = max(2.0, descriptors - FILE_DESCRIPTORS)
-        return int(min(fitting_memory, CALLER_SOCKETS_FRACTION * sockets))
+        return caller_connections_max(self.memory_shares, self.descriptors_max)
--- a/packages/azurefield-entry/src/azurefield_entry/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/settings.py
@@ -27,7 +27,11 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Settings:
-    """The settings file of a process; all other configuration comes from the platform."""
+    """The settings file of a process; all other configuration comes from the platform.
+
+    :param memory_mb: megabytes that the process may use; 0 for the memory of the machine
+    :param descriptors_max: descriptors that it may have open; 0 for the operating system's limit
+    """
 
     instance: Name
     availability_zone: Name
@@ -39,6 +43,8 @@
     drain_notice_s: Seconds = 3.0
     ticket_lifetime_s: Seconds = 120.0
     random_seed: int | None = None
+    memory_mb: Quantity = 0.0
+    descriptors_max: Quantity = 0.0
     log_level: Annotated[str, msgspec.Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/packages/azurefield-entry/src/azurefield_entry/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/wiring.py
@@ -9,7 +9,14 @@
 from azurefield_entry.admin.status import InstanceStatus
 from azurefield_entry.backends.service import BackendsService
 from azurefield_entry.bookings.service import BookingsService, new_ledger
+from azurefield_entry.callers.load import CallerLoad
+from azurefield_entry.callers.memory_shares import (
+    MemoryShares,
+    caller_connections_max,
+    usable_memory_bytes,
+)
 from azurefield_entry.configuration.service import ConfigurationService
+from azurefield_entry.front.bodies import BODY_BYTES_MAX
 from azurefield_entry.front.queued_admission import QueuedAdmission
 from azurefield_entry.front.service import FrontService
 from azurefield_entry.kernel import Kernel, Service
@@ -73,10 +80,25 @@
             incarnation=identity.incarnation,
             metrics=metrics,
             admission=QueuedAdmission(metrics=metrics),
+            load=make_caller_load(settings, metrics),
         ),
     }
 
 
+def make_caller_load(settings: Settings, metrics: Metrics) -> CallerLoad:
+    """Make the limits for all callers together, from the memory and the descriptors."""
+    shares = MemoryShares(memory_bytes=usable_memory_bytes(settings.memory_mb))
+    load = CallerLoad(metrics=metrics.callers)
+    load.set_limits(
+        memory_bytes=shares.bodies_bytes,
+        memory_max_bytes=shares.bodies_max_bytes,
+        connections_max=caller_connections_max(shares, settings.descriptors_max),
+        large_buffers_max=shares.large_buffers_max,
+        body_bytes_max=BODY_BYTES_MAX,
+    )
+    return load
+
+
 def make_coordination(
     settings: Settings, identity: Identity, random: Random, session: ClientSession
 ) -> dict[str, Service]:
--- a/packages/azurefield-testkit/tests/faults/test_entry_crowds.py
+++ b/packages/azurefield-testkit/tests/faults/test_entry_crowds.py
@@ -12,7 +12,7 @@
 from azurefield_testkit.processes import ManagedProcess
 from azurefield_testkit.questionnaire import MEMBERS
 from azurefield_testkit.tier import Tier, running_tier
-from crowds import MANY_DESCRIPTORS, Sending, check_limits, raised_descriptor_limit
+from crowds import MANY_DESCRIPTORS, MEMORY_MB, Sending, check_limits, raised_descriptor_limit
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -67,7 +67,7 @@
 @pytest.mark.parametrize("kind", CROWDS)
 async def test_a_crowd_leaves_an_entry_instance_within_its_limits(kind: str) -> None:
     """Guards against callers that end an instance by its memory or descriptors, or stall it."""
-    async with running_tier(instances=1) as tier:
+    async with running_tier(instances=1, memory_mb=MEMORY_MB) as tier:
         (entry,) = tier.running_entries()
         crowded = CrowdedEntry(
             tier=tier, callers=entry.address, process=tier.processes.processes[entry.name]
