Split the heads of a caller's connection from the connection

IncomingHead owns the head that arrives, what the parser keeps of it and of trailers, and how a body in chunks ends, as IncomingBody does for the body; the size of a piece is chosen by PendingBytes; the sizes of receive buffers stand together. Behaviour is unchanged: 169 tests of callers, memory shares and the daemon's front pass.

--- a/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
@@ -11,8 +11,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from azurefield.parsed_heads import ParsedHeads
 from azurefield_entry.callers.incoming_body import IncomingBody
+from azurefield_entry.callers.incoming_head import IncomingHead
 from azurefield_entry.callers.pending_bytes import PendingBytes
 from azurefield_entry.callers.refusals import (
     BodyRefusedError,
@@ -20,6 +20,7 @@
     too_much_memory,
     trailers_too_large,
 )
+from azurefield_entry.early_listener import LARGE_BUFFER_BYTES
 
 if TYPE_CHECKING:
     from aiohttp.http_parser import RawRequestMessage
@@ -32,21 +33,10 @@
 # The gateway closes an idle connection this long after the idle timeout, so that a request that a
 # caller sends just before the timeout is not lost.
 IDLE_MARGIN_S = 1.0
-HEAD_END = b"\r\n\r\n"
-EMPTY_LINES = b"\r\n"
-# The size of a last chunk begins so.
-LAST_CHUNK = b"\n0"
-NO_TRAILERS = b"0\r\n\r\n"
 # A caller may send this much behind a head whose request has not begun.
 UNPARSED_BYTES_MAX = 256 * 1024
-# A piece of a body is parsed at once. It is smaller if it has many lines, as small chunks have.
-PIECE_BYTES = 64 * 1024
-PIECE_LINES = 256
-SMALL_PIECE_BYTES = 2048
-# A body that is longer than this is received faster with a large buffer. The operating system
-# doubles the value, as it does with the buffer of all connections.
+# A body that is longer than this is received faster with a large buffer.
 SMALL_BODY_BYTES = 4096
-LARGE_BUFFER_BYTES = 64 * 1024
 # A caller whose body is not read may send the rest for this time behind the answer.
 DROP_REST_S = 1.0
 # What the transport may hold of an answer before it counts as one that the caller does not read.
@@ -56,25 +46,6 @@
 NO_ACCESS_LOG.disabled = True
 
 
-def find_head_end(before: bytes, data: bytes) -> int | None:
-    """Return where the first head in ``data`` ends; None if it does not.
-
-    :param before: the last bytes of the head that were read earlier
-    """
-    found = (before + data).find(HEAD_END)
-    return None if found < 0 else found + len(HEAD_END) - len(before)
-
-
-def trailers_of(data: bytes) -> bytes:
-    r"""Return what may be trailers in a part of a body; more if the body looks like a last chunk.
-
-    >>> trailers_of(b"1\r\nx\r\n0\r\nName: y\r\n"), trailers_of(b"4000\r\n" + bytes(9))
-    (b'\n0\r\nName: y\r\n', b'')
-    """
-    begin = data.rfind(LAST_CHUNK)
-    return b"" if begin < 0 else data[begin:]
-
-
 class CallerConnection(RequestHandler):
     """A connection that is closed if its caller sends nothing, or does not complete a head.
 
@@ -84,11 +55,8 @@
     end before the request is answered.
 
     :param answer_bytes: the size of the answer that is being written
-    :param heads: what is kept of heads until their requests have ended
+    :param head: the head that arrives, and what is kept of the last ones
     :param heads_in_use: whether they are counted with the body of the running request
-    :param head_bytes_left: how many bytes of a head may follow
-    :param head_tail: the last bytes of a head that is not complete
-    :param next_head: what was parsed of it behind a body in chunks
     :param rest_dropped: set once the rest of a body that is not read has arrived
     :param rejected: whether what the caller sends is dropped, for what it has sent before
     :param unparsed: bytes that were read and wait to be parsed
@@ -98,16 +66,12 @@
     __slots__ = (
         "answer_bytes",
         "body",
-        "head_bytes_left",
-        "head_bytes_max",
-        "head_tail",
+        "head",
         "head_timer",
         "header_timeout_s",
-        "heads",
         "heads_in_use",
         "idle_timeout_s",
         "load",
-        "next_head",
         "rejected",
         "rest_dropped",
         "unparsed",
@@ -130,9 +94,7 @@
         self.head_timer: asyncio.TimerHandle | None = None
         self.rejected = False
         self.rest_dropped: asyncio.Event | None = None
-        self.head_bytes_max = self.head_bytes_left = limits.header_bytes_max
-        self.head_tail = self.next_head = b""
-        self.heads = ParsedHeads()
+        self.head = IncomingHead(bytes_max=limits.header_bytes_max)
         self.heads_in_use = False
         self.unparsed = PendingBytes()
         self.body = IncomingBody()
@@ -184,30 +146,11 @@
 
     def parse_head(self) -> None:
         """Parse up to the end of a head; what follows waits until its request has begun."""
-        while self.unparsed and self.head_bytes_left and not self._messages:
-            data = self.unparsed.take(self.head_bytes_left)
-            self.head_bytes_left -= len(data)
-            if not self.head_tail:
-                # The parser ignores empty lines before a head.
-                data = data.lstrip(EMPTY_LINES)
-            if data:
-                self.parse_head_part(data)
+        while not self._messages and (data := self.head.take(self.unparsed)):
+            super().data_received(data)
         if self.unparsed and not self._messages:
             asyncio.get_running_loop().call_soon(self.require_head)
 
-    def parse_head_part(self, data: bytes) -> None:
-        """Parse a part of a head, without what follows its end."""
-        end = find_head_end(self.head_tail, data)
-        if end is not None:
-            self.unparsed.put_back(data[end:])
-            data = data[:end]
-        if not self.head_tail:
-            # Until a head begins, the parser keeps the one before.
-            self.heads.clear()
-        self.head_tail = (self.head_tail + data)[1 - len(HEAD_END) :]
-        self.heads.add(data)
-        super().data_received(data)
-
     def parse(self, data: bytes) -> None:
         """Parse bytes of a body, without what follows it if its length is known."""
         data, behind = self.body.split(data)
@@ -218,7 +161,7 @@
         super().data_received(data)
         self.check_body()
         if self.body.bytes_left is None:
-            self.count_framing(data, has_body=self.body.received_bytes > received)
+            self.count_chunks(data, has_body=self.body.received_bytes > received)
         self.count_held()
         if self.body.arrives and self.body.held_bytes > SMALL_BODY_BYTES:
             self.enlarge_buffer()
@@ -232,24 +175,18 @@
             self._messages.clear()
             self.refuse(malformed_body())
 
-    def count_framing(self, data: bytes, *, has_body: bool) -> None:
+    def count_chunks(self, data: bytes, *, has_body: bool) -> None:
         """Count what the parser keeps of the framing of a body in chunks; too much is refused.
 
         :param has_body: whether there were bytes of the body in what was parsed
         """
         if not self.body.arrives:
-            # Heads may follow, which have been parsed as well.
-            self.next_head = data[data.rfind(HEAD_END) + len(HEAD_END) :]
-            if self.next_head or self._messages:
-                self.heads.add(data)
-            if data.endswith(NO_TRAILERS):
-                self.heads.begin_trailers(b"")
-        elif has_body:
-            self.heads.begin_trailers(trailers_of(data))
-        elif not self._reading_paused:
-            self.heads.add_trailers(data)
-            if self.heads.trailer_bytes > self.head_bytes_max:
-                self.refuse(trailers_too_large(self.head_bytes_max))
+            self.head.on_chunks_end(data, pipelined=bool(self._messages))
+        elif self._reading_paused and not has_body:
+            # The parser is paused, and keeps bytes of the body for later.
+            return
+        elif self.head.on_chunks(data, has_body=has_body):
+            self.refuse(trailers_too_large(self.head.bytes_max))
 
     def enlarge_buffer(self) -> None:
         """Let the operating system receive more of a large body at a time, if that is granted."""
@@ -282,13 +219,8 @@
         """Parse the next piece of a body that had to wait."""
         if not self.body.arrives or not self.unparsed:
             return
-        piece = self.unparsed.take(PIECE_BYTES)
-        lines = piece.count(b"\n")
-        if lines > PIECE_LINES:
-            self.unparsed.put_back(piece[SMALL_PIECE_BYTES:])
-            piece = piece[:SMALL_PIECE_BYTES]
-            lines = piece.count(b"\n")
-        self.load.turns.on_parsed(lines=lines, size=len(piece))
+        piece = self.unparsed.take_piece()
+        self.load.turns.on_parsed(lines=piece.count(b"\n"), size=len(piece))
         self.parse(piece)
         if not self.unparsed:
             self._resume_transport_reading()
@@ -361,7 +293,7 @@
             return
         held_bytes = self.body.held_bytes + self.unparsed.size
         if not self.heads_in_use:
-            held_bytes += self.heads.memory_bytes
+            held_bytes += self.head.kept.memory_bytes
         if self.writing_paused:
             held_bytes += self.answer_bytes
         self.load.hold(self, held_bytes)
@@ -402,17 +334,12 @@
         """Record that a whole head has arrived, and go on with its body."""
         self.stop_timer()
         self.body.begin(message, reader)
-        self.begin_head(b"")
+        self.head.expect()
         if self.body.arrives:
             self.parse_pending()
         elif self.unparsed:
             self._pause_transport_reading()
 
-    def begin_head(self, parsed: bytes) -> None:
-        """Expect the next head, of which a part may have been parsed."""
-        self.head_bytes_left = max(0, self.head_bytes_max - len(parsed))
-        self.head_tail = parsed[1 - len(HEAD_END) :]
-
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
@@ -466,11 +393,7 @@
 
     def begin_next_head(self) -> None:
         """Parse the next head, as far as it has arrived."""
-        if self.next_head:
-            self.heads.clear()
-            self.heads.add(self.next_head)
-            self.begin_head(self.next_head)
-            self.next_head = b""
+        if self.head.begin_behind_chunks():
             self.start_timer(self.header_timeout_s)
         if self.unparsed:
             self.start_timer(self.header_timeout_s)
--- a/packages/azurefield-entry/src/azurefield_entry/callers/limited.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/limited.py
@@ -7,17 +7,17 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from azurefield.parsed_heads import ParsedHeads
+    from azurefield_entry.callers.incoming_head import IncomingHead
 
 
 class LimitedConnection(Protocol):
     """A connection that holds memory, waits for turns and may have to give up.
 
-    :param heads: what is kept of the heads of its requests
+    :param head: with what is kept of the heads of its requests
     :param rejected: whether what its caller sends is dropped
     """
 
-    heads: ParsedHeads
+    head: IncomingHead
     rejected: bool
     transport: asyncio.Transport | None
 
--- a/packages/azurefield-entry/src/azurefield_entry/callers/load.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/load.py
@@ -141,7 +141,7 @@
             return False
         connection.on_body_taken()
         self.connections.on_served(connection)
-        return self.use(connection, body_bytes, head_bytes=connection.heads.memory_bytes)
+        return self.use(connection, body_bytes, head_bytes=connection.head.kept.memory_bytes)
 
     def use(self, user: Hashable, body_bytes: int, *, head_bytes: int = 0) -> bool:
         """Keep a body until ``memory.end_use``; return whether there is room.
--- a/packages/azurefield-entry/src/azurefield_entry/callers/memory_shares.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/memory_shares.py
@@ -10,8 +10,7 @@
 
 from msgspec import Struct
 
-from azurefield_entry.callers.connection import LARGE_BUFFER_BYTES
-from azurefield_entry.early_listener import BACKLOG, UNREAD_BYTES_MAX
+from azurefield_entry.early_listener import BACKLOG, LARGE_BUFFER_BYTES, UNREAD_BYTES_MAX
 
 BYTES_PER_MB = 1_000_000
 # The program itself, with the configuration and the connections to servers of a usual site.
--- a/packages/azurefield-entry/src/azurefield_entry/callers/pending_bytes.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/pending_bytes.py
@@ -8,6 +8,9 @@
 
 # Blocks of one size leave no holes of other sizes in the memory of the process when they end.
 BLOCK_BYTES = 64 * 1024
+# A piece is parsed at once. It is smaller if it has many lines, as small chunks have.
+PIECE_LINES = 256
+SMALL_PIECE_BYTES = 2048
 
 
 class PendingBytes(Struct, kw_only=True):
@@ -50,6 +53,14 @@
             self.offset = 0
         return taken
 
+    def take_piece(self) -> bytes:
+        """Take what is parsed at once: a block, or less if it has many lines."""
+        piece = self.take(self.block_bytes)
+        if piece.count(b"\n") <= PIECE_LINES:
+            return piece
+        self.put_back(piece[SMALL_PIECE_BYTES:])
+        return piece[:SMALL_PIECE_BYTES]
+
     def put_back(self, data: bytes) -> None:
         """Return bytes that were taken last."""
         if self.offset >= len(data):
--- a/packages/azurefield-entry/src/azurefield_entry/early_listener.py
+++ b/packages/azurefield-entry/src/azurefield_entry/early_listener.py
@@ -13,6 +13,8 @@
 # to that many bytes which nothing has read; its own choice would be a hundred kilobytes and more.
 RECEIVE_BUFFER_BYTES = 4096
 UNREAD_BYTES_MAX = 2 * RECEIVE_BUFFER_BYTES
+# The same of a connection with a large body.
+LARGE_BUFFER_BYTES = 64 * 1024
 EARLY_SOCKETS: dict[str, socket.socket] = {}
 
 
--- a/packages/azurefield-entry/tests/gateway/test_caller_load.py
+++ b/packages/azurefield-entry/tests/gateway/test_caller_load.py
@@ -9,8 +9,7 @@
 
 from azurefield.parsing_turns import SHORT_LINES
 from azurefield.routes import CallerLimits
-from azurefield_entry.callers.connection import LARGE_BUFFER_BYTES
-from azurefield_entry.early_listener import RECEIVE_BUFFER_BYTES
+from azurefield_entry.early_listener import LARGE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES
 from azurefield_testkit.entry_support.caller_server import (
     LIMITS,
     SMALL,
