Divide the sockets of a process between callers, servers and the rest

With few descriptors, ordinary listings over 63 shards opened 1,911 of 400 allowed: the limits of callers left half of the sockets to the rest, but nothing bounded the connections to servers, and a whole queue of 512 connections could be accepted beyond the limit in one turn.

The queue is an eighth of the sockets (512 at most), also for the listener that is opened early; connections to servers are a quarter, in equal parts for the known servers, at least one each. With 4,100 descriptors and 87 servers that is 11 connections a server; a test adds all shares up.

--- a/packages/azurefield-entry/src/azurefield_entry/callers/memory_shares.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/memory_shares.py
@@ -6,11 +6,16 @@
 from __future__ import annotations
 
 import os
-import resource
+import sys
 
 from msgspec import Struct
 
-from azurefield_entry.early_listener import BACKLOG, LARGE_BUFFER_BYTES, UNREAD_BYTES_MAX
+from azurefield_entry.early_listener import (
+    BACKLOG,
+    LARGE_BUFFER_BYTES,
+    UNREAD_BYTES_MAX,
+    sockets_max,
+)
 
 BYTES_PER_MB = 1_000_000
 # The program itself, with the configuration and the connections to servers of a usual site.
@@ -34,10 +39,10 @@
 CALL_BYTES = 6 * 1024
 # Large receive buffers of callers' connections.
 LARGE_BUFFERS_FRACTION = 1 / 120
-# Descriptors that are kept for files; sockets and pipes share the others.
-FILE_DESCRIPTORS = 200
-# The other half is for servers, the store and other instances.
+# An eighth of the sockets is for connections that are not accepted yet, the rest for the store and
+# other instances.
 CALLER_SOCKETS_FRACTION = 1 / 2
+SERVER_SOCKETS_FRACTION = 1 / 4
 
 
 class MemoryShares(Struct, kw_only=True, frozen=True):
@@ -117,8 +122,9 @@
 
     :param descriptors_max: descriptors of the process; None or 0 for the operating system's limit
     """
-    descriptors = descriptors_max or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if descriptors == resource.RLIM_INFINITY:
-        return shares.connections_max
-    sockets = max(2.0, descriptors - FILE_DESCRIPTORS)
-    return int(min(shares.connections_max, CALLER_SOCKETS_FRACTION * sockets))
+    return int(min(shares.connections_max, CALLER_SOCKETS_FRACTION * sockets_max(descriptors_max)))
+
+
+def server_connections_max(descriptors_max: float | None) -> int:
+    """Return how many connections to servers the process may have open together."""
+    return int(min(sys.maxsize, SERVER_SOCKETS_FRACTION * sockets_max(descriptors_max)))
--- a/packages/azurefield-entry/src/azurefield_entry/front/service.py
+++ b/packages/azurefield-entry/src/azurefield_entry/front/service.py
@@ -16,6 +16,7 @@
 from azurefield.routes import CallerLimits
 from azurefield_entry.callers.load import CallerLoad
 from azurefield_entry.callers.server import CallerServer
+from azurefield_entry.early_listener import BACKLOG
 from azurefield_entry.front.activity import Activity
 from azurefield_entry.front.admission import Admission
 from azurefield_entry.front.api import KIND_OF_PATH, CallersApi
@@ -81,6 +82,7 @@
     state: FrontState = field(default_factory=FrontState)
     activity: Activity = field(default_factory=Activity)
     load: CallerLoad = field(default_factory=CallerLoad)
+    backlog: int = BACKLOG
     router: web.UrlDispatcher = field(default_factory=make_router)
     api: CallersApi = field(init=False)
     arrivals: ArrivalRegistry = field(init=False)
@@ -102,7 +104,7 @@
             request_type=web.Request,
         )
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
-        site = await listen_for_callers(runner, self.address, mailbox)
+        site = await listen_for_callers(runner, self.address, mailbox, backlog=self.backlog)
         if site is not None:
             log.info("Listening on {}.", self.address)
         ready = ReadinessChanged(part="front", ready=True, reason="")
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/applied_settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/applied_settings.py
@@ -17,6 +17,7 @@
     gateway.budget.window_s = settings.further_calls_window_s
     gateway.further_calls_allowance = settings.further_calls_allowance
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
+    gateway.connections.connections_max = settings.server_connections_max
     gateway.room.limit.calls_max = settings.memory_shares.calls_max
     gateway.quotas.warmups.bound = settings.warmup_bound
     gateway.residency.regions = settings.regions
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/callers/front.py
@@ -17,6 +17,7 @@
 from azurefield_entry.callers.bodies import read_body
 from azurefield_entry.callers.load import CallerLoad
 from azurefield_entry.callers.server import CallerServer
+from azurefield_entry.early_listener import BACKLOG
 from azurefield_entry.front.activity import Activity
 from azurefield_entry.gateway.messages import RouteTableChanged, SettingsChanged
 from azurefield_entry.gateway.ports import CallerDialect
@@ -46,6 +47,7 @@
     :param finish_timeout_s: how long a planned stop waits for running requests
     :param limits: what callers may send; new connections use the current limits
     :param load: what all callers together may hold
+    :param backlog: how many connections may wait until they are accepted
     :param stops_at: when the running requests are ended; None before a planned stop has closed the
         listener
     :param expired: whether that time has come
@@ -59,6 +61,7 @@
     finish_timeout_s: float
     limits: CallerLimits = field(default_factory=CallerLimits)
     load: CallerLoad = field(default_factory=CallerLoad)
+    backlog: int = BACKLOG
     draining: bool = False
     stops_at: float | None = None
     expired: bool = False
@@ -73,7 +76,7 @@
         readiness = web.ServerRunner(
             web.Server(self.get_readiness, access_log=None), shutdown_timeout=CLOSE_TIMEOUT_S
         )
-        site = await listen_for_callers(callers, self.address, mailbox)
+        site = await listen_for_callers(callers, self.address, mailbox, backlog=self.backlog)
         if site is not None:
             log.info("Listening on {}.", self.address)
         # Readiness is reported only once callers can connect.
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/servers/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Mapping
 from functools import partial
 from typing import TYPE_CHECKING
@@ -31,6 +32,7 @@
     """One connection pool per server, bounded by this instance's share of the server's limit.
 
     :param limits: the limits of each service
+    :param connections_max: how many connections to all servers the descriptors allow
     :param instances: how many instances share the limits; None if unknown
     :param answer_memory: the memory of the answers that are being received
     :param shares: this instance's share of a server's limit, for the services where the shares of
@@ -41,6 +43,7 @@
     directory: Directory
     metrics: GatewayMetrics
     limits: Mapping[str, ServiceLimits] = field(default_factory=dict)
+    connections_max: int = sys.maxsize
     instances: int | None = None
     shares: Mapping[str, int] = field(default_factory=dict)
     pools: dict[str, ConnectionPool[LeafConnection]] = field(default_factory=dict)
@@ -61,16 +64,18 @@
     def ceiling(self, server: str) -> int:
         """Return how many connections this instance may open to a server.
 
-        One more share is reserved for an instance that is not known yet.
+        One more share is reserved for an instance that is not known yet. All servers together get
+        no more than the descriptors allow, but one connection each.
         """
         entry = self.directory.servers.get(server)
         if entry is None or entry.service not in self.limits:
             return 1
-        if entry.service in self.shares:
-            return self.shares[entry.service]
-        count = self.instances
-        divisor = policies.INSTANCES_ASSUMED if count is None else count + 1
-        return max(1, self.limits[entry.service].connections_max // divisor)
+        share = self.shares.get(entry.service)
+        if share is None:
+            count = self.instances
+            divisor = policies.INSTANCES_ASSUMED if count is None else count + 1
+            share = max(1, self.limits[entry.service].connections_max // divisor)
+        return min(share, max(1, self.connections_max // len(self.directory.servers)))
 
     def pool(self, entry: RegisteredServer) -> ConnectionPool[LeafConnection]:
         """Return the connection pool of a server."""
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/settings.py
@@ -12,6 +12,7 @@
 from azurefield_entry.callers.memory_shares import (
     MemoryShares,
     caller_connections_max,
+    server_connections_max,
     usable_memory_bytes,
 )
 
@@ -83,3 +84,8 @@
     def caller_connections_max(self) -> int:
         """How many connections callers may have open together."""
         return caller_connections_max(self.memory_shares, self.descriptors_max)
+
+    @property
+    def server_connections_max(self) -> int:
+        """How many connections to servers may be open together."""
+        return server_connections_max(self.descriptors_max)
--- a/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/gateway/wiring.py
@@ -13,6 +13,7 @@
 from azurefield.server_pace import AdaptivePace, FixedRamp
 from azurefield_entry.background import FAILURE_LISTENERS
 from azurefield_entry.callers.load import CallerLoad
+from azurefield_entry.early_listener import backlog_for
 from azurefield_entry.gateway.admin import GatewayAdmin
 from azurefield_entry.gateway.callers.front import GatewayFront
 from azurefield_entry.gateway.explain.explainer import RequestExplainer
@@ -87,6 +88,7 @@
         metrics=metrics,
     )
     gateway.connections.answer_memory.limit_bytes = settings.answer_memory_bytes
+    gateway.connections.connections_max = settings.server_connections_max
     gateway.room.limit.calls_max = settings.memory_shares.calls_max
     caller_load = CallerLoad(metrics=metrics.callers)
     caller_load.set_limits(
@@ -105,6 +107,7 @@
         gateway=gateway,
         finish_timeout_s=finish_timeout_s,
         load=caller_load,
+        backlog=backlog_for(settings.descriptors_max),
     )
     services: dict[str, Service] = {
         "settings": ReloadService(load=load, current=settings),
--- a/packages/azurefield-entry/src/azurefield_entry/listener.py
+++ b/packages/azurefield-entry/src/azurefield_entry/listener.py
@@ -40,23 +40,29 @@
     return await retry_while_in_use(lambda: start_site(runner, address), address, mailbox)
 
 
-async def listen_for_callers(runner: BaseRunner, address: str, mailbox: Mailbox) -> BaseSite | None:
+async def listen_for_callers(
+    runner: BaseRunner, address: str, mailbox: Mailbox, *, backlog: int = BACKLOG
+) -> BaseSite | None:
     """Start a runner as ``listen`` does, for connections that share what callers may use.
 
     A socket that was opened early for the address is used.
+
+    :param backlog: how many connections may wait until they are accepted
     """
     await runner.setup()
     opened = take_socket(address)
     if opened is not None:
-        return await start_socket_site(runner, opened)
+        return await start_socket_site(runner, opened, backlog)
     return await retry_while_in_use(
-        lambda: start_socket_site(runner, open_callers_socket(address)), address, mailbox
+        lambda: start_socket_site(runner, open_callers_socket(address, backlog), backlog),
+        address,
+        mailbox,
     )
 
 
-async def start_socket_site(runner: BaseRunner, listener: socket.socket) -> BaseSite:
+async def start_socket_site(runner: BaseRunner, listener: socket.socket, backlog: int) -> BaseSite:
     """Start a runner on a listening socket."""
-    site = web.SockSite(runner, listener, backlog=BACKLOG)
+    site = web.SockSite(runner, listener, backlog=backlog)
     await site.start()
     return site
 
--- a/packages/azurefield-entry/src/azurefield_entry/wiring.py
+++ b/packages/azurefield-entry/src/azurefield_entry/wiring.py
@@ -16,6 +16,7 @@
     usable_memory_bytes,
 )
 from azurefield_entry.configuration.service import ConfigurationService
+from azurefield_entry.early_listener import backlog_for
 from azurefield_entry.front.bodies import BODY_BYTES_MAX
 from azurefield_entry.front.queued_admission import QueuedAdmission
 from azurefield_entry.front.service import FrontService
@@ -81,6 +82,7 @@
             metrics=metrics,
             admission=QueuedAdmission(metrics=metrics),
             load=make_caller_load(settings, metrics),
+            backlog=backlog_for(settings.descriptors_max),
         ),
     }
 
--- a/packages/azurefield-entry/tests/gateway/test_memory_shares.py
+++ b/packages/azurefield-entry/tests/gateway/test_memory_shares.py
@@ -10,6 +10,7 @@
 
 from azurefield_entry.callers.load import CallerLoad
 from azurefield_entry.callers.memory_shares import BYTES_PER_MB, MemoryShares
+from azurefield_entry.early_listener import FILE_DESCRIPTORS, backlog_for
 from azurefield_entry.gateway.settings import GatewaySettings
 
 SETTINGS = GatewaySettings(
@@ -54,22 +55,27 @@
 
 
 @pytest.mark.parametrize(
-    ("memory_mb", "descriptors_max", "bodies_bytes", "connections_max"),
+    ("memory_mb", "descriptors_max", "bodies_bytes", "connections_max", "to_servers"),
     [
-        pytest.param(552.0, 4100.0, 92_000_000, 1950, id="half-of-the-sockets"),
-        pytest.param(300.0, 4100.0, 50_000_000, 1499, id="the-memory-of-a-site"),
-        pytest.param(120.0, 4100.0, 20_000_000, 282, id="a-small-memory"),
-        pytest.param(30.0, 600.0, 8 * 1024 * 1024, 67, id="one-answer-has-room"),
-        pytest.param(300.0, 100.0, 50_000_000, 1, id="fewer-descriptors-than-are-kept-for-files"),
+        pytest.param(552.0, 4100.0, 92_000_000, 1950, 975, id="half-of-the-sockets"),
+        pytest.param(300.0, 4100.0, 50_000_000, 1499, 975, id="the-memory-of-a-site"),
+        pytest.param(120.0, 4100.0, 20_000_000, 282, 975, id="a-small-memory"),
+        pytest.param(30.0, 600.0, 8 * 1024 * 1024, 67, 100, id="one-answer-has-room"),
+        pytest.param(300.0, 100.0, 50_000_000, 1, 0, id="fewer-descriptors-than-files-may-use"),
     ],
 )
 def test_the_limits_follow_from_memory_and_descriptors(
-    memory_mb: float, descriptors_max: float, bodies_bytes: int, connections_max: int
+    memory_mb: float,
+    descriptors_max: float,
+    bodies_bytes: int,
+    connections_max: int,
+    to_servers: int,
 ) -> None:
     """Guards against limits that leave no room for servers, the store and other instances."""
     settings = replace(SETTINGS, memory_mb=memory_mb, descriptors_max=descriptors_max)
     assert settings.memory_shares.bodies_bytes == bodies_bytes
     assert settings.caller_connections_max == connections_max
+    assert settings.server_connections_max == to_servers
 
 
 @pytest.mark.parametrize("unset", [None, 0.0])
@@ -79,3 +85,15 @@
     machine_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
     assert 0 < settings.memory_shares.bodies_bytes < machine_bytes
     assert 0 < settings.caller_connections_max < machine_bytes // 16_384
+
+
+@pytest.mark.parametrize("descriptors_max", [600.0, 1024.0, 4100.0, 8192.0, 100_000.0])
+@pytest.mark.parametrize("memory_mb", [SMALLEST_MB, 552.0, 64_000.0])
+def test_all_sockets_together_are_within_the_descriptors(
+    memory_mb: float, descriptors_max: float
+) -> None:
+    """Guards against shares of sockets that leave none for the store and other instances."""
+    settings = replace(SETTINGS, memory_mb=memory_mb, descriptors_max=descriptors_max)
+    used = settings.caller_connections_max + settings.server_connections_max
+    left = descriptors_max - FILE_DESCRIPTORS - used - backlog_for(descriptors_max)
+    assert left >= (descriptors_max - FILE_DESCRIPTORS) // 8
--- a/tests/fleet/test_unbounded_callers.py
+++ b/tests/fleet/test_unbounded_callers.py
@@ -182,6 +182,14 @@
     ),
 }
 DESCRIPTORS = {
+    "listings-over-many-shards": Crowd(
+        sending=Sending(head=LISTING, callers=MANY_CALLERS),
+        shards=63,
+        timeout_ms=20_000,
+        descriptors_max=DESCRIPTORS_MAX,
+        leafs="hang",
+        stay_s=STAY_S,
+    ),
     "connections-at-once": Crowd(
         sending=Sending(head=START, callers=MANY_CALLERS), descriptors_max=DESCRIPTORS_MAX
     ),
