--- a/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/connection.py
@@ -50,13 +50,13 @@
     """A connection that is closed if its caller sends nothing, or does not complete a head.
 
     aiohttp limits the idle time only after the first request, and copies all bytes of a read into
-    the error about a head that it can't parse. So no more than a head may be long is parsed before
-    a request has begun. Of a body, only short reads are parsed at once, and nothing behind its
-    end before the request is answered.
+    the error about a head that it can't parse. So no more than one head is parsed before its
+    request has begun, and nothing behind a request before it is answered, unless its body comes in
+    chunks, whose end only the parser finds. Of a body, only short reads are parsed at once.
 
     :param answer_bytes: the size of the answer that is being written
     :param head: the head that arrives, and what is kept of the last ones
-    :param heads_in_use: whether they are counted with the body of the running request
+    :param head_in_use: whether what is kept is counted with the body of the running request
     :param rest_dropped: set once the rest of a body that is not read has arrived
     :param rejected: whether what the caller sends is dropped, for what it has sent before
     :param unparsed: bytes that were read and wait to be parsed
@@ -67,9 +67,9 @@
         "answer_bytes",
         "body",
         "head",
+        "head_in_use",
         "head_timer",
         "header_timeout_s",
-        "heads_in_use",
         "idle_timeout_s",
         "load",
         "rejected",
@@ -95,7 +95,7 @@
         self.rejected = False
         self.rest_dropped: asyncio.Event | None = None
         self.head = IncomingHead(bytes_max=limits.header_bytes_max)
-        self.heads_in_use = False
+        self.head_in_use = False
         self.unparsed = PendingBytes()
         self.body = IncomingBody()
         self.answer_bytes = 0
@@ -134,7 +134,8 @@
 
     def receive_head(self, data: bytes) -> None:
         """Start the time allowed for a head with its first bytes."""
-        if self.head_timer is None or self.head_timer.when() > self.head_limit():
+        head_ends_at = asyncio.get_running_loop().time() + self.header_timeout_s
+        if self.head_timer is None or self.head_timer.when() > head_ends_at:
             self.start_timer(self.header_timeout_s)
         waits = bool(self.unparsed)
         self.unparsed.add(data)
@@ -284,18 +285,16 @@
 
     def on_body_taken(self) -> None:
         """Record that the handler has the whole body, which is counted as in use with the head."""
-        self.body.taken = self.heads_in_use = True
+        self.body.taken = self.head_in_use = True
         self.on_body_read(0)
 
     def count_held(self) -> None:
         """Count what this connection holds while it is open."""
         if self.transport is None:
             return
-        held_bytes = self.body.held_bytes + self.unparsed.size
-        if not self.heads_in_use:
-            held_bytes += self.head.kept.memory_bytes
-        if self.writing_paused:
-            held_bytes += self.answer_bytes
+        head_bytes = 0 if self.head_in_use else self.head.kept.memory_bytes
+        answer_bytes = self.answer_bytes if self.writing_paused else 0
+        held_bytes = self.body.held_bytes + self.unparsed.size + head_bytes + answer_bytes
         self.load.hold(self, held_bytes)
 
     def pause_writing(self) -> None:
@@ -315,10 +314,6 @@
         self.load.on_close(self)
         super().connection_lost(exc)
 
-    def head_limit(self) -> float:
-        """Return when a head that begins now must be complete."""
-        return asyncio.get_running_loop().time() + self.header_timeout_s
-
     def start_timer(self, delay_s: float) -> None:
         """Close the connection after a time unless a whole head arrives before."""
         self.stop_timer()
@@ -344,7 +339,7 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write an answer, and wait until the caller has read most of it."""
-        self.heads_in_use = False
+        self.head_in_use = False
         self.load.on_answer(self)
         if self.rejected:
             resp.force_close()
--- a/packages/azurefield-entry/src/azurefield_entry/callers/limited.py
+++ b/packages/azurefield-entry/src/azurefield_entry/callers/limited.py
@@ -22,7 +22,7 @@
     transport: asyncio.Transport | None
 
     def __hash__(self) -> int:
-        """Connections are told apart by their identity."""
+        """Return a hash of the connection's identity."""
 
     def parse_piece(self) -> None:
         """Parse the next piece of what waits."""
